--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Slots, connections, bounded queues and the retry budget of requests.
--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,1 @@
+//! Token bucket and back-off for calls to the store.
--- /dev/null
+++ b/crates/core/src/documents.rs
@@ -0,0 +1,1 @@
+//! Service documents in force, digests and repair.
--- /dev/null
+++ b/crates/core/src/eviction.rs
@@ -0,0 +1,1 @@
+//! Choice of the batch tasks that make room.
--- /dev/null
+++ b/crates/core/src/fairness.rs
@@ -0,0 +1,1 @@
+//! Equal service among teams and clients.
--- /dev/null
+++ b/crates/core/src/interference.rs
@@ -0,0 +1,1 @@
+//! How much one kind of task slows another, learned from lagging reports.
--- /dev/null
+++ b/crates/core/src/journal.rs
@@ -0,0 +1,1 @@
+//! Journal records, group commit, snapshots and recovery.
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,1 @@
+//! Lease arithmetic on echoed stamps.
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Entry hosts that are live, suspected, leaving or gone.
--- /dev/null
+++ b/crates/core/src/ownership.rs
@@ -0,0 +1,1 @@
+//! Who may command a backend server.
--- /dev/null
+++ b/crates/core/src/tasks.rs
@@ -0,0 +1,1 @@
+//! Life cycle of a batch task.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,1 @@
+//! Micro-kernel: services find each other by name.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! primrosestack: a scheduler for latency-critical and batch work on shared hosts.
+//!
+//! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
+
+pub mod kernel;
+pub mod settings;
