Stand-ins, kernel, and clients of the platform

Cause: the shell needs the store, the host list and backend servers at narrow traits, and tests need stand-ins that keep their own records.

Before: interfaces only. After: crates/standin serves the store (JSON form of etcd's v3 gateway), the host list and backend servers on loopback; the root crate has the kernel, an HTTP client that tells what was certainly not sent, and clients for the three.

--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,166 @@
+//! A backend server over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use axum::{Json, Router};
+use primrosestack_core::event::{ServerCommand, ServerReply};
+use primrosestack_core::ids::{Epoch, HostId};
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::ledger::Ledger;
+use crate::worker::Worker;
+
+/// Requests that one server handles at a time.
+pub const SLOTS: u32 = 8;
+
+/// The clock of the worker moves at least this often.
+const ADVANCE_MS: u64 = 20;
+
+/// A command with its sender.
+#[derive(Deserialize)]
+struct Envelope {
+    epoch: Epoch,
+    owner: HostId,
+    command: ServerCommand,
+}
+
+/// A running backend server; a clone is the same server.
+#[derive(Clone)]
+pub struct StandinBackend {
+    name: SmolStr,
+    worker: Arc<Mutex<Worker>>,
+    ledger: Ledger,
+    opened: Instant,
+    service_ms: u64,
+}
+
+impl StandinBackend {
+    /// Serves on an address; each request takes `service_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        name: SmolStr,
+        worker: Worker,
+        ledger: Ledger,
+        service_ms: u64,
+    ) -> std::io::Result<(Self, SocketAddr)> {
+        let backend = Self {
+            name,
+            worker: Arc::new(Mutex::new(worker)),
+            ledger,
+            opened: Instant::now(),
+            service_ms,
+        };
+        let router = Router::new()
+            .route("/v1/command", post(command))
+            .route("/v1/request/{service}/{operation}", post(request))
+            .with_state(backend.clone());
+        let address = crate::platform::serve(address, router).await?;
+        tokio::spawn(backend.clone().tick());
+        Ok((backend, address))
+    }
+
+    async fn tick(self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(ADVANCE_MS)).await;
+            let _worker = self.worker();
+        }
+    }
+
+    /// Gives access to the worker after moving its clock to now.
+    pub fn worker(&self) -> MutexGuard<'_, Worker> {
+        let now_ms = u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut worker = self.worker.lock().unwrap_or_else(PoisonError::into_inner);
+        worker.advance(now_ms);
+        worker
+    }
+}
+
+async fn command(
+    State(backend): State<StandinBackend>,
+    Json(envelope): Json<Envelope>,
+) -> Json<ServerReply> {
+    let mut worker = backend.worker();
+    Json(worker.command(envelope.epoch, &envelope.owner, envelope.command))
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn parse_epoch(text: &str) -> Option<Epoch> {
+    let (term, rank) = text.split_once('.')?;
+    Some(Epoch {
+        term: term.parse().ok()?,
+        rank: rank.parse().ok()?,
+    })
+}
+
+fn parse_owner(text: &str) -> Option<HostId> {
+    let (name, incarnation) = text.rsplit_once('/')?;
+    Some(HostId {
+        name: name.into(),
+        incarnation: incarnation.parse().ok()?,
+    })
+}
+
+/// Frees the slot when the request ends or its connection is cut.
+struct Slot(StandinBackend);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.worker().end_request();
+    }
+}
+
+async fn request(
+    State(backend): State<StandinBackend>,
+    Path((service, operation)): Path<(String, String)>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let identity = header(&headers, "primrose-request").to_owned();
+    let epoch = parse_epoch(header(&headers, "primrose-epoch"));
+    let owner = parse_owner(header(&headers, "primrose-owner"));
+    let (Some(epoch), Some(owner)) = (epoch, owner) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let refused = [("primrose-outcome", "not-run")];
+    {
+        let mut worker = backend.worker();
+        if !worker.admit(epoch, &owner) {
+            return (StatusCode::CONFLICT, refused).into_response();
+        }
+        if worker.leaving_for_ms().is_some_and(|ms| ms > 3_000) {
+            backend.ledger.records().late_starts += 1;
+        }
+        if !worker.begin_request(SLOTS) {
+            drop(worker);
+            let text = format!("{} was given more than {SLOTS} requests", backend.name);
+            backend.ledger.violation(text);
+            return (StatusCode::TOO_MANY_REQUESTS, refused).into_response();
+        }
+    }
+    let slot = Slot(backend.clone());
+    backend.ledger.ran_request(&identity);
+    tokio::time::sleep(Duration::from_millis(backend.service_ms)).await;
+    drop(slot);
+    let answer = format!(
+        "{service}/{operation} {} {}",
+        body.len(),
+        String::from_utf8_lossy(&body)
+    );
+    ([("primrose-request", identity)], answer).into_response()
+}
--- /dev/null
+++ b/crates/standin/src/ledger.rs
@@ -0,0 +1,143 @@
+//! What all backend servers did, as seen by themselves.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use primrosestack_core::ids::TaskId;
+use smol_str::SmolStr;
+
+/// How one run of a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// It is still running.
+    None,
+    /// It succeeded.
+    Succeeded,
+    /// It failed.
+    Failed,
+    /// It was stopped or its lease lapsed.
+    Stopped,
+}
+
+/// One run of a task on one server.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The server.
+    pub server: SmolStr,
+    /// Whether it resumed from a checkpoint.
+    pub resumed: bool,
+    /// Work done before it started, in milliseconds.
+    pub from_ms: u64,
+    /// Work done when it ended, in milliseconds.
+    pub to_ms: u64,
+    /// How it ended.
+    pub end: RunEnd,
+}
+
+/// Records of all servers.
+#[derive(Default)]
+pub struct Records {
+    /// Runs of each task.
+    pub runs: BTreeMap<TaskId, Vec<Run>>,
+    /// How often the body of each request ran.
+    pub requests: BTreeMap<SmolStr, u32>,
+    /// What must never happen and did.
+    pub violations: Vec<String>,
+    /// New work that a server received more than 3 s after it was marked as leaving.
+    pub late_starts: u32,
+}
+
+impl Records {
+    /// Number of runs that ended with success, over all tasks.
+    #[must_use]
+    pub fn succeeded(&self) -> usize {
+        let runs = self.runs.values().flatten();
+        runs.filter(|run| run.end == RunEnd::Succeeded).count()
+    }
+
+    /// Number of tasks that succeeded more than once.
+    #[must_use]
+    pub fn doubled(&self) -> usize {
+        let succeeded = |runs: &&Vec<Run>| {
+            let ends = runs.iter().filter(|run| run.end == RunEnd::Succeeded);
+            ends.count() > 1
+        };
+        self.runs.values().filter(succeeded).count()
+    }
+
+    /// Number of runs that resumed from a checkpoint.
+    #[must_use]
+    pub fn resumed(&self) -> usize {
+        self.runs
+            .values()
+            .flatten()
+            .filter(|run| run.resumed)
+            .count()
+    }
+
+    /// Number of runs that were stopped before their end.
+    #[must_use]
+    pub fn stopped(&self) -> usize {
+        let runs = self.runs.values().flatten();
+        runs.filter(|run| run.end == RunEnd::Stopped).count()
+    }
+
+    /// Number of requests that ran more than once.
+    #[must_use]
+    pub fn repeated_requests(&self) -> usize {
+        self.requests.values().filter(|count| **count > 1).count()
+    }
+}
+
+/// Shared records.
+#[derive(Clone, Default)]
+pub struct Ledger {
+    records: Arc<Mutex<Records>>,
+}
+
+impl Ledger {
+    /// Gives access to the records.
+    pub fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes the start of a run, and a violation if the task runs elsewhere.
+    pub fn started(&self, task: TaskId, server: &SmolStr, resumed: bool, from_ms: u64) {
+        let mut records = self.records();
+        let runs = records.runs.entry(task).or_default();
+        let elsewhere = runs.iter().find(|run| run.end == RunEnd::None);
+        let violation =
+            elsewhere.map(|run| format!("{task:?} runs on {} and {server}", run.server));
+        runs.push(Run {
+            server: server.clone(),
+            resumed,
+            from_ms,
+            to_ms: from_ms,
+            end: RunEnd::None,
+        });
+        records.violations.extend(violation);
+    }
+
+    /// Notes the end of the run of a task on a server.
+    pub fn ended(&self, task: TaskId, server: &SmolStr, to_ms: u64, end: RunEnd) {
+        let mut records = self.records();
+        let runs = records.runs.entry(task).or_default();
+        let current = runs
+            .iter_mut()
+            .find(|run| run.end == RunEnd::None && run.server == *server);
+        if let Some(run) = current {
+            run.to_ms = to_ms;
+            run.end = end;
+        }
+    }
+
+    /// Notes that the body of a request ran.
+    pub fn ran_request(&self, identity: &str) {
+        *self.records().requests.entry(identity.into()).or_default() += 1;
+    }
+
+    /// Notes something that must never happen.
+    pub fn violation(&self, text: String) {
+        self.records().violations.push(text);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,345 @@
+//! A backend server without I/O: fencing, leases by its own stamp, attempts and checkpoints.
+
+use primrosestack_core::capacity::Resources;
+use primrosestack_core::event::{Report, ServerCommand, ServerReply, TaskReport, TaskState};
+use primrosestack_core::ids::{Attempt, Epoch, HostId, Stamp, TaskId};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::ledger::{Ledger, RunEnd};
+
+/// Reports lag by this much.
+const REPORT_LAG_MS: u64 = 1_000;
+
+struct Task {
+    id: TaskId,
+    attempt: Attempt,
+    size: Resources,
+    throttle_millicores: u32,
+    run_ms: u64,
+    done_ms: u64,
+    started_ms: u64,
+    lease_until_ms: u64,
+    checkpoint: Option<SmolStr>,
+    state: TaskState,
+}
+
+/// A backend server.
+pub struct Worker {
+    name: SmolStr,
+    boot_id: u64,
+    capacity: Resources,
+    ledger: Ledger,
+    highest: Epoch,
+    owner: Option<HostId>,
+    tasks: Vec<Task>,
+    refused: Vec<(Attempt, u64)>,
+    now_ms: u64,
+    leaving_since_ms: Option<u64>,
+    fails_everything: bool,
+    busy_slots: u32,
+}
+
+impl Worker {
+    /// Opens a server whose tasks may take up to `capacity` in sum.
+    #[must_use]
+    pub fn open(name: SmolStr, boot_id: u64, capacity: Resources, ledger: Ledger) -> Self {
+        Self {
+            name,
+            boot_id,
+            capacity,
+            ledger,
+            highest: Epoch::default(),
+            owner: None,
+            tasks: Vec::new(),
+            refused: Vec::new(),
+            now_ms: 0,
+            leaving_since_ms: None,
+            fails_everything: false,
+            busy_slots: 0,
+        }
+    }
+
+    /// Makes every later start fail at once.
+    pub fn fail_everything(&mut self, fails: bool) {
+        self.fails_everything = fails;
+    }
+
+    /// Marks the server as leaving.
+    pub fn leave(&mut self) {
+        self.leaving_since_ms.get_or_insert(self.now_ms);
+    }
+
+    /// Number of tasks that run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let running = |task: &&Task| task.state == TaskState::Running;
+        self.tasks.iter().filter(running).count()
+    }
+
+    /// Milliseconds since the server was marked as leaving.
+    #[must_use]
+    pub fn leaving_for_ms(&self) -> Option<u64> {
+        let since = self.leaving_since_ms?;
+        Some(self.now_ms - since)
+    }
+
+    /// Lets time pass up to `now_ms` on the server's own clock.
+    pub fn advance(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.now_ms);
+        self.now_ms = now_ms;
+        for task in &mut self.tasks {
+            if task.state != TaskState::Running {
+                continue;
+            }
+            let allowed = u64::from(task.throttle_millicores.min(task.size.millicores).max(1));
+            let asked = u64::from(task.size.millicores.max(1));
+            task.done_ms += passed_ms * allowed / asked;
+            if task.done_ms >= task.run_ms {
+                task.state = TaskState::Succeeded;
+                self.ledger
+                    .ended(task.id, &self.name, task.run_ms, RunEnd::Succeeded);
+                continue;
+            }
+            if now_ms > task.lease_until_ms {
+                task.state = TaskState::Stopped;
+                self.ledger
+                    .ended(task.id, &self.name, task.done_ms, RunEnd::Stopped);
+            }
+        }
+        self.refused.retain(|(_, until_ms)| *until_ms > now_ms);
+    }
+
+    /// Ends everything, as a reboot does.
+    pub fn reboot(&mut self) {
+        for task in &self.tasks {
+            if task.state == TaskState::Running {
+                self.ledger
+                    .ended(task.id, &self.name, task.done_ms, RunEnd::Stopped);
+            }
+        }
+        self.tasks.clear();
+        self.refused.clear();
+        self.boot_id += 1;
+        self.highest = Epoch::default();
+        self.owner = None;
+    }
+
+    /// Whether a command or request of this epoch and owner is obeyed; notes the epoch if so.
+    pub fn admit(&mut self, epoch: Epoch, owner: &HostId) -> bool {
+        if epoch < self.highest {
+            return false;
+        }
+        if epoch == self.highest && self.owner.as_ref().is_some_and(|known| known != owner) {
+            return false;
+        }
+        self.highest = epoch;
+        self.owner = Some(owner.clone());
+        true
+    }
+
+    /// Highest epoch seen.
+    #[must_use]
+    pub fn highest(&self) -> Epoch {
+        self.highest
+    }
+
+    /// Occupies a slot for a request; false when all `limit` slots are busy.
+    pub fn begin_request(&mut self, limit: u32) -> bool {
+        if self.busy_slots >= limit {
+            return false;
+        }
+        self.busy_slots += 1;
+        true
+    }
+
+    /// Frees the slot of a request.
+    pub fn end_request(&mut self) {
+        self.busy_slots -= 1;
+    }
+
+    /// Obeys or refuses a command.
+    pub fn command(&mut self, epoch: Epoch, owner: &HostId, command: ServerCommand) -> ServerReply {
+        if !self.admit(epoch, owner) {
+            return ServerReply::Fenced {
+                highest: self.highest,
+            };
+        }
+        match command {
+            ServerCommand::Claim => ServerReply::Report(self.report()),
+            ServerCommand::Renew {
+                stamp,
+                lease_ms,
+                attempts,
+                acknowledged,
+            } => {
+                self.renew(stamp, lease_ms, &attempts, &acknowledged);
+                ServerReply::Report(self.report())
+            }
+            ServerCommand::Start {
+                stamp,
+                lease_ms,
+                task,
+                attempt,
+                size,
+                run_ms,
+                resume,
+                ..
+            } => self.start(stamp, lease_ms, task, attempt, size, run_ms, resume),
+            ServerCommand::Checkpoint { attempt } => self.checkpoint(attempt),
+            ServerCommand::Throttle {
+                attempt,
+                millicores,
+            } => {
+                let Some(task) = self.running_task(attempt) else {
+                    return ServerReply::Refused;
+                };
+                task.throttle_millicores = millicores;
+                ServerReply::Done
+            }
+            ServerCommand::Stop { attempt } => {
+                self.stop(attempt);
+                ServerReply::Done
+            }
+        }
+    }
+
+    fn running_task(&mut self, attempt: Attempt) -> Option<&mut Task> {
+        self.tasks
+            .iter_mut()
+            .find(|task| task.attempt == attempt && task.state == TaskState::Running)
+    }
+
+    fn renew(
+        &mut self,
+        stamp: Stamp,
+        lease_ms: u64,
+        attempts: &[Attempt],
+        acknowledged: &[Attempt],
+    ) {
+        for task in &mut self.tasks {
+            if attempts.contains(&task.attempt) {
+                task.lease_until_ms = task.lease_until_ms.max(stamp.0 + lease_ms);
+            }
+        }
+        let now_ms = self.now_ms;
+        for task in &self.tasks {
+            if task.state != TaskState::Running && acknowledged.contains(&task.attempt) {
+                self.refused.push((task.attempt, now_ms + lease_ms));
+            }
+        }
+        self.tasks.retain(|task| {
+            task.state == TaskState::Running || !acknowledged.contains(&task.attempt)
+        });
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "these are the fields of the start command"
+    )]
+    fn start(
+        &mut self,
+        stamp: Stamp,
+        lease_ms: u64,
+        task: TaskId,
+        attempt: Attempt,
+        size: Resources,
+        run_ms: u64,
+        resume: Option<SmolStr>,
+    ) -> ServerReply {
+        let lease_until_ms = stamp.0 + lease_ms;
+        let known = self.tasks.iter().any(|known| known.attempt == attempt);
+        if known {
+            return ServerReply::Done;
+        }
+        let ended = self.refused.iter().any(|(refused, _)| *refused == attempt);
+        if ended || self.now_ms > lease_until_ms {
+            return ServerReply::Refused;
+        }
+        if self.leaving_for_ms().is_some_and(|ms| ms > 3_000) {
+            self.ledger.records().late_starts += 1;
+        }
+        let done_ms = resume.as_deref().map_or(0, checkpoint_work_ms);
+        self.ledger
+            .started(task, &self.name, resume.is_some(), done_ms);
+        let mut state = TaskState::Running;
+        if self.fails_everything {
+            state = TaskState::Failed { code: 1 };
+            self.ledger.ended(task, &self.name, done_ms, RunEnd::Failed);
+        }
+        self.tasks.push(Task {
+            id: task,
+            attempt,
+            size,
+            throttle_millicores: size.millicores,
+            run_ms,
+            done_ms,
+            started_ms: self.now_ms,
+            lease_until_ms,
+            checkpoint: resume,
+            state,
+        });
+        self.check_capacity();
+        ServerReply::Done
+    }
+
+    fn check_capacity(&self) {
+        let running = self
+            .tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Running);
+        let used = running.fold(Resources::default(), |sum, task| {
+            sum.saturating_add(task.size)
+        });
+        if !used.fits_in(self.capacity) {
+            self.ledger
+                .violation(format!("{} is overfilled: {used:?}", self.name));
+        }
+    }
+
+    fn checkpoint(&mut self, attempt: Attempt) -> ServerReply {
+        let now_ms = self.now_ms;
+        let Some(task) = self.running_task(attempt) else {
+            return ServerReply::Refused;
+        };
+        let checkpoint = format_smolstr!("checkpoint-{}-{now_ms}-{}", task.id.index, task.done_ms);
+        task.checkpoint = Some(checkpoint.clone());
+        ServerReply::Checkpointed { checkpoint }
+    }
+
+    fn stop(&mut self, attempt: Attempt) {
+        let until_ms = self.now_ms + 60_000;
+        let Some(task) = self.running_task(attempt) else {
+            self.refused.push((attempt, until_ms));
+            return;
+        };
+        task.state = TaskState::Stopped;
+        let (id, done_ms) = (task.id, task.done_ms);
+        self.ledger.ended(id, &self.name, done_ms, RunEnd::Stopped);
+    }
+
+    fn report(&self) -> Report {
+        let tasks = self.tasks.iter().map(|task| TaskReport {
+            task: task.id,
+            attempt: task.attempt,
+            state: task.state.clone(),
+            checkpoint: task.checkpoint.clone(),
+            used: if self.now_ms - task.started_ms >= REPORT_LAG_MS {
+                task.size
+            } else {
+                Resources::default()
+            },
+            slowdown_permille: 1_000,
+        });
+        Report {
+            stamp: Stamp(self.now_ms),
+            boot_id: self.boot_id,
+            tasks: tasks.collect(),
+            request_slowdown_permille: 1_000,
+        }
+    }
+}
+
+fn checkpoint_work_ms(checkpoint: &str) -> u64 {
+    let work = checkpoint.rsplit('-').next();
+    work.and_then(|text| text.parse().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/src/backend.rs
@@ -0,0 +1,176 @@
+//! Backend servers: task commands and requests over HTTP.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+use axum::http::{HeaderMap, Request};
+use bytes::Bytes;
+use http_body_util::Full;
+use primrosestack_core::event::{ServerCommand, ServerReply};
+use primrosestack_core::ids::{Epoch, HostId};
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::http::{Answer, HttpClient, HttpFailure};
+
+/// A command that has no answer after this long is given up as lost.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Header in which a backend server says that it refused before it started.
+const OUTCOME_HEADER: &str = "primrose-outcome";
+/// Header that names a request, echoed in its answer.
+const REQUEST_HEADER: &str = "primrose-request";
+
+/// One request to a backend server.
+#[derive(Clone, Debug)]
+pub struct BackendRequest {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Epoch under which it is sent.
+    pub epoch: Epoch,
+    /// Identity, echoed in the answer.
+    pub identity: SmolStr,
+    /// Service.
+    pub service: SmolStr,
+    /// Operation.
+    pub operation: SmolStr,
+    /// Content type of the body.
+    pub content_type: SmolStr,
+    /// Body.
+    pub body: Bytes,
+    /// Time left to answer.
+    pub timeout: Duration,
+}
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum BackendOutcome {
+    /// The server certainly did not run it.
+    NotRun,
+    /// The whole answer.
+    Answered(Answer),
+    /// It may have run; no whole answer arrived.
+    Unknown,
+}
+
+/// A future of a backend call.
+pub type BackendFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// What the program needs of backend servers.
+pub trait Backend: Send + Sync {
+    /// Sends one command.
+    fn command(
+        &self,
+        address: SocketAddr,
+        epoch: Epoch,
+        command: ServerCommand,
+    ) -> BackendFuture<'_, ServerReply>;
+
+    /// Sends one request, once.
+    fn request(&self, request: BackendRequest) -> BackendFuture<'_, BackendOutcome>;
+}
+
+/// Backend servers reached over HTTP.
+pub struct HttpBackend {
+    owner: HostId,
+    commands: HttpClient,
+    requests: HttpClient,
+}
+
+impl HttpBackend {
+    /// Opens a client that signs its commands with `owner`.
+    #[must_use]
+    pub fn open(owner: HostId) -> Self {
+        Self {
+            owner,
+            commands: HttpClient::open(),
+            requests: HttpClient::open(),
+        }
+    }
+
+    async fn send_command(
+        &self,
+        address: SocketAddr,
+        epoch: Epoch,
+        command: ServerCommand,
+    ) -> ServerReply {
+        let envelope = json!({"epoch": epoch, "owner": self.owner, "command": command});
+        let uri = format!("http://{address}/v1/command");
+        let answer = self
+            .commands
+            .post_json(&uri, &envelope, COMMAND_TIMEOUT)
+            .await;
+        let Ok(answer) = answer else {
+            return ServerReply::Lost;
+        };
+        serde_json::from_value(answer).unwrap_or(ServerReply::Lost)
+    }
+
+    async fn send_request(&self, request: BackendRequest) -> BackendOutcome {
+        let identity = request.identity.clone();
+        let Some(timeout) = Some(request.timeout).filter(|timeout| !timeout.is_zero()) else {
+            return BackendOutcome::NotRun;
+        };
+        let Ok(http_request) = self.http_request(request) else {
+            return BackendOutcome::NotRun;
+        };
+        match self.requests.send(http_request, timeout).await {
+            Err(HttpFailure::NotConnected) => BackendOutcome::NotRun,
+            Err(_) => BackendOutcome::Unknown,
+            Ok(answer) if header(&answer.headers, OUTCOME_HEADER) == "not-run" => {
+                BackendOutcome::NotRun
+            }
+            // An answer to another request must not reach this caller.
+            Ok(answer) if header(&answer.headers, REQUEST_HEADER) != identity => {
+                BackendOutcome::Unknown
+            }
+            Ok(answer) => BackendOutcome::Answered(answer),
+        }
+    }
+
+    fn http_request(
+        &self,
+        request: BackendRequest,
+    ) -> Result<Request<Full<Bytes>>, axum::http::Error> {
+        let BackendRequest {
+            address,
+            service,
+            operation,
+            ..
+        } = &request;
+        let epoch = format_smolstr!("{}.{}", request.epoch.term, request.epoch.rank);
+        let owner = format_smolstr!("{}/{}", self.owner.name, self.owner.incarnation);
+        Request::post(format!("http://{address}/v1/request/{service}/{operation}"))
+            .header("content-type", request.content_type.as_str())
+            .header("primrose-epoch", epoch.as_str())
+            .header("primrose-owner", owner.as_str())
+            .header(
+                "primrose-deadline-ms",
+                request.timeout.as_millis().to_string(),
+            )
+            .header(REQUEST_HEADER, request.identity.as_str())
+            .body(Full::from(request.body))
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+impl Backend for HttpBackend {
+    fn command(
+        &self,
+        address: SocketAddr,
+        epoch: Epoch,
+        command: ServerCommand,
+    ) -> BackendFuture<'_, ServerReply> {
+        Box::pin(self.send_command(address, epoch, command))
+    }
+
+    fn request(&self, request: BackendRequest) -> BackendFuture<'_, BackendOutcome> {
+        Box::pin(self.send_request(request))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,9 @@
 //!
 //! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
 
+pub mod backend;
+pub mod hostlist;
+pub mod http;
 pub mod kernel;
 pub mod settings;
+pub mod store;
