Links between entry hosts

Cause: shells of different hosts need a link that carries frames both ways. After: length-delimited prost frames, hello with versions, silence closes a link after 3 s.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod hostlist;
 pub mod http;
 pub mod kernel;
+pub mod peer;
 pub mod settings;
 pub mod store;
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,332 @@
+//! Links to other entry hosts: length-delimited frames over TCP.
+//!
+//! A link carries frames both ways. Each side sends its hello first; a link on which nothing arrives for
+//! `SILENCE_TIMEOUT` is closed, since heartbeats arrive every 500 ms.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use primrosestack_core::ids::HostId;
+use primrosestack_core::peer_frame::{self, Body, FrameError, Hello, VERSIONS};
+use smol_str::SmolStr;
+use snafu::{ResultExt, Snafu};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::settings::PeerSettings;
+
+/// Largest frame: a request body or a document of 1 MiB, and its envelope.
+const FRAME_MAX_BYTES: usize = 2 << 20;
+/// Frames that wait for one link; more are refused.
+const QUEUE_FRAMES: usize = 4_096;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+const REDIAL_INTERVAL: Duration = Duration::from_millis(250);
+/// The host with the greater name lets the other one dial first, so that two hosts rarely open two links.
+const YIELD_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Why a link failed or could not be opened.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The address for peers cannot be bound.
+    #[snafu(display("cannot bind the address for peers {address}"))]
+    Bind {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The link broke.
+    #[snafu(display("link broke"))]
+    Broken {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The peer sent a frame that is refused.
+    #[snafu(display("frame refused: {source}"))]
+    Frame {
+        /// Cause.
+        source: FrameError,
+    },
+    /// Nothing arrived in time.
+    #[snafu(display("nothing arrived in time"))]
+    Silent,
+    /// The peer closed the link.
+    #[snafu(display("the peer closed the link"))]
+    Closed,
+}
+
+/// A frame as received.
+#[derive(Debug)]
+pub struct Received {
+    /// Sender, as named in its hello.
+    pub from: HostId,
+    /// Failure domain of the sender.
+    pub failure_domain: SmolStr,
+    /// Content.
+    pub body: Body,
+}
+
+/// Any stream that a link can use.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Stream for T {}
+
+/// A stream that is being secured.
+pub type Securing<'a> = Pin<Box<dyn Future<Output = std::io::Result<Box<dyn Stream>>> + Send + 'a>>;
+
+/// Certificates for links, on both sides.
+pub trait PeerSecurity: Send + Sync {
+    /// Secures an accepted stream.
+    fn accept(&self, stream: TcpStream) -> Securing<'_>;
+
+    /// Secures a stream to the entry host `name`.
+    fn connect<'a>(&'a self, stream: TcpStream, name: &'a str) -> Securing<'a>;
+}
+
+struct Link {
+    id: u64,
+    sender: mpsc::Sender<Bytes>,
+}
+
+struct Inner {
+    hello: Hello,
+    links: Mutex<Vec<(SmolStr, Vec<Link>)>>,
+    next_link: AtomicU64,
+    received: mpsc::Sender<Received>,
+    tls: Option<Arc<dyn PeerSecurity>>,
+}
+
+/// The running links; a clone is the same.
+#[derive(Clone)]
+pub struct Peers {
+    inner: Arc<Inner>,
+    address: SocketAddr,
+}
+
+/// What the links need to know.
+pub struct PeerOptions {
+    /// This process.
+    pub host: HostId,
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// Hosts to connect to.
+    pub peers: Vec<PeerSettings>,
+    /// Certificates; without them links are plain text.
+    pub tls: Option<Arc<dyn PeerSecurity>>,
+}
+
+impl Peers {
+    /// Listens for peers and connects to those that are known; frames go to `received`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::Bind`] if the address cannot be bound.
+    pub async fn bind(
+        options: PeerOptions,
+        received: mpsc::Sender<Received>,
+    ) -> Result<Self, PeerError> {
+        let address = options.address;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(BindSnafu { address })?;
+        let address = listener.local_addr().context(BindSnafu { address })?;
+        let hello = Hello {
+            versions: VERSIONS.to_vec(),
+            host: options.host.name.to_string(),
+            incarnation: options.host.incarnation,
+            failure_domain: options.failure_domain.to_string(),
+        };
+        let inner = Arc::new(Inner {
+            hello,
+            links: Mutex::default(),
+            next_link: AtomicU64::new(1),
+            received,
+            tls: options.tls,
+        });
+        tokio::spawn(accept(inner.clone(), listener));
+        for peer in options.peers {
+            if peer.name == options.host.name {
+                continue;
+            }
+            tokio::spawn(dial(inner.clone(), peer));
+        }
+        Ok(Self { inner, address })
+    }
+
+    /// Address that is listened on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Queues a frame; false if there is no link or its queue is full, and then nothing was or will be sent.
+    pub fn send(&self, to: &str, body: Body) -> bool {
+        let everywhere = matches!(body, Body::Heartbeat(_));
+        let frame = Bytes::from(peer_frame::encode(body));
+        let links = self.inner.links();
+        let found = links.binary_search_by(|(name, _)| name.as_str().cmp(to));
+        let Ok(at) = found else {
+            return false;
+        };
+        let mut sent = false;
+        for link in links[at].1.iter().rev() {
+            // A heartbeat goes over every link, since silence closes a link.
+            if sent && !everywhere {
+                break;
+            }
+            sent |= link.sender.try_send(frame.clone()).is_ok();
+        }
+        sent
+    }
+}
+
+impl Inner {
+    fn links(&self) -> MutexGuard<'_, Vec<(SmolStr, Vec<Link>)>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_linked(&self, name: &str) -> bool {
+        let links = self.links();
+        let found = links.binary_search_by(|(known, _)| known.as_str().cmp(name));
+        found.is_ok_and(|at| !links[at].1.is_empty())
+    }
+
+    fn add(&self, name: &SmolStr, sender: mpsc::Sender<Bytes>) -> u64 {
+        let id = self.next_link.fetch_add(1, Ordering::Relaxed);
+        let link = Link { id, sender };
+        let mut links = self.links();
+        match links.binary_search_by(|(known, _)| known.cmp(name)) {
+            Ok(at) => links[at].1.push(link),
+            Err(at) => links.insert(at, (name.clone(), vec![link])),
+        }
+        id
+    }
+
+    fn remove(&self, name: &SmolStr, id: u64) {
+        let mut links = self.links();
+        if let Ok(at) = links.binary_search_by(|(known, _)| known.cmp(name)) {
+            links[at].1.retain(|link| link.id != id);
+        }
+    }
+}
+
+async fn accept(inner: Arc<Inner>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process is short of file descriptors; accepting again at once would spin.
+            tokio::time::sleep(REDIAL_INTERVAL).await;
+            continue;
+        };
+        let inner = inner.clone();
+        tokio::spawn(async move {
+            // A failed link is dialled again by one of the two sides.
+            let _ = accepted(&inner, stream).await;
+        });
+    }
+}
+
+async fn accepted(inner: &Inner, stream: TcpStream) -> Result<(), PeerError> {
+    stream.set_nodelay(true).context(BrokenSnafu)?;
+    let Some(tls) = &inner.tls else {
+        return carry(inner, stream).await;
+    };
+    let accepting = timeout(HELLO_TIMEOUT, tls.accept(stream)).await;
+    let secured = accepting.map_err(|_| PeerError::Silent)?;
+    carry(inner, secured.context(BrokenSnafu)?).await
+}
+
+async fn dial(inner: Arc<Inner>, peer: PeerSettings) {
+    let yields = inner.hello.host.as_str() > peer.name.as_str();
+    loop {
+        if yields && !inner.is_linked(&peer.name) {
+            tokio::time::sleep(YIELD_INTERVAL).await;
+        }
+        if inner.is_linked(&peer.name) {
+            tokio::time::sleep(REDIAL_INTERVAL).await;
+            continue;
+        }
+        // The next round dials again.
+        let _ = dialled(&inner, &peer).await;
+        tokio::time::sleep(REDIAL_INTERVAL).await;
+    }
+}
+
+async fn dialled(inner: &Inner, peer: &PeerSettings) -> Result<(), PeerError> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await;
+    let stream = connecting.map_err(|_| PeerError::Silent)?;
+    let stream = stream.context(BrokenSnafu)?;
+    stream.set_nodelay(true).context(BrokenSnafu)?;
+    let Some(tls) = &inner.tls else {
+        return carry(inner, stream).await;
+    };
+    let connecting = timeout(HELLO_TIMEOUT, tls.connect(stream, &peer.name)).await;
+    let secured = connecting.map_err(|_| PeerError::Silent)?;
+    carry(inner, secured.context(BrokenSnafu)?).await
+}
+
+/// Carries frames over one link until it breaks.
+async fn carry(inner: &Inner, stream: impl Stream) -> Result<(), PeerError> {
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(FRAME_MAX_BYTES);
+    let (mut sink, mut source) = Framed::new(stream, codec).split();
+    let hello = peer_frame::encode(Body::Hello(inner.hello.clone()));
+    sink.send(Bytes::from(hello)).await.context(BrokenSnafu)?;
+    let first = read_frame(&mut source, HELLO_TIMEOUT).await?;
+    let (from, _version) = peer_frame::accept(&first).context(FrameSnafu)?;
+    let Body::Hello(hello) = first else {
+        return Err(PeerError::Closed);
+    };
+    let failure_domain = SmolStr::from(hello.failure_domain);
+    let (sender, mut queue) = mpsc::channel::<Bytes>(QUEUE_FRAMES);
+    let id = inner.add(&from.name, sender);
+    let writing = async {
+        while let Some(frame) = queue.recv().await {
+            sink.feed(frame).await.context(BrokenSnafu)?;
+            if queue.is_empty() {
+                sink.flush().await.context(BrokenSnafu)?;
+            }
+        }
+        Ok(())
+    };
+    let reading = async {
+        loop {
+            let body = read_frame(&mut source, SILENCE_TIMEOUT).await?;
+            let received = Received {
+                from: from.clone(),
+                failure_domain: failure_domain.clone(),
+                body,
+            };
+            let taken = inner.received.send(received).await;
+            taken.map_err(|_| PeerError::Closed)?;
+        }
+    };
+    let result = tokio::select! {
+        result = writing => result,
+        result = reading => result,
+    };
+    inner.remove(&from.name, id);
+    result
+}
+
+async fn read_frame<S>(source: &mut S, limit: Duration) -> Result<Body, PeerError>
+where
+    S: StreamExt<Item = std::io::Result<bytes::BytesMut>> + Unpin,
+{
+    let next = timeout(limit, source.next()).await;
+    let next = next.map_err(|_| PeerError::Silent)?;
+    let bytes = next.ok_or(PeerError::Closed)?.context(BrokenSnafu)?;
+    peer_frame::decode(&bytes).context(FrameSnafu)
+}
