Documents, membership and the frames of the peer link

Cause: the core had no registry of document revisions, no view of the other entry hosts and no messages between them.

Joining and Serving are separate types. Two texts of one revision, which only a restored store can produce, are ordered by the hash of the text, and the digest covers that hash. - membership: heartbeats each 500 ms, suspicion after 1,500 ms, leaving, gone.

--- a/crates/core/src/documents.rs
+++ b/crates/core/src/documents.rs
@@ -1,1 +1,442 @@
 //! Service documents in force, digests and repair.
+//!
+//! A team's document has a revision that is stored with its text and grows by one at each accepted edit. It is distinct
+//! from the revision of the store's key, which only guards the compare-and-swap.
+
+use std::cmp::Ordering;
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+use crate::digest::{Digest, Document, DocumentHead, bucket_of, in_buckets};
+use crate::ids::{Revision, rendezvous};
+use crate::time::{DurationMs, MonoMs};
+
+/// Time between two digest exchanges with one peer.
+pub const DIGEST_INTERVAL: DurationMs = DurationMs(2_000);
+
+/// How long a new process waits for a peer's documents before it serves from the store alone. Longer than one digest
+/// interval, so that one lost exchange with each peer is needed to miss a document.
+pub const JOIN_WAIT: DurationMs = DurationMs(3_000);
+
+/// Most text bytes in one push; the rest follows at the next exchange. Half the largest value of the store, so that a
+/// push does not hold up heartbeats on the same link.
+pub const PUSH_MAX_BYTES: usize = 524_288;
+
+/// What became of an offered document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offered {
+    /// It is now in force here and has to be sent on.
+    InForce,
+    /// It was in force already.
+    Known,
+    /// It is older than the document in force and was ignored.
+    Older,
+}
+
+/// What a read of the store showed about one team.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreFinding {
+    /// The store's document is now in force here and has to be sent on.
+    InForce,
+    /// The store agrees with this process.
+    Agrees,
+    /// The store is older than what was in force. The document has to be swapped in at the expected revision; after a
+    /// stale read the swap conflicts and changes nothing.
+    WriteBack {
+        /// Revision of the store's key that the swap expects.
+        expected: Revision,
+        /// Document to write.
+        document: Document,
+    },
+}
+
+/// Why an edit was not prepared; nothing was written.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum EditError {
+    /// Another edit was accepted first.
+    #[snafu(display("document of team {team:?} is at revision {current}, not {if_match}"))]
+    Raced {
+        /// Team.
+        team: SmolStr,
+        /// Revision that the operator based the edit on.
+        if_match: u64,
+        /// Revision in force.
+        current: u64,
+    },
+    /// The store holds an older document than the one in force and has to be repaired first.
+    #[snafu(display("store holds revision {stored} of team {team:?}, older than {current}"))]
+    StoreBehind {
+        /// Team.
+        team: SmolStr,
+        /// Revision in the store.
+        stored: u64,
+        /// Revision in force.
+        current: u64,
+    },
+}
+
+/// Revision that a failure domain has in force, as far as this process knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DomainRevision {
+    /// The failure domain.
+    pub failure_domain: SmolStr,
+    /// Lowest revision of the team's document at its known entry hosts; 0 if one of them has none.
+    pub revision: u64,
+    /// Number of entry hosts known.
+    pub hosts: u32,
+}
+
+/// The process still asks its peers for documents; it neither serves nor edits.
+#[derive(Debug)]
+pub struct Joining;
+
+/// The process serves its documents.
+#[derive(Debug)]
+pub struct Serving;
+
+struct PeerDocuments {
+    host: SmolStr,
+    failure_domain: SmolStr,
+    revisions: Vec<(SmolStr, u64)>,
+}
+
+/// The documents of one process: the highest revision that it has ever seen of each team.
+pub struct Documents<Stage> {
+    failure_domain: SmolStr,
+    opened: MonoMs,
+    entries: Vec<Document>,
+    digest: Digest,
+    peers: Vec<PeerDocuments>,
+    stage: PhantomData<Stage>,
+}
+
+/// The entry host that holds the watch of a failure domain, among its live entry hosts.
+#[must_use]
+pub fn watcher<'a>(
+    failure_domain: &str,
+    live: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    rendezvous(failure_domain, live)
+}
+
+impl Documents<Joining> {
+    /// Opens the registry of a process that has just started and knows nothing.
+    #[must_use]
+    pub fn open(failure_domain: SmolStr, now: MonoMs) -> Self {
+        Self {
+            failure_domain,
+            opened: now,
+            entries: Vec::new(),
+            digest: Digest::default(),
+            peers: Vec::new(),
+            stage: PhantomData,
+        }
+    }
+
+    /// Whether the process may serve: a peer's documents were all received, or no peer answered in time.
+    #[must_use]
+    pub fn may_serve(&self, now: MonoMs, peer_digest: Option<&Digest>) -> bool {
+        let caught_up = peer_digest.is_some_and(|digest| *digest == self.digest);
+        caught_up || now.since(self.opened) >= JOIN_WAIT
+    }
+
+    /// Starts serving.
+    #[must_use]
+    pub fn serve(self) -> Documents<Serving> {
+        Documents {
+            failure_domain: self.failure_domain,
+            opened: self.opened,
+            entries: self.entries,
+            digest: self.digest,
+            peers: self.peers,
+            stage: PhantomData,
+        }
+    }
+}
+
+impl Documents<Serving> {
+    /// The document in force.
+    #[must_use]
+    pub fn get(&self, team: &str) -> Option<&Document> {
+        self.entry(team)
+    }
+
+    /// All documents in force, by team.
+    #[must_use]
+    pub fn all(&self) -> &[Document] {
+        &self.entries
+    }
+
+    /// Prepares an edit against what the store holds now. The returned document has to be swapped in at the revision of
+    /// the store's key that came with `stored`.
+    ///
+    /// # Errors
+    ///
+    /// `Raced` if the operator's base is not the current revision, `StoreBehind` if the store was restored to an older
+    /// state and is not repaired yet. The caller answers both with 409 and the current revision.
+    pub fn edit(
+        &self,
+        team: &str,
+        if_match: u64,
+        stored: Option<&Document>,
+        text: Arc<str>,
+    ) -> Result<Document, EditError> {
+        let known = self.entry(team).map(Document::head);
+        let stored = stored.map(Document::head);
+        let rank = |head: &Option<DocumentHead>| head.as_ref().map_or((0, 0), DocumentHead::rank);
+        let current = rank(&known).0.max(rank(&stored).0);
+        let team = SmolStr::new(team);
+        if rank(&stored) < rank(&known) {
+            return StoreBehindSnafu {
+                team,
+                stored: rank(&stored).0,
+                current,
+            }
+            .fail();
+        }
+        if if_match != current {
+            return RacedSnafu {
+                team,
+                if_match,
+                current,
+            }
+            .fail();
+        }
+        Ok(Document {
+            team,
+            revision: current + 1,
+            text,
+        })
+    }
+
+    /// The revision of a team's document in each failure domain, as far as known, by name of the failure domain.
+    #[must_use]
+    pub fn in_force(&self, team: &str) -> Vec<DomainRevision> {
+        let own = self.entry(team).map_or(0, |document| document.revision);
+        let mut domains = vec![DomainRevision {
+            failure_domain: self.failure_domain.clone(),
+            revision: own,
+            hosts: 1,
+        }];
+        for peer in &self.peers {
+            let revision = peer.revision(team);
+            match domains.binary_search_by(|domain| domain.failure_domain.cmp(&peer.failure_domain))
+            {
+                Ok(at) => {
+                    domains[at].revision = domains[at].revision.min(revision);
+                    domains[at].hosts += 1;
+                }
+                Err(at) => domains.insert(
+                    at,
+                    DomainRevision {
+                        failure_domain: peer.failure_domain.clone(),
+                        revision,
+                        hosts: 1,
+                    },
+                ),
+            }
+        }
+        domains
+    }
+}
+
+impl<Stage> Documents<Stage> {
+    /// Takes a document from a peer, the watch or an accepted edit.
+    pub fn offer(&mut self, document: Document) -> Offered {
+        let head = document.head();
+        match self.position(&document.team) {
+            Err(at) => {
+                self.digest.documents += 1;
+                self.count(&head);
+                self.entries.insert(at, document);
+                Offered::InForce
+            }
+            Ok(at) => {
+                let known = self.entries[at].head();
+                match head.rank().cmp(&known.rank()) {
+                    Ordering::Less => Offered::Older,
+                    Ordering::Equal => Offered::Known,
+                    Ordering::Greater => {
+                        self.discount(&known);
+                        self.count(&head);
+                        self.entries[at] = document;
+                        Offered::InForce
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a read of `document/<team>`; `stored` is `None` if the key does not exist.
+    pub fn read_from_store(
+        &mut self,
+        team: &str,
+        key_revision: Revision,
+        stored: Option<Document>,
+    ) -> StoreFinding {
+        let stored_revision = stored.as_ref().map_or(0, |document| document.revision);
+        let offered = match stored {
+            Some(document) => self.offer(document),
+            None if self.entry(team).is_some() => Offered::Older,
+            None => Offered::Known,
+        };
+        match (offered, self.entry(team)) {
+            (Offered::InForce, _) => StoreFinding::InForce,
+            (Offered::Older, Some(document)) => {
+                let mut document = document.clone();
+                document.revision = document.revision.max(stored_revision + 1);
+                StoreFinding::WriteBack {
+                    expected: key_revision,
+                    document,
+                }
+            }
+            _ => StoreFinding::Agrees,
+        }
+    }
+
+    /// Teams that are in force here and absent from a complete listing of the store.
+    #[must_use]
+    pub fn absent_from(&self, listed: &[SmolStr]) -> Vec<SmolStr> {
+        let absent = self.entries.iter().map(|document| &document.team);
+        absent
+            .filter(|team| !listed.contains(team))
+            .cloned()
+            .collect()
+    }
+
+    /// Summary to send to peers.
+    #[must_use]
+    pub fn digest(&self) -> &Digest {
+        &self.digest
+    }
+
+    /// Takes a peer's digest. Returns the buckets that differ, for `heads`; none if both hold the same documents.
+    pub fn compare(&mut self, host: &str, failure_domain: &str, theirs: &Digest) -> Vec<u32> {
+        let mut differing = Vec::new();
+        for (bucket, (own, their)) in (0_u32..).zip(self.digest.buckets.iter().zip(&theirs.buckets))
+        {
+            if own != their {
+                differing.push(bucket);
+            }
+        }
+        let same = self
+            .entries
+            .iter()
+            .filter(|document| !in_buckets(&document.team, &differing));
+        let same: Vec<(SmolStr, u64)> = same
+            .map(|document| (document.team.clone(), document.revision))
+            .collect();
+        let peer = self.peer(host, failure_domain);
+        for (team, revision) in same {
+            peer.note(&team, revision);
+        }
+        differing
+    }
+
+    /// Versions held in these buckets, to be answered by the peer with `newer_than`.
+    #[must_use]
+    pub fn heads(&self, buckets: &[u32]) -> Vec<DocumentHead> {
+        let chosen = self
+            .entries
+            .iter()
+            .filter(|document| in_buckets(&document.team, buckets));
+        chosen.map(Document::head).collect()
+    }
+
+    /// Takes a peer's versions in these buckets. Returns the documents that the peer lacks, at most `PUSH_MAX_BYTES` of
+    /// text but always at least one.
+    pub fn newer_than(
+        &mut self,
+        host: &str,
+        failure_domain: &str,
+        buckets: &[u32],
+        theirs: &[DocumentHead],
+    ) -> Vec<Document> {
+        let peer = self.peer(host, failure_domain);
+        for head in theirs {
+            peer.note(&head.team, head.revision);
+        }
+        let mut push = Vec::new();
+        let mut bytes = 0;
+        for document in &self.entries {
+            if !in_buckets(&document.team, buckets) {
+                continue;
+            }
+            let held = theirs.iter().find(|head| head.team == document.team);
+            if held.is_some_and(|head| head.rank() >= document.head().rank()) {
+                continue;
+            }
+            bytes += document.text.len();
+            if bytes > PUSH_MAX_BYTES && !push.is_empty() {
+                break;
+            }
+            push.push(document.clone());
+        }
+        push
+    }
+
+    /// Drops what is known of an entry host that is gone.
+    pub fn forget_host(&mut self, host: &str) {
+        self.peers.retain(|peer| peer.host != host);
+    }
+
+    fn position(&self, team: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|document| document.team.as_str().cmp(team))
+    }
+
+    fn entry(&self, team: &str) -> Option<&Document> {
+        let at = self.position(team).ok()?;
+        self.entries.get(at)
+    }
+
+    fn count(&mut self, head: &DocumentHead) {
+        let sum = &mut self.digest.buckets[bucket_of(&head.team)];
+        *sum = sum.wrapping_add(head.digest_hash());
+    }
+
+    fn discount(&mut self, head: &DocumentHead) {
+        let sum = &mut self.digest.buckets[bucket_of(&head.team)];
+        *sum = sum.wrapping_sub(head.digest_hash());
+    }
+
+    fn peer(&mut self, host: &str, failure_domain: &str) -> &mut PeerDocuments {
+        let found = self
+            .peers
+            .binary_search_by(|peer| peer.host.as_str().cmp(host));
+        let at = match found {
+            Ok(at) => at,
+            Err(at) => {
+                let peer = PeerDocuments {
+                    host: SmolStr::new(host),
+                    failure_domain: SmolStr::new(failure_domain),
+                    revisions: Vec::new(),
+                };
+                self.peers.insert(at, peer);
+                at
+            }
+        };
+        &mut self.peers[at]
+    }
+}
+
+impl PeerDocuments {
+    fn position(&self, team: &str) -> Result<usize, usize> {
+        self.revisions
+            .binary_search_by(|(known, _)| known.as_str().cmp(team))
+    }
+
+    fn revision(&self, team: &str) -> u64 {
+        self.position(team).map_or(0, |at| self.revisions[at].1)
+    }
+
+    fn note(&mut self, team: &str, revision: u64) {
+        match self.position(team) {
+            Ok(at) => self.revisions[at].1 = revision,
+            Err(at) => self.revisions.insert(at, (SmolStr::new(team), revision)),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod budget;
 pub mod capacity;
+pub mod digest;
 pub mod documents;
 pub mod event;
 pub mod eviction;
@@ -16,6 +17,8 @@
 pub mod lease;
 pub mod membership;
 pub mod ownership;
+pub mod peer_frame;
+pub mod peer_work;
 pub mod placement;
 pub mod prelude;
 pub mod shard;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,1 +1,433 @@
-//! Entry hosts that are live, suspected, leaving or gone.
+//! Which entry hosts are live, suspected, leaving or gone.
+//!
+//! A process names its incarnation with a random number, so incarnations have no order of their own. Each heartbeat
+//! echoes the latest one received from its addressee; of two incarnations of a host, the one with the later echo was
+//! alive later. A delayed heartbeat of a dead process therefore does not displace the process that replaced it.
+
+use std::marker::PhantomData;
+
+use smol_str::SmolStr;
+
+use crate::event::Event;
+use crate::ids::HostId;
+use crate::time::{DurationMs, MonoMs};
+
+/// Time between two heartbeats to one host.
+pub const HEARTBEAT_INTERVAL: DurationMs = DurationMs(500);
+
+/// Silence after which a host is suspected. Three heartbeats, so that one lost heartbeat does not move a shard.
+pub const SUSPECT_AFTER: DurationMs = DurationMs(1_500);
+
+/// An entry host named by the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name.
+    pub name: SmolStr,
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+}
+
+/// What the settings say about the entry hosts.
+#[derive(Clone, Debug)]
+pub struct MembershipConfig {
+    /// This process.
+    pub host: HostId,
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+    /// Entry hosts of the same failure domain and seeds of the others; this host itself is skipped.
+    pub members: Vec<Member>,
+}
+
+/// How much a host can take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Free request slots on the servers that the host owns.
+    pub free_slots: u32,
+    /// Requests waiting in its queues.
+    pub queued: u32,
+    /// Expected wait of a new request in milliseconds.
+    pub expected_wait_ms: u32,
+}
+
+/// What a heartbeat says about its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Beat {
+    /// Sender.
+    pub from: HostId,
+    /// Failure domain of the sender.
+    pub failure_domain: SmolStr,
+    /// Time of sending on the sender's clock.
+    pub sent: MonoMs,
+    /// `sent` of the latest heartbeat that the sender had from the addressee's incarnation; `None` if it had none.
+    pub echo: Option<MonoMs>,
+    /// The sender is leaving.
+    pub leaving: bool,
+    /// The sender's load.
+    pub load: Load,
+}
+
+/// State of an entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemberState {
+    /// Not heard since this process started.
+    Unheard,
+    /// Heard within `SUSPECT_AFTER`.
+    Live,
+    /// Not heard for `SUSPECT_AFTER`.
+    Suspected,
+    /// Stops soon and gets no new work.
+    Leaving,
+    /// Replaced by another incarnation or declared gone.
+    Gone,
+}
+
+/// What the membership takes in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// Time passed.
+    Tick {
+        /// Load to announce.
+        load: Load,
+    },
+    /// A heartbeat arrived.
+    Heard(Beat),
+    /// The platform's host list marks a host as leaving, or no longer does.
+    Listed {
+        /// Name.
+        name: SmolStr,
+        /// Marked as leaving.
+        leaving: bool,
+    },
+    /// An operator declares that the present incarnation of a host is gone.
+    DeclaredGone {
+        /// Name.
+        name: SmolStr,
+    },
+}
+
+/// What the membership asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberAction {
+    /// Sends a heartbeat.
+    Send {
+        /// Addressee.
+        to: SmolStr,
+        /// Content.
+        beat: Beat,
+    },
+    /// A host has another state.
+    Changed {
+        /// The host and the incarnation that it concerns; incarnation 0 if none was heard yet.
+        host: HostId,
+        /// Its failure domain.
+        failure_domain: SmolStr,
+        /// New state.
+        state: MemberState,
+    },
+}
+
+/// One host as known here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// Host and incarnation; incarnation 0 if none was heard yet.
+    pub host: HostId,
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+    /// State.
+    pub state: MemberState,
+    /// Load of the latest heartbeat.
+    pub load: Load,
+    /// Time from a heartbeat to its echo; `None` before the first echo.
+    pub round_trip: Option<DurationMs>,
+}
+
+/// Whether the process works normally or stops.
+pub trait Stage {
+    /// What heartbeats announce.
+    const LEAVING: bool;
+}
+
+/// The process works normally.
+#[derive(Debug)]
+pub struct Staying;
+
+/// The process announces that it stops.
+#[derive(Debug)]
+pub struct Departing;
+
+impl Stage for Staying {
+    const LEAVING: bool = false;
+}
+
+impl Stage for Departing {
+    const LEAVING: bool = true;
+}
+
+struct Peer {
+    view: MemberView,
+    heard: MonoMs,
+    their_sent: Option<MonoMs>,
+    highest_echo: Option<MonoMs>,
+    listed_leaving: bool,
+    announced_leaving: bool,
+}
+
+/// The entry hosts as one process knows them.
+pub struct Membership<S> {
+    host: HostId,
+    failure_domain: SmolStr,
+    peers: Vec<Peer>,
+    next_beat: MonoMs,
+    stage: PhantomData<S>,
+}
+
+impl MemberAction {
+    /// The event for the shards of this process, if the action is a change of a host in its own failure domain.
+    #[must_use]
+    pub fn shard_event(&self, own_failure_domain: &str) -> Option<Event> {
+        let Self::Changed {
+            host,
+            failure_domain,
+            state,
+        } = self
+        else {
+            return None;
+        };
+        if failure_domain != own_failure_domain {
+            return None;
+        }
+        Some(Event::Suspicion {
+            host: host.clone(),
+            suspected: matches!(state, MemberState::Suspected | MemberState::Gone),
+        })
+    }
+}
+
+impl Membership<Staying> {
+    /// Opens the membership of a process that has heard nobody yet.
+    #[must_use]
+    pub fn open(config: MembershipConfig, now: MonoMs) -> Self {
+        let mut peers: Vec<Peer> = Vec::new();
+        for member in config.members {
+            if member.name == config.host.name {
+                continue;
+            }
+            peers.push(Peer::new(member, now));
+        }
+        peers.sort_by(|a, b| a.view.host.name.cmp(&b.view.host.name));
+        peers.dedup_by(|a, b| a.view.host.name == b.view.host.name);
+        Self {
+            host: config.host,
+            failure_domain: config.failure_domain,
+            peers,
+            next_beat: now,
+            stage: PhantomData,
+        }
+    }
+
+    /// Starts to leave: the announcement goes out at once and with every later heartbeat.
+    #[must_use]
+    pub fn leave(
+        self,
+        now: MonoMs,
+        load: Load,
+        actions: &mut Vec<MemberAction>,
+    ) -> Membership<Departing> {
+        let mut departing = Membership {
+            host: self.host,
+            failure_domain: self.failure_domain,
+            peers: self.peers,
+            next_beat: now,
+            stage: PhantomData,
+        };
+        departing.handle(now, MemberEvent::Tick { load }, actions);
+        departing
+    }
+}
+
+impl<S: Stage> Membership<S> {
+    /// Takes one event and appends the actions that it asks for.
+    pub fn handle(&mut self, now: MonoMs, event: MemberEvent, actions: &mut Vec<MemberAction>) {
+        match event {
+            MemberEvent::Tick { load } => {
+                self.suspect(now, actions);
+                self.send(now, load, actions);
+            }
+            MemberEvent::Heard(beat) => self.heard(now, &beat, actions),
+            MemberEvent::Listed { name, leaving } => {
+                if let Ok(at) = self.position(&name) {
+                    let peer = &mut self.peers[at];
+                    peer.listed_leaving = leaving;
+                    peer.settle(now, actions);
+                }
+            }
+            MemberEvent::DeclaredGone { name } => {
+                if let Ok(at) = self.position(&name) {
+                    self.peers[at].change(MemberState::Gone, actions);
+                }
+            }
+        }
+    }
+
+    /// This process.
+    #[must_use]
+    pub fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    /// All other hosts, by name.
+    pub fn members(&self) -> impl Iterator<Item = &MemberView> {
+        self.peers.iter().map(|peer| &peer.view)
+    }
+
+    /// Names of the live entry hosts of this failure domain, this one included.
+    pub fn live(&self) -> impl Iterator<Item = &str> {
+        let others = self.members().filter(|view| {
+            view.failure_domain == self.failure_domain && view.state == MemberState::Live
+        });
+        std::iter::once(self.host.name.as_str()).chain(others.map(|view| view.host.name.as_str()))
+    }
+
+    /// State of a host; `None` if the settings do not name it and it was never heard.
+    #[must_use]
+    pub fn state(&self, name: &str) -> Option<MemberState> {
+        let at = self.position(name).ok()?;
+        Some(self.peers[at].view.state)
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.peers
+            .binary_search_by(|peer| peer.view.host.name.as_str().cmp(name))
+    }
+
+    fn suspect(&mut self, now: MonoMs, actions: &mut Vec<MemberAction>) {
+        for peer in &mut self.peers {
+            peer.settle(now, actions);
+        }
+    }
+
+    fn send(&mut self, now: MonoMs, load: Load, actions: &mut Vec<MemberAction>) {
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now + HEARTBEAT_INTERVAL;
+        for peer in &self.peers {
+            let beat = Beat {
+                from: self.host.clone(),
+                failure_domain: self.failure_domain.clone(),
+                sent: now,
+                echo: peer.their_sent,
+                leaving: S::LEAVING,
+                load,
+            };
+            actions.push(MemberAction::Send {
+                to: peer.view.host.name.clone(),
+                beat,
+            });
+        }
+    }
+
+    fn heard(&mut self, now: MonoMs, beat: &Beat, actions: &mut Vec<MemberAction>) {
+        if beat.from.name == self.host.name {
+            return;
+        }
+        let at = match self.position(&beat.from.name) {
+            Ok(at) => at,
+            Err(at) => {
+                let member = Member {
+                    name: beat.from.name.clone(),
+                    failure_domain: beat.failure_domain.clone(),
+                };
+                self.peers.insert(at, Peer::new(member, now));
+                at
+            }
+        };
+        self.peers[at].heard(now, beat, actions);
+    }
+}
+
+impl Peer {
+    fn new(member: Member, now: MonoMs) -> Self {
+        Self {
+            view: MemberView {
+                host: HostId {
+                    name: member.name,
+                    incarnation: 0,
+                },
+                failure_domain: member.failure_domain,
+                state: MemberState::Unheard,
+                load: Load::default(),
+                round_trip: None,
+            },
+            heard: now,
+            their_sent: None,
+            highest_echo: None,
+            listed_leaving: false,
+            announced_leaving: false,
+        }
+    }
+
+    fn heard(&mut self, now: MonoMs, beat: &Beat, actions: &mut Vec<MemberAction>) {
+        let echo = beat.echo.filter(|echo| *echo <= now);
+        if self.view.host != beat.from {
+            let first = self.view.host.incarnation == 0;
+            if !first && echo <= self.highest_echo {
+                return;
+            }
+            if !first {
+                self.change(MemberState::Gone, actions);
+            }
+            self.replace(beat.from.clone());
+        } else if self.view.state == MemberState::Gone {
+            return;
+        }
+        self.heard = now;
+        if self.their_sent.is_none_or(|sent| beat.sent > sent) {
+            self.their_sent = Some(beat.sent);
+            self.view.load = beat.load;
+            if let Some(echo) = echo {
+                self.view.round_trip = Some(now.since(echo));
+            }
+        }
+        self.highest_echo = self.highest_echo.max(echo);
+        self.announced_leaving |= beat.leaving;
+        self.settle(now, actions);
+    }
+
+    fn replace(&mut self, host: HostId) {
+        self.view.host = host;
+        self.view.state = MemberState::Unheard;
+        self.view.round_trip = None;
+        self.their_sent = None;
+        self.announced_leaving = false;
+    }
+
+    /// Derives the state from what is known. Silence outweighs leaving, since a silent host must be taken over.
+    fn settle(&mut self, now: MonoMs, actions: &mut Vec<MemberAction>) {
+        if self.view.state == MemberState::Gone {
+            return;
+        }
+        let heard_any = self.view.host.incarnation != 0;
+        let silent = now.since(self.heard) >= SUSPECT_AFTER;
+        let leaving = self.announced_leaving || self.listed_leaving;
+        let state = match (silent, leaving, heard_any) {
+            (true, _, _) => MemberState::Suspected,
+            (false, true, _) => MemberState::Leaving,
+            (false, false, true) => MemberState::Live,
+            (false, false, false) => MemberState::Unheard,
+        };
+        self.change(state, actions);
+    }
+
+    fn change(&mut self, state: MemberState, actions: &mut Vec<MemberAction>) {
+        if self.view.state == state {
+            return;
+        }
+        self.view.state = state;
+        actions.push(MemberAction::Changed {
+            host: self.view.host.clone(),
+            failure_domain: self.view.failure_domain.clone(),
+            state,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/documents.rs
@@ -0,0 +1,126 @@
+//! Documents never revert, and every process ends with the same ones.
+
+use primrosestack_core::digest::{Document, DocumentHead};
+use primrosestack_core::documents::{Documents, EditError, Offered, Serving, StoreFinding};
+use primrosestack_core::ids::Revision;
+use primrosestack_core::time::MonoMs;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn document(team: &str, revision: u64, text: &str) -> Document {
+    Document {
+        team: team.into(),
+        revision,
+        text: text.into(),
+    }
+}
+
+fn open() -> Documents<Serving> {
+    Documents::open("poa".into(), MonoMs(0)).serve()
+}
+
+fn exchange(from: &mut Documents<Serving>, to: &mut Documents<Serving>) {
+    let buckets = to.compare("from", "poa", from.digest());
+    let heads: Vec<DocumentHead> = to.heads(&buckets);
+    for document in from.newer_than("to", "cxs", &buckets, &heads) {
+        to.offer(document);
+    }
+}
+
+/// Guards against a stale read or a slow peer putting an older document in force.
+#[test]
+fn a_lower_revision_is_ignored() {
+    let mut documents = open();
+    assert_eq!(documents.offer(document("a", 2, "two")), Offered::InForce);
+    assert_eq!(documents.offer(document("a", 1, "one")), Offered::Older);
+    assert_eq!(documents.get("a").unwrap().revision, 2);
+}
+
+/// Guards against a restored store that stays behind, or whose newer edit of equal revision is lost unseen.
+#[test]
+fn a_restored_store_is_written_back() {
+    let mut documents = open();
+    documents.offer(document("a", 3, "three"));
+    for (stored, written) in [(None, 3), (Some(document("a", 1, "one")), 3)] {
+        let finding = documents.read_from_store("a", Revision(9), stored);
+        let StoreFinding::WriteBack { expected, document } = finding else {
+            panic!("{finding:?}");
+        };
+        assert_eq!((expected, document.revision), (Revision(9), written));
+    }
+    let other = document("a", 3, "other");
+    let finding = documents.read_from_store("a", Revision(9), Some(other));
+    let in_force = documents.get("a").unwrap().clone();
+    match finding {
+        StoreFinding::InForce => assert_eq!(&*in_force.text, "other"),
+        StoreFinding::WriteBack { document, .. } => assert_eq!(document.revision, 4),
+        StoreFinding::Agrees => panic!("two texts of one revision went unnoticed"),
+    }
+    assert_eq!(documents.absent_from(&[]), ["a"]);
+}
+
+/// Guards against an edit that is accepted below the revision in force and would never be seen.
+#[test]
+fn an_edit_needs_the_current_revision() {
+    let mut documents = open();
+    let second = document("a", 2, "two");
+    documents.offer(second.clone());
+    let edit = documents.edit("a", 2, Some(&second), "three".into());
+    assert_eq!(edit.unwrap().revision, 3);
+    let raced = documents.edit("a", 1, Some(&second), "three".into());
+    assert!(matches!(raced, Err(EditError::Raced { current: 2, .. })));
+    let first = document("a", 1, "one");
+    let behind = documents.edit("a", 2, Some(&first), "three".into());
+    assert!(matches!(
+        behind,
+        Err(EditError::StoreBehind { current: 2, .. })
+    ));
+}
+
+/// Guards against an administration answer that says "in force" before the slowest known host has the document.
+#[test]
+fn a_domain_has_the_lowest_revision_of_its_hosts() {
+    let mut documents = open();
+    documents.offer(document("a", 2, "two"));
+    let same = documents.digest().clone();
+    documents.compare("h1", "cxs", &same);
+    let head = document("a", 1, "one").head();
+    let bucket = u32::try_from(primrosestack_core::digest::bucket_of("a")).unwrap();
+    documents.newer_than("h2", "cxs", &[bucket], &[head]);
+    let known = documents.in_force("a");
+    let revisions: Vec<u64> = known.iter().map(|domain| domain.revision).collect();
+    assert_eq!(revisions, [1, 2]);
+    documents.forget_host("h2");
+    assert_eq!(documents.in_force("a")[0].revision, 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against digests that miss a difference, and against exchanges that lower a revision.
+    #[test]
+    fn exchanges_converge(
+        offers in prop::collection::vec((0_usize..2, 0_u32..40, 1_u64..5, 0_u32..3), 0..80),
+    ) {
+        let mut hosts = [open(), open()];
+        let mut highest = std::collections::BTreeMap::new();
+        for (host, team, revision, text) in offers {
+            let team = format!("team-{team}");
+            hosts[host].offer(document(&team, revision, &text.to_string()));
+            let known: &mut u64 = highest.entry(team).or_default();
+            *known = (*known).max(revision);
+        }
+        let [one, two] = &mut hosts;
+        exchange(one, two);
+        exchange(two, one);
+        prop_assert_eq!(one.all(), two.all());
+        prop_assert_eq!(one.digest(), two.digest());
+        for (team, revision) in highest {
+            prop_assert_eq!(one.get(&team).unwrap().revision, revision);
+        }
+    }
+}
