Check service documents wholly, with line and column

Cause: a document must be checked before acceptance, and an editor who sees one fault at a time needs many rounds.

Nesting above 64 levels and texts above 524,288 bytes are refused before the recursive parser sees them.

--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,244 @@
+//! Checks JSON with comments against the JSON Schema of a type, and reports every fault with its place.
+
+use std::fmt;
+use std::path::Path;
+
+use jsonc_parser::ast::{ObjectProp, Value};
+use jsonc_parser::common::{Range, Ranged};
+use jsonc_parser::tokens::Token;
+use jsonc_parser::{CollectOptions, ParseOptions, Scanner, parse_to_ast};
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::schema::Walk;
+
+/// Deepest nesting that is read: the parser recurses, and no known field is deeper than 8.
+const DEPTH_MAX: usize = 64;
+
+/// Largest text that is read, in bytes: the store holds values of up to 1 MB, and base64 adds a third.
+pub const TEXT_MAX_BYTES: usize = 524_288;
+
+/// One thing that is wrong in a text.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+pub struct Fault {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// JSON Pointer to the value; empty for the whole text.
+    pub pointer: String,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: ", self.line, self.column)?;
+        if !self.pointer.is_empty() {
+            write!(f, "{}: ", self.pointer)?;
+        }
+        write!(f, "found {}, expected {}", self.found, self.expected)
+    }
+}
+
+/// All faults of one text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Faults(pub Vec<Fault>);
+
+impl Faults {
+    /// One line per fault, each starting with the file's name; no newline at the end.
+    #[must_use]
+    pub fn render(&self, file: &Path) -> String {
+        let line = |fault| format!("{}:{fault}", file.display());
+        let lines: Vec<String> = self.0.iter().map(line).collect();
+        lines.join("\n")
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut separator = "";
+        for fault in &self.0 {
+            write!(f, "{separator}{fault}")?;
+            separator = "; ";
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Collects faults while a text is checked.
+pub struct Sink<'a> {
+    text: &'a str,
+    root: Option<&'a Value<'a>>,
+    faults: Vec<Fault>,
+}
+
+impl Sink<'_> {
+    /// Records a fault at a byte range.
+    pub(crate) fn at(
+        &mut self,
+        range: Range,
+        pointer: &str,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) {
+        let (line, column) = line_column(self.text, range.start);
+        self.faults.push(Fault {
+            line,
+            column,
+            pointer: pointer.to_owned(),
+            found: found.into(),
+            expected: expected.into(),
+        });
+    }
+
+    /// Records a fault at the value that `path` leads to, or at the nearest enclosing value that exists.
+    pub fn add(&mut self, path: &[&str], found: impl Into<String>, expected: impl Into<String>) {
+        let mut pointer = String::new();
+        let mut range = self.root.map_or(Range::new(0, 0), Ranged::range);
+        let mut value = self.root;
+        for step in path {
+            push_pointer(&mut pointer, step);
+            value = value.and_then(|value| child(value, step));
+            let Some(value) = value else {
+                continue;
+            };
+            range = value.range();
+        }
+        self.at(range, &pointer, found, expected);
+    }
+}
+
+/// Reads a `T` from JSON with comments.
+///
+/// The syntax tree is walked along the schema of `T`; if it fits, `rules` adds the faults that a schema cannot express.
+///
+/// # Errors
+///
+/// Returns every fault found, in the order of the text.
+pub fn read<T>(text: &str, rules: impl FnOnce(&T, &mut Sink<'_>)) -> Result<T, Faults>
+where
+    T: DeserializeOwned + JsonSchema,
+{
+    let mut sink = Sink {
+        text,
+        root: None,
+        faults: Vec::new(),
+    };
+    if text.len() > TEXT_MAX_BYTES {
+        let found = format!("{} bytes", text.len());
+        sink.at(
+            Range::new(0, 0),
+            "",
+            found,
+            format!("at most {TEXT_MAX_BYTES} bytes"),
+        );
+        return Err(Faults(sink.faults));
+    }
+    if let Some(range) = too_deep(text) {
+        let expected = format!("at most {DEPTH_MAX} levels of nesting");
+        sink.at(range, "", "deeper nesting", expected);
+        return Err(Faults(sink.faults));
+    }
+    let options = ParseOptions {
+        allow_loose_object_property_names: false,
+        ..ParseOptions::default()
+    };
+    let value = match parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => parsed.value,
+        Err(error) => {
+            let found = error.kind().to_string();
+            sink.at(error.range(), "", found, "JSON with comments");
+            return Err(Faults(sink.faults));
+        }
+    };
+    let Some(value) = value else {
+        sink.at(Range::new(0, 0), "", "no value", "an object");
+        return Err(Faults(sink.faults));
+    };
+    sink.root = Some(&value);
+    let schema = schemars::schema_for!(T);
+    Walk::new(schema.as_value()).value(schema.as_value(), &value, &mut String::new(), &mut sink);
+    if sink.faults.is_empty() {
+        match serde_json::from_value::<T>(value.clone().into()) {
+            Ok(read) => {
+                rules(&read, &mut sink);
+                if sink.faults.is_empty() {
+                    return Ok(read);
+                }
+            }
+            Err(error) => sink.add(&[], error.to_string(), "a value that fits the schema"),
+        }
+    }
+    sink.faults.sort();
+    sink.faults.dedup();
+    Err(Faults(sink.faults))
+}
+
+/// Whether `name` can name a team, service, operation, host or failure domain.
+#[must_use]
+pub fn is_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    let bytes = name.as_bytes();
+    (1..=63).contains(&bytes.len())
+        && bytes.iter().copied().all(allowed)
+        && !name.starts_with('-')
+        && !name.ends_with('-')
+}
+
+/// The value of a property or element, by name or position.
+fn child<'a>(value: &'a Value<'a>, step: &str) -> Option<&'a Value<'a>> {
+    match value {
+        Value::Object(object) => object.properties.iter().find_map(|property| {
+            let is_step = property_name(property) == step;
+            is_step.then_some(&property.value)
+        }),
+        Value::Array(array) => array.elements.get(step.parse::<usize>().ok()?),
+        _ => None,
+    }
+}
+
+/// Name of a property.
+pub(crate) fn property_name<'a>(property: &'a ObjectProp<'a>) -> &'a str {
+    property.name.as_str()
+}
+
+/// Appends a step to a JSON Pointer.
+pub(crate) fn push_pointer(pointer: &mut String, step: &str) {
+    pointer.push('/');
+    pointer.push_str(&step.replace('~', "~0").replace('/', "~1"));
+}
+
+fn line_column(text: &str, byte: usize) -> (usize, usize) {
+    let before = &text.as_bytes()[..byte.min(text.len())];
+    let line_start = before
+        .iter()
+        .rposition(|byte| *byte == b'\n')
+        .map_or(0, |at| at + 1);
+    let line = before.split(|byte| *byte == b'\n').count();
+    let is_char_start = |byte: &&u8| (**byte & 0xC0) != 0x80;
+    let column = 1 + before[line_start..].iter().filter(is_char_start).count();
+    (line, column)
+}
+
+/// Place of the first bracket that nests deeper than [`DEPTH_MAX`].
+fn too_deep(text: &str) -> Option<Range> {
+    let mut scanner = Scanner::new(text);
+    let mut depth = 0_usize;
+    while let Ok(Some(token)) = scanner.scan() {
+        match token {
+            Token::OpenBrace | Token::OpenBracket => depth += 1,
+            Token::CloseBrace | Token::CloseBracket => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEPTH_MAX {
+            return Some(Range::new(scanner.token_start(), scanner.token_end()));
+        }
+    }
+    None
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,8 @@
 //!
 //! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
 
+pub mod check;
+pub mod document;
 pub mod kernel;
+pub mod schema;
 pub mod settings;
--- /dev/null
+++ b/src/schema.rs
@@ -0,0 +1,304 @@
+//! Walks a syntax tree along a JSON Schema, for the part of JSON Schema that schemars writes.
+
+use std::net::SocketAddr;
+
+use jsonc_parser::ast::{Array, NumberLit, Object, Value};
+use jsonc_parser::common::{Range, Ranged};
+use serde_json::Value as Json;
+
+use crate::check::{Sink, is_name, property_name, push_pointer};
+
+/// Format of names; see [`is_name`].
+pub const NAME_FORMAT: &str = "name";
+
+/// Format of an address with a port.
+pub const SOCKET_ADDRESS_FORMAT: &str = "socket-address";
+
+/// Format of a SHA-256 in hexadecimal.
+pub const SHA256_FORMAT: &str = "sha256";
+
+/// A walk along one schema document.
+pub(crate) struct Walk<'s> {
+    root: &'s Json,
+}
+
+impl<'s> Walk<'s> {
+    pub(crate) fn new(root: &'s Json) -> Self {
+        Self { root }
+    }
+
+    /// Checks a value and everything inside it.
+    pub(crate) fn value(
+        &self,
+        schema: &'s Json,
+        value: &Value<'_>,
+        pointer: &mut String,
+        sink: &mut Sink<'_>,
+    ) {
+        let schema = self.resolve(schema);
+        let is_null = matches!(value, Value::NullKeyword(_));
+        if let Some(options) = schema.get("anyOf").and_then(Json::as_array) {
+            let nullable = options.iter().any(|option| allows(option, "null"));
+            if is_null && nullable {
+                return;
+            }
+            if let Some(option) = options.iter().find(|option| !allows(option, "null")) {
+                self.value(option, value, pointer, sink);
+            }
+            return;
+        }
+        if let Some(words) = words(schema) {
+            check_word(&words, value, pointer, sink);
+            return;
+        }
+        if is_null && allows(schema, "null") {
+            return;
+        }
+        let kind = expected_kind(schema);
+        match (value, kind) {
+            (Value::Object(object), "object") => self.object(schema, object, pointer, sink),
+            (Value::Array(array), "array") => self.array(schema, array, pointer, sink),
+            (Value::NumberLit(number), "integer") => {
+                check_integer(schema, number, pointer, sink);
+            }
+            (Value::StringLit(text), "string") => {
+                check_string(schema, text.range, &text.value, pointer, sink);
+            }
+            (Value::BooleanLit(_), "boolean") | (_, "") => {}
+            _ => sink.at(value.range(), pointer, describe(value), article(kind)),
+        }
+    }
+
+    fn resolve(&self, schema: &'s Json) -> &'s Json {
+        let mut schema = schema;
+        // Bounded, so that a schema that refers to itself cannot loop.
+        for _ in 0..16 {
+            let Some(reference) = schema.get("$ref").and_then(Json::as_str) else {
+                break;
+            };
+            let target = self.root.pointer(reference.trim_start_matches('#'));
+            schema = target.unwrap_or(&Json::Null);
+        }
+        schema
+    }
+
+    fn object(
+        &self,
+        schema: &'s Json,
+        object: &Object<'_>,
+        pointer: &mut String,
+        sink: &mut Sink<'_>,
+    ) {
+        let known = schema.get("properties").and_then(Json::as_object);
+        let other = schema.get("additionalProperties");
+        let mut seen: Vec<&str> = Vec::with_capacity(object.properties.len());
+        for property in &object.properties {
+            let name = property_name(property);
+            let name_range = property.name.range();
+            let length = pointer.len();
+            push_pointer(pointer, name);
+            if seen.contains(&name) {
+                let found = format!("field `{name}` twice");
+                sink.at(name_range, pointer, found, "each field once");
+                pointer.truncate(length);
+                continue;
+            }
+            seen.push(name);
+            if let Some(field) = known.and_then(|known| known.get(name)) {
+                self.value(field, &property.value, pointer, sink);
+            } else if let Some(Json::Object(_)) = other {
+                check_key(schema, name_range, name, pointer, sink);
+                self.value(other.unwrap_or(&Json::Null), &property.value, pointer, sink);
+            } else if other == Some(&Json::Bool(false)) {
+                let names = known.map(|known| join(known.keys().map(String::as_str)));
+                let expected =
+                    names.map_or_else(|| "no field".to_owned(), |names| format!("one of {names}"));
+                let found = format!("unknown field `{name}`");
+                sink.at(name_range, pointer, found, expected);
+            }
+            pointer.truncate(length);
+        }
+        let start = Range::new(object.range.start, object.range.start);
+        let required = schema.get("required").and_then(Json::as_array);
+        for name in required.into_iter().flatten().filter_map(Json::as_str) {
+            if seen.contains(&name) {
+                continue;
+            }
+            let field = known.and_then(|known| known.get(name));
+            let about = field.map_or(String::new(), |field| self.about(field));
+            let found = format!("no field `{name}`");
+            sink.at(start, pointer, found, format!("`{name}`{about}"));
+        }
+        let least = schema.get("minProperties").and_then(Json::as_u64);
+        if least.is_some_and(|least| (seen.len() as u64) < least) {
+            sink.at(start, pointer, "no entry", "at least one entry");
+        }
+    }
+
+    /// First line of the description of a field, in brackets.
+    fn about(&self, field: &'s Json) -> String {
+        let own = field.get("description");
+        let text = own.or_else(|| self.resolve(field).get("description"));
+        let Some(text) = text.and_then(Json::as_str) else {
+            return String::new();
+        };
+        let first = text.lines().next().unwrap_or_default();
+        format!(" ({})", first.trim_end_matches('.'))
+    }
+
+    fn array(
+        &self,
+        schema: &'s Json,
+        array: &Array<'_>,
+        pointer: &mut String,
+        sink: &mut Sink<'_>,
+    ) {
+        let least = schema.get("minItems").and_then(Json::as_u64);
+        if least.is_some_and(|least| (array.elements.len() as u64) < least) {
+            sink.at(
+                array.range,
+                pointer,
+                "an empty list",
+                "at least one element",
+            );
+        }
+        let Some(items) = schema.get("items") else {
+            return;
+        };
+        for (at, element) in array.elements.iter().enumerate() {
+            let length = pointer.len();
+            push_pointer(pointer, &at.to_string());
+            self.value(items, element, pointer, sink);
+            pointer.truncate(length);
+        }
+    }
+}
+
+fn allows(schema: &Json, kind: &str) -> bool {
+    match schema.get("type") {
+        Some(Json::String(only)) => only == kind,
+        Some(Json::Array(kinds)) => kinds.iter().any(|one| one == kind),
+        _ => false,
+    }
+}
+
+fn expected_kind(schema: &Json) -> &str {
+    let kind = match schema.get("type") {
+        Some(Json::Array(kinds)) => kinds.iter().find(|kind| *kind != "null"),
+        kind => kind,
+    };
+    kind.and_then(Json::as_str).unwrap_or_default()
+}
+
+/// Words that an enumeration allows.
+fn words(schema: &Json) -> Option<Vec<&str>> {
+    if let Some(words) = schema.get("enum").and_then(Json::as_array) {
+        return Some(words.iter().filter_map(Json::as_str).collect());
+    }
+    let options = schema.get("oneOf").and_then(Json::as_array)?;
+    let word = |option: &'_ Json| option.get("const").is_some();
+    if !options.iter().all(word) {
+        return None;
+    }
+    let word = |option| Json::get(option, "const").and_then(Json::as_str);
+    Some(options.iter().filter_map(word).collect())
+}
+
+fn check_word(words: &[&str], value: &Value<'_>, pointer: &str, sink: &mut Sink<'_>) {
+    let word = value.as_string_lit().map(|text| text.value.as_ref());
+    if word.is_some_and(|word| words.contains(&word)) {
+        return;
+    }
+    let expected = format!("one of {}", join(words.iter().copied()));
+    sink.at(value.range(), pointer, describe(value), expected);
+}
+
+fn check_integer(schema: &Json, number: &NumberLit<'_>, pointer: &str, sink: &mut Sink<'_>) {
+    let bits = match schema.get("format").and_then(Json::as_str) {
+        Some("uint8") => u64::from(u8::MAX),
+        Some("uint16") => u64::from(u16::MAX),
+        Some("uint32") => u64::from(u32::MAX),
+        _ => u64::MAX,
+    };
+    let least = schema.get("minimum").and_then(Json::as_u64).unwrap_or(0);
+    let most = schema.get("maximum").and_then(Json::as_u64).unwrap_or(bits);
+    let fits = number.value.parse::<u64>();
+    if fits.is_ok_and(|integer| (least..=most).contains(&integer)) {
+        return;
+    }
+    let expected = format!("a whole number from {least} to {most}");
+    sink.at(number.range, pointer, number.value, expected);
+}
+
+fn check_string(schema: &Json, range: Range, text: &str, pointer: &str, sink: &mut Sink<'_>) {
+    let Some(expected) = expected_format(schema, text) else {
+        return;
+    };
+    sink.at(range, pointer, quote(text), expected);
+}
+
+/// Checks a key of a map: schemars writes the keys' schema as `propertyNames`.
+fn check_key(schema: &Json, range: Range, key: &str, pointer: &str, sink: &mut Sink<'_>) {
+    let Some(names) = schema.get("propertyNames") else {
+        return;
+    };
+    if let Some(expected) = expected_format(names, key) {
+        sink.at(range, pointer, quote(key), expected);
+    }
+}
+
+/// What the format of a schema expects, if `text` does not have that format.
+fn expected_format(schema: &Json, text: &str) -> Option<&'static str> {
+    let (fits, expected) = match schema.get("format").and_then(Json::as_str)? {
+        NAME_FORMAT => (
+            is_name(text),
+            "a name of 1 to 63 lower-case letters, digits and inner hyphens",
+        ),
+        SOCKET_ADDRESS_FORMAT => (
+            text.parse::<SocketAddr>().is_ok(),
+            "an IP address and a port, such as \"10.0.0.1:7400\"",
+        ),
+        SHA256_FORMAT => (
+            text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit()),
+            "64 hexadecimal digits",
+        ),
+        _ => return None,
+    };
+    (!fits).then_some(expected)
+}
+
+fn describe(value: &Value<'_>) -> String {
+    match value {
+        Value::StringLit(text) => quote(&text.value),
+        Value::NumberLit(number) => format!("the number {}", number.value),
+        Value::BooleanLit(boolean) => boolean.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "a list".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+/// The text in quotes, shortened so that a fault stays one line.
+fn quote(text: &str) -> String {
+    let mut short: String = text.chars().take(60).collect();
+    if short.len() < text.len() {
+        short.push('…');
+    }
+    format!("{short:?}")
+}
+
+fn article(kind: &str) -> &'static str {
+    match kind {
+        "object" => "an object",
+        "array" => "a list",
+        "integer" => "a whole number",
+        "string" => "a string",
+        "boolean" => "true or false",
+        _ => "another value",
+    }
+}
+
+fn join<'a>(words: impl Iterator<Item = &'a str>) -> String {
+    let quoted: Vec<String> = words.map(|word| format!("`{word}`")).collect();
+    quoted.join(", ")
+}
