--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,12 @@
 //! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
 
 pub mod backend;
+pub mod check;
+pub mod document;
 pub mod hostlist;
 pub mod http;
 pub mod kernel;
 pub mod peer;
+pub mod schema;
 pub mod settings;
 pub mod store;
