Log lines and metrics

Cause: operators need one key=value line per event and metrics that stay bounded whatever names callers use.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,4 +3,7 @@
 //! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
 
 pub mod kernel;
+pub mod labels;
+pub mod logs;
+pub mod metrics;
 pub mod settings;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,312 @@
+//! Metrics: OpenTelemetry instruments, scraped as Prometheus text.
+
+use std::sync::Arc;
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
+use opentelemetry::{KeyValue, StringValue};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use primrosestack_core::event::{NotRun, StoreCall, StoreReply};
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::{ResultExt, Snafu};
+
+use crate::labels::LabelSet;
+
+/// Bound on the values of the label `team`; the first teams seen are kept. With 8 pairs of outcome and reason,
+/// 970 teams would exceed the 2,000 series that OpenTelemetry keeps per instrument; 128 teams make 1,032 series.
+pub const TEAM_LIMIT: usize = 128;
+
+/// Bound on the values of the label `service`.
+pub const SERVICE_LIMIT: usize = 32;
+
+/// Bound on the values of the label `failure_domain`; the design size has 36.
+pub const FAILURE_DOMAIN_LIMIT: usize = 40;
+
+/// Upper bounds of the latency histogram in milliseconds. The last finite one is the longest deadline.
+const LATENCY_BOUNDS_MS: [f64; 14] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0,
+    15_000.0,
+];
+
+/// Why metrics could not be opened or scraped.
+#[derive(Debug, Snafu)]
+pub enum MetricsError {
+    /// The exporter could not be built.
+    #[snafu(display("cannot build the metrics exporter"))]
+    Build {
+        /// Cause.
+        source: opentelemetry_sdk::error::OTelSdkError,
+    },
+    /// The metrics could not be encoded.
+    #[snafu(display("cannot encode metrics"))]
+    Encode {
+        /// Cause.
+        source: prometheus::Error,
+    },
+}
+
+/// Outcome of a request as the caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// No byte reached a backend server, or the server refused before starting.
+    NotRun(NotRun),
+    /// The server answered with this HTTP status.
+    Answered(u16),
+    /// Neither is established.
+    Unknown,
+}
+
+/// One finished request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestRecord<'a> {
+    /// Team of the caller.
+    pub team: &'a str,
+    /// Service.
+    pub service: &'a str,
+    /// Failure domain that served the request, or the own one if none did.
+    pub failure_domain: &'a str,
+    /// Outcome.
+    pub outcome: Outcome,
+    /// Time from the last byte of the request head to the end of the answer, in milliseconds.
+    pub latency_ms: f64,
+}
+
+/// What happened to a batch task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskEvent {
+    /// An attempt started.
+    Started,
+    /// The task ended, with success or not.
+    Ended,
+    /// The task was checkpointed and stopped to make room.
+    Evicted,
+    /// An attempt started from a checkpoint; counted besides `Started`.
+    Resumed,
+    /// The task was parked.
+    Parked,
+}
+
+/// Direction of a peer frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From this host.
+    Sent,
+    /// To this host.
+    Received,
+}
+
+struct Instruments {
+    registry: Registry,
+    // Instruments stop counting when their provider is dropped.
+    _provider: SdkMeterProvider,
+    teams: LabelSet,
+    services: LabelSet,
+    failure_domains: LabelSet,
+    request_ms: Histogram<f64>,
+    requests: Counter<u64>,
+    service_requests: Counter<u64>,
+    tasks: Counter<u64>,
+    store_calls: Counter<u64>,
+    peer_frames: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    documents: Gauge<u64>,
+    shards: Gauge<u64>,
+}
+
+/// Handle to the metrics of the process; a clone shares them.
+#[derive(Clone)]
+pub struct Metrics {
+    instruments: Arc<Instruments>,
+}
+
+impl Metrics {
+    /// Opens the metrics of one process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MetricsError::Build`] if the exporter cannot be built.
+    pub fn open() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .context(BuildSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("primrosestack");
+        let instruments = Instruments {
+            registry,
+            _provider: provider,
+            teams: LabelSet::new(TEAM_LIMIT),
+            services: LabelSet::new(SERVICE_LIMIT),
+            failure_domains: LabelSet::new(FAILURE_DOMAIN_LIMIT),
+            request_ms: latency(&meter),
+            requests: counter(
+                &meter,
+                "primrose_requests",
+                "Requests by team, outcome and reason",
+            ),
+            service_requests: counter(
+                &meter,
+                "primrose_service_requests",
+                "Requests by service and outcome",
+            ),
+            tasks: counter(&meter, "primrose_tasks", "Task events by kind"),
+            store_calls: counter(
+                &meter,
+                "primrose_store_calls",
+                "Store calls by kind and result",
+            ),
+            peer_frames: counter(&meter, "primrose_peer_frames", "Peer frames by direction"),
+            peer_bytes: counter(
+                &meter,
+                "primrose_peer_frame_bytes",
+                "Bytes of peer frames by direction",
+            ),
+            documents: gauge(
+                &meter,
+                "primrose_documents_in_force",
+                "Service documents in force",
+            ),
+            shards: gauge(
+                &meter,
+                "primrose_shards_owned",
+                "Shards that this host owns",
+            ),
+        };
+        Ok(Self {
+            instruments: Arc::new(instruments),
+        })
+    }
+
+    /// Counts a finished request.
+    pub fn record_request(&self, record: &RequestRecord<'_>) {
+        let instruments = &*self.instruments;
+        let service = label("service", instruments.services.bounded(record.service));
+        let domain = instruments.failure_domains.bounded(record.failure_domain);
+        let team = label("team", instruments.teams.bounded(record.team));
+        let outcome = KeyValue::new("outcome", outcome_name(record.outcome));
+        let reason = KeyValue::new("reason", reason_name(record.outcome));
+        let place = [service.clone(), label("failure_domain", domain)];
+        instruments.request_ms.record(record.latency_ms, &place);
+        instruments
+            .service_requests
+            .add(1, &[service, outcome.clone()]);
+        instruments.requests.add(1, &[team, outcome, reason]);
+    }
+
+    /// Counts an event of a batch task.
+    pub fn record_task(&self, event: TaskEvent) {
+        let name = match event {
+            TaskEvent::Started => "started",
+            TaskEvent::Ended => "ended",
+            TaskEvent::Evicted => "evicted",
+            TaskEvent::Resumed => "resumed",
+            TaskEvent::Parked => "parked",
+        };
+        self.instruments
+            .tasks
+            .add(1, &[KeyValue::new("event", name)]);
+    }
+
+    /// Counts a store call by its answer.
+    pub fn record_store_call(&self, call: &StoreCall, reply: &StoreReply) {
+        let kind = match call {
+            StoreCall::Read { .. } => "read",
+            StoreCall::Swap { .. } => "swap",
+            StoreCall::Delete { .. } => "delete",
+        };
+        let result = match reply {
+            StoreReply::Value { .. } => "value",
+            StoreReply::Written { .. } => "written",
+            StoreReply::Conflict => "conflict",
+            StoreReply::Unavailable => "unavailable",
+            StoreReply::Lost => "lost",
+        };
+        self.record_store(kind, result);
+    }
+
+    /// Counts a store call that is not of the core, such as `range` or `watch`.
+    pub fn record_store(&self, kind: &'static str, result: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
+        self.instruments.store_calls.add(1, &labels);
+    }
+
+    /// Counts a peer frame of `bytes` bytes including its length prefix.
+    pub fn record_peer_frame(&self, direction: Direction, bytes: u64) {
+        let name = match direction {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        };
+        let labels = [KeyValue::new("direction", name)];
+        self.instruments.peer_frames.add(1, &labels);
+        self.instruments.peer_bytes.add(bytes, &labels);
+    }
+
+    /// Sets the number of service documents in force.
+    pub fn set_documents(&self, count: u64) {
+        self.instruments.documents.record(count, &[]);
+    }
+
+    /// Sets the number of shards that this host owns.
+    pub fn set_shards(&self, count: u64) {
+        self.instruments.shards.record(count, &[]);
+    }
+
+    /// All metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MetricsError::Encode`] if a metric cannot be encoded.
+    pub fn scrape(&self) -> Result<String, MetricsError> {
+        let families = self.instruments.registry.gather();
+        let mut bytes = Vec::new();
+        TextEncoder::new()
+            .encode(&families, &mut bytes)
+            .context(EncodeSnafu)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
+fn latency(meter: &Meter) -> Histogram<f64> {
+    meter
+        .f64_histogram("primrose_request_duration_ms")
+        .with_description("Latency of requests in milliseconds")
+        .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+        .build()
+}
+
+fn label(key: &'static str, value: Arc<str>) -> KeyValue {
+    KeyValue::new(key, StringValue::from(value))
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun(_) => "not_run",
+        Outcome::Answered(_) => "answered",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+fn reason_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun(NotRun::NotOwner) => "not_owner",
+        Outcome::NotRun(NotRun::StoreUnavailable) => "store_unavailable",
+        Outcome::NotRun(NotRun::Overloaded) => "overloaded",
+        Outcome::NotRun(NotRun::TooLarge) => "too_large",
+        Outcome::NotRun(NotRun::ShuttingDown) => "shutting_down",
+        Outcome::Answered(status) if status >= 500 => "server_error",
+        Outcome::Answered(_) | Outcome::Unknown => "none",
+    }
+}
--- /dev/null
+++ b/tests/observe.rs
@@ -0,0 +1,94 @@
+//! Log lines and metrics.
+
+use log::Level;
+use primrosestack::logs::{self, Line};
+use primrosestack::metrics::{Metrics, Outcome, RequestRecord, TEAM_LIMIT, TaskEvent};
+use primrosestack_core::event::{NotRun, Notice, StoreCall, StoreReply};
+use primrosestack_core::ids::{JobId, TaskId};
+use test_case::test_case;
+
+/// Guards against values that break a line in two or forge a pair.
+#[test_case("plain-1.2:3/x", "plain-1.2:3/x"; "bare")]
+#[test_case("", "\"\""; "empty")]
+#[test_case("two words", "\"two words\""; "space")]
+#[test_case("x=1", "\"x=1\""; "equals sign")]
+#[test_case("a\nlevel=error", "\"a\\nlevel=error\""; "line break")]
+#[test_case("a\"b\\c", "\"a\\\"b\\\\c\""; "quote and backslash")]
+#[test_case("\u{1b}[2J", "\"\\u{1b}[2J\""; "terminal escape")]
+#[test_case("a\u{2028}b", "\"a\\u{2028}b\""; "line separator")]
+fn values_are_quoted_when_needed(value: &str, expected: &str) {
+    let line = Line::formatted(Level::Info, "test").with_reason(value);
+    let expected = format!("level=info event=test reason={expected}");
+    assert_eq!(line.text(), Some(expected.as_str()));
+}
+
+/// Guards against a notice whose task or subject is lost on the way to the log.
+#[test]
+fn a_notice_names_term_task_and_subject() {
+    let job = JobId(0xabc);
+    let notice = Notice {
+        event: "quarantined",
+        term: 7,
+        task: Some(TaskId { job, index: 3 }),
+        subject: "worker-9".into(),
+    };
+    let level = logs::notice_level(&notice);
+    let line = Line::formatted(level, notice.event).with_notice(&notice);
+    let expected = "level=warn event=quarantined term=7 task=0000000000000abc/3 subject=worker-9";
+    assert_eq!(line.text(), Some(expected));
+}
+
+/// Guards against a silent default for a misspelt level.
+#[test]
+fn unknown_levels_are_refused() {
+    assert!(logs::parse_level("Info").is_err());
+    assert!(logs::parse_level("debug").is_ok());
+}
+
+fn request(team: &str, outcome: Outcome) -> RequestRecord<'_> {
+    RequestRecord {
+        team,
+        service: "quotes",
+        failure_domain: "poa",
+        outcome,
+        latency_ms: 12.0,
+    }
+}
+
+/// Guards against outcomes counted under the wrong reason, and against a scrape that misses an instrument.
+#[test]
+fn a_scrape_shows_what_was_recorded() {
+    let metrics = Metrics::open().unwrap();
+    metrics.record_request(&request("t1", Outcome::Answered(200)));
+    metrics.record_request(&request("t1", Outcome::NotRun(NotRun::Overloaded)));
+    metrics.record_task(TaskEvent::Evicted);
+    let key = "k".into();
+    metrics.record_store_call(&StoreCall::Read { key }, &StoreReply::Lost);
+    metrics.set_shards(2);
+    let text = metrics.clone().scrape().unwrap();
+    for line in [
+        "primrose_requests_total{outcome=\"answered\",reason=\"none\",team=\"t1\"} 1",
+        "primrose_requests_total{outcome=\"not_run\",reason=\"overloaded\",team=\"t1\"} 1",
+        "primrose_request_duration_ms_count{failure_domain=\"poa\",service=\"quotes\"} 2",
+        "primrose_tasks_total{event=\"evicted\"} 1",
+        "primrose_store_calls_total{kind=\"read\",result=\"lost\"} 1",
+        "primrose_shards_owned 2",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line}\n{text}");
+    }
+}
+
+/// Guards against unbounded memory when callers invent team names.
+#[test]
+fn labels_beyond_the_bound_go_to_other() {
+    let metrics = Metrics::open().unwrap();
+    for number in 0..TEAM_LIMIT + 50 {
+        let team = format!("team-{number}");
+        metrics.record_request(&request(&team, Outcome::Unknown));
+    }
+    let text = metrics.scrape().unwrap();
+    let is_series = |line: &&str| line.starts_with("primrose_requests_total{");
+    assert_eq!(text.lines().filter(is_series).count(), TEAM_LIMIT + 1);
+    let other = "primrose_requests_total{outcome=\"unknown\",reason=\"none\",team=\"other\"} 50";
+    assert!(text.lines().any(|line| line == other), "{text}");
+}
