--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,15 @@
 
 pub mod backend;
 pub mod check;
+pub mod clock;
+pub mod docstore;
 pub mod document;
 pub mod hostlist;
 pub mod http;
 pub mod kernel;
 pub mod labels;
 pub mod logs;
+pub mod members;
 pub mod metrics;
 pub mod peer;
 pub mod schema;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -33,7 +33,7 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 const REDIAL_INTERVAL: Duration = Duration::from_millis(250);
 /// The host with the greater name lets the other one dial first, so that two hosts rarely open two links.
-const YIELD_INTERVAL: Duration = Duration::from_millis(1_000);
+const YIELD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a link failed or could not be opened.
 #[derive(Debug, Snafu)]
@@ -173,6 +173,7 @@
     }
 
     /// Queues a frame; false if there is no link or its queue is full, and then nothing was or will be sent.
+    #[must_use]
     pub fn send(&self, to: &str, body: Body) -> bool {
         let everywhere = matches!(body, Body::Heartbeat(_));
         let frame = Bytes::from(peer_frame::encode(body));
