Add the request dispatcher and the fair queue

Cause: the front end and the replay need one choice of server for requests, with slots as hard limits.

--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,415 @@
+//! Choice of the backend server, or of another failure domain, for a latency-critical request.
+//!
+//! Slots are hard limits. Waiting requests are kept in fair order within a bound, and a request that cannot start
+//! before its deadline is refused with the time after which a retry makes sense.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::SmolStr;
+
+use crate::fairness::{Accounts, ClientKey};
+use crate::ids::ServerKey;
+use crate::queue::{Class, FairQueue};
+use crate::slots::{InFlight, Slots};
+use crate::time::{DurationMs, MonoMs};
+
+/// Assumed slot time of a kind before its first answer, in milliseconds.
+const FIRST_SERVICE_MS: u64 = 50;
+
+/// Weight of one answer in the mean slot time of a kind: 1/16.
+const SERVICE_SHIFT: u32 = 4;
+
+/// Shortest time after which a refused request may be retried.
+const MIN_RETRY_AFTER_MS: u64 = 100;
+
+/// Bounds of a dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatcherConfig {
+    /// Requests that may wait.
+    pub queue_limit: usize,
+    /// Time over which a returned server gets back all its slots, in milliseconds.
+    pub slow_start_ms: u64,
+    /// Breaks ties and draws the two candidates.
+    pub seed: u64,
+}
+
+impl DispatcherConfig {
+    /// Usual bounds: 256 waiting requests and a slow start of 10 s.
+    #[must_use]
+    pub fn with_seed(seed: u64) -> Self {
+        Self {
+            queue_limit: 256,
+            slow_start_ms: 10_000,
+            seed,
+        }
+    }
+}
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Unique in the dispatcher.
+    pub id: u64,
+    /// Team of the client.
+    pub team: SmolStr,
+    /// Client on whose behalf it runs.
+    pub client: SmolStr,
+    /// Service and operation, the unit in which slot times are learned.
+    pub kind: SmolStr,
+    /// Time by which it must have been answered.
+    pub deadline: MonoMs,
+    /// Already spilled from another failure domain, and not spilled again.
+    pub spilled: bool,
+}
+
+/// Why a request was refused. No byte of it reached a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The queue is full, and no other client has more in it.
+    QueueFull,
+    /// It cannot start before its deadline.
+    DeadlineTooNear,
+    /// No server is open.
+    NoServer,
+}
+
+/// A request that was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The request.
+    pub id: u64,
+    /// Cause.
+    pub reason: RefusalReason,
+    /// Time after which a retry makes sense, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// What becomes of an offered request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// A slot is taken; send it now.
+    Send(ServerKey),
+    /// It waits; [`Dispatcher::next`] or [`Dispatcher::refused`] names it later.
+    Queued,
+    /// Send it to this failure domain.
+    Spill(SmolStr),
+    /// It was not run.
+    Refused(Refusal),
+}
+
+/// A waiting request that got a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Dispatched {
+    /// The request.
+    pub id: u64,
+    /// The server, whose slot is taken.
+    pub server: ServerKey,
+}
+
+/// A link to another failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Measured round trip in milliseconds.
+    pub round_trip_ms: u64,
+    /// Price of one spilled request, as the milliseconds of waiting that it is worth.
+    pub price_ms: u64,
+    /// Expected wait at the other side, as it last said, in milliseconds.
+    pub wait_ms: u64,
+    /// Whether the other side can be reached and has room.
+    pub open: bool,
+}
+
+struct Waiting {
+    request: Request,
+    kind: u32,
+}
+
+/// Requests in, servers out, for the backend servers of one owner.
+pub struct Dispatcher {
+    config: DispatcherConfig,
+    accounts: Accounts,
+    queue: FairQueue<Waiting>,
+    /// Deadline, id and client of each waiting request.
+    deadlines: BTreeSet<(MonoMs, u64, ClientKey)>,
+    slots: Slots,
+    kinds: BTreeMap<SmolStr, u32>,
+    /// Mean slot time by kind, in 1/1024 ms.
+    service: Vec<u64>,
+    links: BTreeMap<SmolStr, Link>,
+    refused: Vec<Refusal>,
+    draws: u64,
+}
+
+impl Dispatcher {
+    /// Opens a dispatcher without servers.
+    #[must_use]
+    pub fn open(config: DispatcherConfig) -> Self {
+        Self {
+            config,
+            accounts: Accounts::open(config.seed),
+            queue: FairQueue::default(),
+            deadlines: BTreeSet::new(),
+            slots: Slots::open(config.slow_start_ms, config.seed),
+            kinds: BTreeMap::new(),
+            service: Vec::new(),
+            links: BTreeMap::new(),
+            refused: Vec::new(),
+            draws: 0,
+        }
+    }
+
+    /// Sets the quota of a team, the weight of its share.
+    pub fn set_quota(&mut self, team: &str, weight: u32) {
+        self.accounts.set_quota(team, weight);
+    }
+
+    /// Adds a server with all its slots usable at once, or changes its number of slots.
+    pub fn put_server(&mut self, now: MonoMs, key: ServerKey, slots: u32) {
+        self.slots.put(now, key, slots);
+    }
+
+    /// Forgets a server and its requests in flight.
+    pub fn remove_server(&mut self, now: MonoMs, key: ServerKey) {
+        for ended in self.slots.remove(now, key) {
+            self.accounts.release(ended.client);
+        }
+    }
+
+    /// Opens or closes a server for new requests; an opened one gets its slots back over the slow start.
+    pub fn open_server(&mut self, now: MonoMs, key: ServerKey, open: bool) {
+        self.slots.set_open(now, key, open);
+    }
+
+    /// Takes in a slowdown of requests on a server, learned elsewhere, in thousandths.
+    pub fn set_slowdown(&mut self, key: ServerKey, permille: u32) {
+        self.slots.set_slowdown(key, permille);
+    }
+
+    /// Sets what is known of the link to a failure domain.
+    pub fn set_link(&mut self, failure_domain: &str, link: Link) {
+        self.links.insert(SmolStr::new(failure_domain), link);
+    }
+
+    /// Requests in flight and slots of the open servers.
+    #[must_use]
+    pub fn load(&self) -> (u64, u64) {
+        (self.slots.busy(), self.slots.open_slots())
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Time that a request of this kind would wait for a slot if all requests were of this kind, in milliseconds.
+    #[must_use]
+    pub fn expected_wait_ms(&self, kind: &str) -> u64 {
+        let service_ms = match self.kinds.get(kind) {
+            Some(&at) => self.service[at as usize] / 1024,
+            None => FIRST_SERVICE_MS,
+        };
+        let ahead = self.queue.len() as u64 + 1;
+        service_ms * ahead / self.slots.open_slots().max(1)
+    }
+
+    /// Takes a request in.
+    pub fn offer(&mut self, now: MonoMs, request: Request) -> Offer {
+        self.slots.advance(now);
+        let kind = self.kind_at(&request.kind);
+        if self.queue.is_empty()
+            && let Some(server) = self.slots.choose(request.id)
+        {
+            let client = self.accounts.hold(&request.team, &request.client);
+            self.take_slot(now, server, request.id, kind, client);
+            return Offer::Send(server);
+        }
+        let wait_ms = self.expected_wait_ms(&request.kind);
+        if !request.spilled
+            && let Some(domain) = self.spill_to(wait_ms)
+        {
+            return Offer::Spill(domain);
+        }
+        if self.slots.open_slots() == 0 {
+            return Offer::Refused(Self::refusal(request.id, RefusalReason::NoServer, wait_ms));
+        }
+        if now + DurationMs(wait_ms) >= request.deadline {
+            let reason = RefusalReason::DeadlineTooNear;
+            return Offer::Refused(Self::refusal(request.id, reason, wait_ms));
+        }
+        self.enqueue(request, kind, wait_ms)
+    }
+
+    /// Takes the next waiting request that gets a slot; to be called until it returns `None`.
+    pub fn next(&mut self, now: MonoMs) -> Option<Dispatched> {
+        self.expire(now);
+        if self.queue.is_empty() {
+            return None;
+        }
+        self.slots.advance(now);
+        self.draws += 1;
+        let server = self.slots.choose(self.draws)?;
+        let accounts = &mut self.accounts;
+        let (client, waiting) = self.queue.take(accounts, Class::Any, 1, |_| true)?;
+        let id = waiting.request.id;
+        self.deadlines
+            .remove(&(waiting.request.deadline, id, client));
+        self.take_slot(now, server, id, waiting.kind, client);
+        Some(Dispatched { id, server })
+    }
+
+    /// Takes the waiting requests that were refused since the last call.
+    pub fn refused(&mut self, now: MonoMs) -> Vec<Refusal> {
+        self.expire(now);
+        std::mem::take(&mut self.refused)
+    }
+
+    /// Earliest deadline of a waiting request, at which [`Dispatcher::refused`] should be called.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<MonoMs> {
+        self.deadlines.first().map(|&(deadline, ..)| deadline)
+    }
+
+    /// Withdraws a waiting request, as its caller is gone. Returns whether it was waiting.
+    pub fn withdraw(&mut self, id: u64, deadline: MonoMs) -> bool {
+        let from = (deadline, id, ClientKey::FIRST);
+        let found = self.deadlines.range(from..).next().copied();
+        match found {
+            Some((at, found_id, client)) if at == deadline && found_id == id => {
+                self.drop_waiting(at, id, client);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Frees the slot of a request that ended after `service_ms`; `failed` if the server failed it.
+    pub fn finished(
+        &mut self,
+        now: MonoMs,
+        server: ServerKey,
+        id: u64,
+        service_ms: u64,
+        failed: bool,
+    ) {
+        let Some(ended) = self.slots.finish(now, server, id, failed) else {
+            return;
+        };
+        if !failed {
+            self.learn(server, ended.kind, service_ms);
+        }
+        if service_ms > ended.charged_ms {
+            let extra_ms = service_ms - ended.charged_ms;
+            self.accounts.charge(ended.client, extra_ms);
+        } else {
+            let saved_ms = ended.charged_ms - service_ms;
+            self.accounts.refund(ended.client, saved_ms);
+        }
+        self.accounts.release(ended.client);
+    }
+
+    fn learn(&mut self, server: ServerKey, kind: u32, service_ms: u64) {
+        let mean = &mut self.service[kind as usize];
+        let sample = service_ms.saturating_mul(1024);
+        let permille = (sample.saturating_mul(1_000) / (*mean).max(1)).clamp(500, 20_000);
+        *mean = *mean - (*mean >> SERVICE_SHIFT) + (sample >> SERVICE_SHIFT);
+        let permille = u32::try_from(permille).unwrap_or(20_000);
+        self.slots.learn(server, permille);
+    }
+
+    fn take_slot(&mut self, now: MonoMs, server: ServerKey, id: u64, kind: u32, client: ClientKey) {
+        let charged_ms = self.service[kind as usize] / 1024;
+        self.accounts.charge(client, charged_ms);
+        let request = InFlight {
+            id,
+            kind,
+            client,
+            charged_ms,
+        };
+        self.slots.take(now, server, request);
+    }
+
+    fn kind_at(&mut self, kind: &SmolStr) -> u32 {
+        if let Some(&at) = self.kinds.get(kind) {
+            return at;
+        }
+        let at = u32::try_from(self.service.len()).unwrap_or(u32::MAX);
+        self.service.push(FIRST_SERVICE_MS * 1024);
+        self.kinds.insert(kind.clone(), at);
+        at
+    }
+
+    /// The failure domain with the least wait, if the wait here exceeds twice its round trip plus its price.
+    fn spill_to(&self, wait_ms: u64) -> Option<SmolStr> {
+        let open = self.links.iter().filter(|(_, link)| link.open);
+        let better = open.filter(|(_, link)| {
+            let cost_ms = link.round_trip_ms * 2 + link.price_ms;
+            wait_ms > cost_ms + link.wait_ms
+        });
+        let best = better.min_by_key(|(_, link)| link.wait_ms + link.round_trip_ms + link.price_ms);
+        best.map(|(domain, _)| domain.clone())
+    }
+
+    fn enqueue(&mut self, request: Request, kind: u32, wait_ms: u64) -> Offer {
+        let id = request.id;
+        let client = self.accounts.hold(&request.team, &request.client);
+        if self.queue.len() >= self.config.queue_limit {
+            let own = self.queue.backlog(&self.accounts, client);
+            match self.queue.longest() {
+                Some((longest, len)) if len > own + 1 => self.displace(longest, wait_ms),
+                _ => {
+                    self.accounts.release(client);
+                    let reason = RefusalReason::QueueFull;
+                    return Offer::Refused(Self::refusal(id, reason, wait_ms));
+                }
+            }
+        }
+        let order = request.deadline.0;
+        self.deadlines.insert((request.deadline, id, client));
+        let waiting = Waiting { request, kind };
+        self.queue
+            .push(&mut self.accounts, client, order, id, waiting);
+        Offer::Queued
+    }
+
+    /// Refuses the last waiting request of the client that has most of them.
+    fn displace(&mut self, client: ClientKey, wait_ms: u64) {
+        let Some(waiting) = self.queue.remove_last(&mut self.accounts, client) else {
+            return;
+        };
+        let id = waiting.request.id;
+        self.deadlines
+            .remove(&(waiting.request.deadline, id, client));
+        self.accounts.release(client);
+        let refusal = Self::refusal(id, RefusalReason::QueueFull, wait_ms);
+        self.refused.push(refusal);
+    }
+
+    fn expire(&mut self, now: MonoMs) {
+        while let Some(&(deadline, id, client)) = self.deadlines.first() {
+            if deadline > now {
+                return;
+            }
+            let wait_ms = self.drop_waiting(deadline, id, client);
+            let refusal = Self::refusal(id, RefusalReason::DeadlineTooNear, wait_ms);
+            self.refused.push(refusal);
+        }
+    }
+
+    fn drop_waiting(&mut self, deadline: MonoMs, id: u64, client: ClientKey) -> u64 {
+        self.deadlines.remove(&(deadline, id, client));
+        let removed = self
+            .queue
+            .remove(&mut self.accounts, client, deadline.0, id);
+        self.accounts.release(client);
+        removed.map_or(0, |waiting| self.expected_wait_ms(&waiting.request.kind))
+    }
+
+    fn refusal(id: u64, reason: RefusalReason, wait_ms: u64) -> Refusal {
+        Refusal {
+            id,
+            reason,
+            retry_after_ms: wait_ms.max(MIN_RETRY_AFTER_MS),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod budget;
 pub mod capacity;
+pub mod dispatch;
 pub mod documents;
 pub mod event;
 pub mod eviction;
@@ -18,6 +19,8 @@
 pub mod ownership;
 pub mod placement;
 pub mod prelude;
+pub mod queue;
 pub mod shard;
+mod slots;
 pub mod tasks;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,244 @@
+//! Waiting items in fair order.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use crate::fairness::{Accounts, ClientKey, ClientRank, TeamKey, TeamRank};
+
+struct ClientQueue<T> {
+    rank: ClientRank,
+    salt: u64,
+    items: BTreeMap<(u64, u64), T>,
+}
+
+struct TeamQueue<T> {
+    rank: TeamRank,
+    salt: u64,
+    order: BTreeSet<ClientRank>,
+    clients: BTreeMap<ClientKey, ClientQueue<T>>,
+}
+
+/// Which teams may be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Only teams within their quota.
+    WithinQuota,
+    /// All teams.
+    Any,
+}
+
+/// Waiting items in the fair order of [`Accounts`]; several queues can share the accounts of one pool.
+///
+/// Virtual times only grow, so ranks are corrected when they come first; only a team that comes back within its quota
+/// has to be announced by [`FairQueue::promote`].
+pub struct FairQueue<T> {
+    order: BTreeSet<TeamRank>,
+    teams: BTreeMap<TeamKey, TeamQueue<T>>,
+    by_backlog: BTreeSet<(usize, ClientKey)>,
+    len: usize,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            order: BTreeSet::new(),
+            teams: BTreeMap::new(),
+            by_backlog: BTreeSet::new(),
+            len: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Number of waiting items.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Number of waiting items of a client.
+    #[must_use]
+    pub fn backlog(&self, accounts: &Accounts, client: ClientKey) -> usize {
+        let team = self.teams.get(&accounts.team_of(client));
+        team.and_then(|team| team.clients.get(&client))
+            .map_or(0, |queue| queue.items.len())
+    }
+
+    /// Client with the most waiting items.
+    #[must_use]
+    pub fn longest(&self) -> Option<(ClientKey, usize)> {
+        self.by_backlog.last().map(|&(len, client)| (client, len))
+    }
+
+    /// Adds an item. Items of one client are served by `(order, id)`; `id` is unique in the queue.
+    pub fn push(
+        &mut self,
+        accounts: &mut Accounts,
+        client: ClientKey,
+        order: u64,
+        id: u64,
+        item: T,
+    ) {
+        accounts.arrive(client);
+        let team_key = accounts.team_of(client);
+        let team = self.teams.entry(team_key).or_insert_with(|| {
+            let rank = accounts.team_rank(team_key, id);
+            self.order.insert(rank);
+            TeamQueue {
+                rank,
+                salt: id,
+                order: BTreeSet::new(),
+                clients: BTreeMap::new(),
+            }
+        });
+        let queue = team.clients.entry(client).or_insert_with(|| {
+            let salt = id;
+            let rank = accounts.client_rank(client, salt);
+            team.order.insert(rank);
+            ClientQueue {
+                rank,
+                salt,
+                items: BTreeMap::new(),
+            }
+        });
+        let before = queue.items.len();
+        queue.items.insert((order, id), item);
+        self.by_backlog.remove(&(before, client));
+        self.by_backlog.insert((queue.items.len(), client));
+        self.len += 1;
+    }
+
+    /// Removes one item.
+    pub fn remove(
+        &mut self,
+        accounts: &mut Accounts,
+        client: ClientKey,
+        order: u64,
+        id: u64,
+    ) -> Option<T> {
+        let team_key = accounts.team_of(client);
+        let team = self.teams.get_mut(&team_key)?;
+        let queue = team.clients.get_mut(&client)?;
+        let item = queue.items.remove(&(order, id))?;
+        accounts.leave(client);
+        let left = queue.items.len();
+        self.by_backlog.remove(&(left + 1, client));
+        self.len -= 1;
+        if left > 0 {
+            self.by_backlog.insert((left, client));
+            return Some(item);
+        }
+        team.order.remove(&queue.rank);
+        team.clients.remove(&client);
+        if team.clients.is_empty() {
+            self.order.remove(&team.rank);
+            self.teams.remove(&team_key);
+        }
+        Some(item)
+    }
+
+    /// Removes the last item of a client, as its order stands.
+    pub fn remove_last(&mut self, accounts: &mut Accounts, client: ClientKey) -> Option<T> {
+        let team = self.teams.get(&accounts.team_of(client))?;
+        let (&(order, id), _) = team.clients.get(&client)?.items.last_key_value()?;
+        self.remove(accounts, client, order, id)
+    }
+
+    /// Corrects the rank of a team that came back within its quota.
+    pub fn promote(&mut self, accounts: &Accounts, team_key: TeamKey) {
+        let Some(team) = self.teams.get_mut(&team_key) else {
+            return;
+        };
+        self.order.remove(&team.rank);
+        team.rank = accounts.team_rank(team_key, team.salt);
+        self.order.insert(team.rank);
+    }
+
+    /// Takes the first item in fair order that `fits`, after at most `tries` heads of clients.
+    ///
+    /// The caller charges the client for it.
+    pub fn take(
+        &mut self,
+        accounts: &mut Accounts,
+        class: Class,
+        tries: usize,
+        mut fits: impl FnMut(&T) -> bool,
+    ) -> Option<(ClientKey, T)> {
+        let mut left = tries;
+        let mut passed: Option<TeamRank> = None;
+        let found = loop {
+            let next = match passed {
+                None => self.order.first().copied(),
+                Some(rank) => self.order.range(after(rank)).next().copied(),
+            };
+            let rank = next?;
+            let team_key = rank.3;
+            let team = self.teams.get_mut(&team_key)?;
+            let current = accounts.team_rank(team_key, team.salt);
+            if current != rank {
+                self.order.remove(&rank);
+                team.rank = current;
+                self.order.insert(current);
+                continue;
+            }
+            if class == Class::WithinQuota && rank.0 {
+                return None;
+            }
+            if let Some(found) = team.first_fitting(accounts, &mut left, &mut fits) {
+                break found;
+            }
+            if left == 0 {
+                return None;
+            }
+            passed = Some(rank);
+        };
+        let (client, (order, id)) = found;
+        let item = self.remove(accounts, client, order, id)?;
+        Some((client, item))
+    }
+}
+
+type Found = (ClientKey, (u64, u64));
+
+impl<T> TeamQueue<T> {
+    fn first_fitting(
+        &mut self,
+        accounts: &Accounts,
+        left: &mut usize,
+        fits: &mut impl FnMut(&T) -> bool,
+    ) -> Option<Found> {
+        let mut passed: Option<ClientRank> = None;
+        while *left > 0 {
+            let next = match passed {
+                None => self.order.first().copied(),
+                Some(rank) => self.order.range(after(rank)).next().copied(),
+            };
+            let rank = next?;
+            let queue = self.clients.get_mut(&rank.2)?;
+            let current = accounts.client_rank(rank.2, queue.salt);
+            if current != rank {
+                self.order.remove(&rank);
+                queue.rank = current;
+                self.order.insert(current);
+                continue;
+            }
+            let (&place, item) = queue.items.first_key_value()?;
+            *left -= 1;
+            if fits(item) {
+                return Some((rank.2, place));
+            }
+            passed = Some(rank);
+        }
+        None
+    }
+}
+
+fn after<R>(rank: R) -> (Bound<R>, Bound<R>) {
+    (Bound::Excluded(rank), Bound::Unbounded)
+}
--- /dev/null
+++ b/crates/core/src/slots.rs
@@ -0,0 +1,288 @@
+//! Slots of backend servers, and the choice of a server for a request by power of two choices.
+
+use std::collections::BTreeSet;
+
+use crate::fairness::ClientKey;
+use crate::ids::{ServerKey, stable_hash};
+use crate::time::{DurationMs, MonoMs};
+
+/// Weight of one answer in the slowdown of a server: 1/8.
+const SLOWDOWN_SHIFT: u32 = 3;
+
+/// Failures in a row after which a server gets only probes. A server that fails at once looks free and fast, so it
+/// would attract most requests.
+const FAILURES_TO_CLOSE: u32 = 5;
+
+/// Time between two probes of a server that fails everything.
+const PROBE_EVERY_MS: u64 = 5_000;
+
+/// Slowdown of a server that no report has mentioned.
+const UNDISTURBED_PERMILLE: u32 = 1_000;
+
+/// One request in flight.
+pub(crate) struct InFlight {
+    pub(crate) id: u64,
+    pub(crate) kind: u32,
+    pub(crate) client: ClientKey,
+    /// Slot time charged to the client at the start, in milliseconds.
+    pub(crate) charged_ms: u64,
+}
+
+struct Server {
+    key: ServerKey,
+    slots: u32,
+    in_flight: Vec<InFlight>,
+    open: bool,
+    /// Start of the slow start; none after it.
+    opened: Option<MonoMs>,
+    slowdown_permille: u32,
+    failures: u32,
+    probe_at: MonoMs,
+    /// Position in the list of servers with a free slot.
+    free_at: Option<usize>,
+}
+
+impl Server {
+    /// Slots that may be used at `now`.
+    fn usable(&self, now: MonoMs, slow_start_ms: u64) -> u32 {
+        if !self.open {
+            return 0;
+        }
+        if self.failures >= FAILURES_TO_CLOSE {
+            return u32::from(now >= self.probe_at);
+        }
+        let Some(opened) = self.opened else {
+            return self.slots;
+        };
+        let passed_ms = now.since(opened).0.min(slow_start_ms);
+        let grown = u64::from(self.slots) * passed_ms / slow_start_ms.max(1);
+        u32::try_from(grown)
+            .unwrap_or(self.slots)
+            .clamp(1, self.slots.max(1))
+    }
+
+    fn busy(&self) -> u32 {
+        u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Expected cost of one more request, for comparison: slowdown times the share of slots then busy.
+    fn cost(&self) -> u64 {
+        let share =
+            1024 * (u64::from(self.busy()) + u64::from(self.slots)) / u64::from(self.slots.max(1));
+        u64::from(self.slowdown_permille) * share
+    }
+}
+
+/// The servers of one owner and their slots.
+pub(crate) struct Slots {
+    servers: Vec<Server>,
+    /// Servers with a usable free slot, in no order.
+    free: Vec<ServerKey>,
+    /// Servers in slow start or with failures, whose usable slots change with time.
+    timed: BTreeSet<ServerKey>,
+    slow_start_ms: u64,
+    seed: u64,
+    total: u64,
+}
+
+impl Slots {
+    pub(crate) fn open(slow_start_ms: u64, seed: u64) -> Self {
+        Self {
+            servers: Vec::new(),
+            free: Vec::new(),
+            timed: BTreeSet::new(),
+            slow_start_ms,
+            seed,
+            total: 0,
+        }
+    }
+
+    pub(crate) fn put(&mut self, now: MonoMs, key: ServerKey, slots: u32) {
+        match self.find(key) {
+            Ok(at) => self.servers[at].slots = slots,
+            Err(at) => self.servers.insert(
+                at,
+                Server {
+                    key,
+                    slots,
+                    in_flight: Vec::new(),
+                    open: true,
+                    opened: None,
+                    slowdown_permille: UNDISTURBED_PERMILLE,
+                    failures: 0,
+                    probe_at: now,
+                    free_at: None,
+                },
+            ),
+        }
+        self.refresh(now, key);
+        self.count_slots();
+    }
+
+    pub(crate) fn remove(&mut self, now: MonoMs, key: ServerKey) -> Vec<InFlight> {
+        self.set_open(now, key, false);
+        let Ok(at) = self.find(key) else {
+            return Vec::new();
+        };
+        self.timed.remove(&key);
+        self.servers.remove(at).in_flight
+    }
+
+    pub(crate) fn set_open(&mut self, now: MonoMs, key: ServerKey, open: bool) {
+        let Ok(at) = self.find(key) else {
+            return;
+        };
+        let server = &mut self.servers[at];
+        if server.open == open {
+            return;
+        }
+        server.open = open;
+        server.opened = open.then_some(now);
+        server.failures = 0;
+        if open {
+            self.timed.insert(key);
+        }
+        self.refresh(now, key);
+        self.count_slots();
+    }
+
+    pub(crate) fn set_slowdown(&mut self, key: ServerKey, permille: u32) {
+        if let Ok(at) = self.find(key) {
+            self.servers[at].slowdown_permille = permille.max(1);
+        }
+    }
+
+    /// Slots of the open servers.
+    pub(crate) fn open_slots(&self) -> u64 {
+        self.total
+    }
+
+    /// Requests in flight.
+    pub(crate) fn busy(&self) -> u64 {
+        self.servers.iter().map(|one| u64::from(one.busy())).sum()
+    }
+
+    /// Brings slow starts and probes up to date.
+    pub(crate) fn advance(&mut self, now: MonoMs) {
+        if self.timed.is_empty() {
+            return;
+        }
+        let keys: Vec<ServerKey> = self.timed.iter().copied().collect();
+        for key in keys {
+            self.refresh(now, key);
+        }
+    }
+
+    /// The better of two servers with a free slot, drawn by `draw`.
+    pub(crate) fn choose(&self, draw: u64) -> Option<ServerKey> {
+        let count = self.free.len() as u64;
+        if count == 0 {
+            return None;
+        }
+        let drawn = stable_hash(&draw.to_le_bytes(), self.seed);
+        let first = self.candidate(drawn % count)?;
+        let second = self.candidate((drawn >> 32) % count)?;
+        let better = if second.cost() < first.cost() {
+            second
+        } else {
+            first
+        };
+        Some(better.key)
+    }
+
+    pub(crate) fn take(&mut self, now: MonoMs, key: ServerKey, request: InFlight) {
+        if let Ok(at) = self.find(key) {
+            let server = &mut self.servers[at];
+            server.in_flight.push(request);
+            if server.failures >= FAILURES_TO_CLOSE {
+                server.probe_at = now + DurationMs(PROBE_EVERY_MS);
+            }
+            self.refresh(now, key);
+        }
+    }
+
+    /// Frees the slot of a request; none if the server does not have it.
+    pub(crate) fn finish(
+        &mut self,
+        now: MonoMs,
+        key: ServerKey,
+        id: u64,
+        failed: bool,
+    ) -> Option<InFlight> {
+        let at = self.find(key).ok()?;
+        let server = &mut self.servers[at];
+        let position = server.in_flight.iter().position(|one| one.id == id)?;
+        let ended = server.in_flight.swap_remove(position);
+        if failed {
+            server.failures = server.failures.saturating_add(1);
+            if server.failures >= FAILURES_TO_CLOSE {
+                server.probe_at = now + DurationMs(PROBE_EVERY_MS);
+                self.timed.insert(key);
+            }
+        } else if server.failures > 0 {
+            if server.failures >= FAILURES_TO_CLOSE {
+                server.opened = Some(now);
+            }
+            server.failures = 0;
+        }
+        self.refresh(now, key);
+        Some(ended)
+    }
+
+    /// Takes in the slowdown that one answer showed, in thousandths.
+    pub(crate) fn learn(&mut self, key: ServerKey, permille: u32) {
+        if let Ok(at) = self.find(key) {
+            let old = i64::from(self.servers[at].slowdown_permille);
+            let step = (i64::from(permille) - old) >> SLOWDOWN_SHIFT;
+            self.servers[at].slowdown_permille = u32::try_from(old + step).unwrap_or(1).max(1);
+        }
+    }
+
+    fn candidate(&self, position: u64) -> Option<&Server> {
+        let key = self.free.get(usize::try_from(position).ok()?)?;
+        self.servers.get(self.find(*key).ok()?)
+    }
+
+    fn find(&self, key: ServerKey) -> Result<usize, usize> {
+        self.servers.binary_search_by_key(&key, |server| server.key)
+    }
+
+    fn count_slots(&mut self) {
+        let open = self.servers.iter().filter(|server| server.open);
+        self.total = open.map(|server| u64::from(server.slots)).sum();
+    }
+
+    /// Enters a server into the list of free ones, or takes it out.
+    fn refresh(&mut self, now: MonoMs, key: ServerKey) {
+        let Ok(at) = self.find(key) else {
+            return;
+        };
+        let slow_start_ms = self.slow_start_ms;
+        let server = &mut self.servers[at];
+        if server
+            .opened
+            .is_some_and(|opened| now.since(opened).0 >= slow_start_ms)
+        {
+            server.opened = None;
+        }
+        if server.opened.is_none() && server.failures < FAILURES_TO_CLOSE {
+            self.timed.remove(&key);
+        }
+        let has_free = server.busy() < server.usable(now, slow_start_ms);
+        match (server.free_at, has_free) {
+            (None, true) => {
+                server.free_at = Some(self.free.len());
+                self.free.push(key);
+            }
+            (Some(position), false) => {
+                server.free_at = None;
+                self.free.swap_remove(position);
+                let moved = self.free.get(position).copied();
+                if let Some(Ok(moved_at)) = moved.map(|one| self.find(one)) {
+                    self.servers[moved_at].free_at = Some(position);
+                }
+            }
+            _ => {}
+        }
+    }
+}
