--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod prelude;
 pub mod queue;
 pub mod shard;
+mod slots;
 pub mod tasks;
 pub mod time;
--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,501 @@
+//! Heartbeats, digests and documents of one process: the actor behind the members service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosestack_core::digest::{Digest, Document, DocumentHead};
+use primrosestack_core::documents::{Documents, Joining, Offered, Serving, StoreFinding, watcher};
+use primrosestack_core::event::Event;
+use primrosestack_core::ids::HostId;
+use primrosestack_core::membership::{
+    Beat, Departing, Load, MemberAction, MemberEvent, MemberState, MemberView, Membership,
+    MembershipConfig, Staying,
+};
+use primrosestack_core::peer_frame::{
+    Body, DocumentDigest, DocumentHeads, DocumentPush, DocumentText, HeadOfDocument, Heartbeat,
+};
+use primrosestack_core::time::MonoMs;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::clock::Clock;
+use crate::docstore::{self, Listing};
+use crate::document;
+use crate::logs::Line;
+use crate::members::{Command, InForce, JoiningSnafu, Members, MembersError, MembersOptions, View};
+use crate::peer::{Peers, Received};
+use crate::store::Store;
+
+const TICK: Duration = Duration::from_millis(100);
+/// Every fourth heartbeat carries the digest, which makes one digest each 2 s.
+const BEATS_PER_DIGEST: u64 = 4;
+
+/// Starts the actor.
+pub(crate) fn spawn(
+    options: MembersOptions,
+    own: Members,
+    queue: mpsc::Receiver<Command>,
+    view: watch::Sender<Arc<View>>,
+) {
+    let now = options.clock.now();
+    let failure_domain = options.config.failure_domain.clone();
+    let actor = Actor {
+        own,
+        host: options.config.host.clone(),
+        failure_domain: failure_domain.clone(),
+        membership: Stage::Staying(Membership::open(options.config, now)),
+        documents: Known::Joining(Documents::open(failure_domain, now)),
+        clock: options.clock,
+        peers: options.peers,
+        store: options.store,
+        load: options.load,
+        suspicions: options.suspicions,
+        beats: 0,
+        watching: None,
+        view,
+        parsed: Vec::new(),
+    };
+    tokio::spawn(actor.run(queue));
+}
+
+enum Stage {
+    Staying(Membership<Staying>),
+    Departing(Membership<Departing>),
+}
+
+impl Stage {
+    fn handle(&mut self, now: MonoMs, event: MemberEvent, actions: &mut Vec<MemberAction>) {
+        match self {
+            Self::Staying(membership) => membership.handle(now, event, actions),
+            Self::Departing(membership) => membership.handle(now, event, actions),
+        }
+    }
+
+    fn leave(self, now: MonoMs, load: Load, actions: &mut Vec<MemberAction>) -> Self {
+        match self {
+            Self::Staying(membership) => Self::Departing(membership.leave(now, load, actions)),
+            Self::Departing(_) => self,
+        }
+    }
+
+    fn members(&self) -> Vec<MemberView> {
+        match self {
+            Self::Staying(membership) => membership.members().cloned().collect(),
+            Self::Departing(membership) => membership.members().cloned().collect(),
+        }
+    }
+
+    fn live(&self) -> Vec<&str> {
+        match self {
+            Self::Staying(membership) => membership.live().collect(),
+            // A leaving host does not hold the watch.
+            Self::Departing(membership) => membership.live().skip(1).collect(),
+        }
+    }
+}
+
+enum Known {
+    Joining(Documents<Joining>),
+    Serving(Documents<Serving>),
+}
+
+macro_rules! with_documents {
+    ($known:expr, $documents:ident => $value:expr) => {
+        match $known {
+            Known::Joining($documents) => $value,
+            Known::Serving($documents) => $value,
+        }
+    };
+}
+
+struct Actor {
+    own: Members,
+    host: HostId,
+    failure_domain: SmolStr,
+    membership: Stage,
+    documents: Known,
+    clock: Clock,
+    peers: Peers,
+    store: Arc<dyn Store>,
+    load: watch::Receiver<Load>,
+    suspicions: mpsc::Sender<Event>,
+    beats: u64,
+    watching: Option<JoinHandle<()>>,
+    view: watch::Sender<Arc<View>>,
+    parsed: Vec<InForce>,
+}
+
+impl Actor {
+    async fn run(mut self, mut queue: mpsc::Receiver<Command>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                command = queue.recv() => match command {
+                    Some(command) => self.command(command).await,
+                    None => return,
+                },
+            }
+        }
+    }
+
+    async fn tick(&mut self) {
+        let load = *self.load.borrow();
+        self.member_event(MemberEvent::Tick { load }).await;
+        self.try_serve(None);
+        self.watch_if_chosen();
+        self.publish();
+    }
+
+    async fn command(&mut self, command: Command) {
+        match command {
+            Command::Received(received) => self.received(*received).await,
+            Command::Prepare {
+                team,
+                if_match,
+                stored,
+                text,
+                reply,
+            } => {
+                let prepared = self.prepare(&team, if_match, stored.as_ref(), text);
+                // The editor may have gone away.
+                let _ = reply.send(prepared);
+            }
+            Command::Offer(document) => self.offer(&document, true),
+            Command::Listing(listing) => self.listing(listing),
+            Command::Listed { name, leaving } => {
+                self.member_event(MemberEvent::Listed { name, leaving })
+                    .await;
+            }
+            Command::Leave => self.leave().await,
+        }
+    }
+
+    async fn leave(&mut self) {
+        let mut actions = Vec::new();
+        let load = *self.load.borrow();
+        let now = self.clock.now();
+        let placeholder = Stage::Staying(Membership::open(self.empty_config(), now));
+        let stage = std::mem::replace(&mut self.membership, placeholder);
+        self.membership = stage.leave(now, load, &mut actions);
+        self.perform(actions).await;
+    }
+
+    fn empty_config(&self) -> MembershipConfig {
+        MembershipConfig {
+            host: self.host.clone(),
+            failure_domain: self.failure_domain.clone(),
+            members: Vec::new(),
+        }
+    }
+
+    async fn member_event(&mut self, event: MemberEvent) {
+        let mut actions = Vec::new();
+        self.membership
+            .handle(self.clock.now(), event, &mut actions);
+        self.perform(actions).await;
+    }
+
+    async fn perform(&mut self, actions: Vec<MemberAction>) {
+        for action in actions {
+            if let Some(event) = action.shard_event(&self.failure_domain) {
+                // The shards service ends only with the process.
+                let _ = self.suspicions.send(event).await;
+            }
+            match action {
+                MemberAction::Send { to, beat } => self.send_beat(&to, &beat),
+                MemberAction::Changed { host, state, .. } => {
+                    let line = Line::info("member_changed").with("host", &host.name);
+                    line.with("state", format!("{state:?}")).write();
+                    if state == MemberState::Gone {
+                        with_documents!(&mut self.documents, documents => documents.forget_host(&host.name));
+                    }
+                }
+            }
+        }
+    }
+
+    fn send_beat(&mut self, to: &str, beat: &Beat) {
+        self.beats += 1;
+        let round = self.beats / (self.membership.members().len().max(1) as u64);
+        let with_digest = round.is_multiple_of(BEATS_PER_DIGEST);
+        let digest = with_documents!(&self.documents, documents => documents.digest());
+        let heartbeat = Heartbeat {
+            sent_ms: beat.sent.0,
+            echo_ms: beat.echo.map(|echo| echo.0),
+            leaving: beat.leaving,
+            free_slots: beat.load.free_slots,
+            queued: beat.load.queued,
+            expected_wait_ms: beat.load.expected_wait_ms,
+            claims: Vec::new(),
+            digest: with_digest.then(|| DocumentDigest::from(digest)),
+        };
+        // An unreachable host is told at the next heartbeat after the link is back.
+        let _ = self.peers.send(to, Body::Heartbeat(heartbeat));
+    }
+
+    async fn received(&mut self, received: Received) {
+        let Received {
+            from,
+            failure_domain,
+            body,
+        } = received;
+        match body {
+            Body::Heartbeat(heartbeat) => self.heartbeat(from, failure_domain, heartbeat).await,
+            Body::DocumentDigest(digest) => self.digest(&from.name, &failure_domain, &digest),
+            Body::DocumentHeads(heads) => self.heads(&from.name, &failure_domain, heads),
+            Body::DocumentPush(push) => {
+                let foreign = failure_domain != self.failure_domain;
+                for pushed in push.documents {
+                    self.offer(&document_of(pushed), foreign);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    async fn heartbeat(&mut self, from: HostId, failure_domain: SmolStr, heartbeat: Heartbeat) {
+        let beat = Beat {
+            from: from.clone(),
+            failure_domain: failure_domain.clone(),
+            sent: MonoMs(heartbeat.sent_ms),
+            echo: heartbeat.echo_ms.map(MonoMs),
+            leaving: heartbeat.leaving,
+            load: Load {
+                free_slots: heartbeat.free_slots,
+                queued: heartbeat.queued,
+                expected_wait_ms: heartbeat.expected_wait_ms,
+            },
+        };
+        self.member_event(MemberEvent::Heard(beat)).await;
+        if let Some(digest) = &heartbeat.digest {
+            self.digest(&from.name, &failure_domain, digest);
+        }
+    }
+
+    fn digest(&mut self, from: &str, failure_domain: &str, digest: &DocumentDigest) {
+        let Ok(theirs) = Digest::try_from(digest) else {
+            return;
+        };
+        self.try_serve(Some(&theirs));
+        let buckets = with_documents!(&mut self.documents, documents =>
+            documents.compare(from, failure_domain, &theirs));
+        if buckets.is_empty() {
+            return;
+        }
+        let heads = with_documents!(&self.documents, documents => documents.heads(&buckets));
+        let heads = heads.into_iter().map(|head| HeadOfDocument {
+            team: head.team.to_string(),
+            revision: head.revision,
+            text_hash: head.text_hash,
+        });
+        let heads = DocumentHeads {
+            buckets,
+            heads: heads.collect(),
+        };
+        let _ = self.peers.send(from, Body::DocumentHeads(heads));
+    }
+
+    fn heads(&mut self, from: &str, failure_domain: &str, heads: DocumentHeads) {
+        let theirs = heads.heads.into_iter().map(|head| DocumentHead {
+            team: head.team.into(),
+            revision: head.revision,
+            text_hash: head.text_hash,
+        });
+        let theirs: Vec<DocumentHead> = theirs.collect();
+        let lacking = with_documents!(&mut self.documents, documents =>
+            documents.newer_than(from, failure_domain, &heads.buckets, &theirs));
+        if !lacking.is_empty() {
+            let push = push_of(&lacking);
+            let _ = self.peers.send(from, push);
+        }
+    }
+
+    fn prepare(
+        &self,
+        team: &str,
+        if_match: u64,
+        stored: Option<&Document>,
+        text: Arc<str>,
+    ) -> Result<Document, MembersError> {
+        let Known::Serving(documents) = &self.documents else {
+            return JoiningSnafu.fail();
+        };
+        let prepared = documents.edit(team, if_match, stored, text);
+        prepared.map_err(|source| MembersError::Edit { source })
+    }
+
+    fn offer(&mut self, document: &Document, spread_widely: bool) {
+        let offered =
+            with_documents!(&mut self.documents, documents => documents.offer(document.clone()));
+        if offered != Offered::InForce {
+            return;
+        }
+        let line = Line::info("document_in_force").with("team", &document.team);
+        line.with("revision", document.revision).write();
+        self.spread(document, spread_widely);
+        self.publish();
+    }
+
+    /// Sends a document to all entry hosts of this failure domain and to one of each other.
+    fn spread(&self, document: &Document, widely: bool) {
+        let mut reached: Vec<SmolStr> = Vec::new();
+        for member in self.membership.members() {
+            if member.state != MemberState::Live {
+                continue;
+            }
+            let own = member.failure_domain == self.failure_domain;
+            if !own && (!widely || reached.contains(&member.failure_domain)) {
+                continue;
+            }
+            let sent = self
+                .peers
+                .send(&member.host.name, push_of(std::slice::from_ref(document)));
+            if sent && !own {
+                reached.push(member.failure_domain);
+            }
+        }
+    }
+
+    fn listing(&mut self, listing: Listing) {
+        let mut teams = Vec::new();
+        for stored in listing.documents {
+            let team = stored.team;
+            let finding = with_documents!(&mut self.documents, documents =>
+                documents.read_from_store(&team, stored.key_revision, stored.document.clone()));
+            match finding {
+                StoreFinding::InForce => {
+                    if let Some(document) = stored.document {
+                        self.spread(&document, true);
+                    }
+                }
+                StoreFinding::Agrees => {}
+                StoreFinding::WriteBack { expected, document } => {
+                    self.write_back(expected.0, document);
+                }
+            }
+            teams.push(team);
+        }
+        let Known::Serving(documents) = &self.documents else {
+            return;
+        };
+        if listing.complete {
+            for team in documents.absent_from(&teams) {
+                if let Some(document) = documents.get(&team) {
+                    self.write_back(0, document.clone());
+                }
+            }
+        }
+        self.publish();
+    }
+
+    fn write_back(&self, expected: u64, document: Document) {
+        let line = Line::warn("document_written_back").with("team", &document.team);
+        line.with("revision", document.revision).write();
+        let store = self.store.clone();
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            if docstore::write(&*store, expected, &document).await {
+                own.offer(document).await;
+            }
+        });
+    }
+
+    fn try_serve(&mut self, peer_digest: Option<&Digest>) {
+        let now = self.clock.now();
+        let Known::Joining(documents) = &self.documents else {
+            return;
+        };
+        if !documents.may_serve(now, peer_digest) {
+            return;
+        }
+        let empty = Known::Joining(Documents::open(self.failure_domain.clone(), now));
+        if let Known::Joining(documents) = std::mem::replace(&mut self.documents, empty) {
+            self.documents = Known::Serving(documents.serve());
+        }
+        Line::info("documents_serving").write();
+        self.publish();
+    }
+
+    /// Holds the watch exactly while this host is the watcher of its failure domain.
+    fn watch_if_chosen(&mut self) {
+        let chosen = watcher(&self.failure_domain, self.membership.live());
+        let chosen = chosen == Some(self.host.name.as_str());
+        let running = self
+            .watching
+            .as_ref()
+            .is_some_and(|task| !task.is_finished());
+        if chosen && !running {
+            let watching = docstore::watch(self.store.clone(), self.own.clone());
+            self.watching = Some(tokio::spawn(watching));
+        }
+        if !chosen && let Some(task) = self.watching.take() {
+            task.abort();
+        }
+    }
+
+    fn publish(&mut self) {
+        let serving = matches!(self.documents, Known::Serving(_));
+        let mut domains = Vec::new();
+        if let Known::Serving(documents) = &self.documents {
+            self.parsed = parse(&self.parsed, documents.all());
+            for document in documents.all() {
+                domains.push((document.team.clone(), documents.in_force(&document.team)));
+            }
+        }
+        self.view.send_replace(Arc::new(View {
+            serving,
+            members: self.membership.members(),
+            documents: self.parsed.clone(),
+            domains,
+        }));
+    }
+}
+
+/// Parses documents that are new; a text that was accepted by a later version and cannot be read is left out.
+fn parse(known: &[InForce], documents: &[Document]) -> Vec<InForce> {
+    let mut parsed = Vec::with_capacity(documents.len());
+    for document in documents {
+        let found = known.binary_search_by(|one| one.team.cmp(&document.team));
+        let same = found.ok().map(|at| &known[at]);
+        if let Some(same) = same.filter(|same| Arc::ptr_eq(&same.text, &document.text)) {
+            parsed.push(same.clone());
+            continue;
+        }
+        let Ok(content) = document::Document::read(&document.text) else {
+            Line::error("document_unreadable")
+                .with("team", &document.team)
+                .write();
+            continue;
+        };
+        parsed.push(InForce {
+            team: document.team.clone(),
+            revision: document.revision,
+            text: document.text.clone(),
+            content: Arc::new(content),
+        });
+    }
+    parsed
+}
+
+fn document_of(pushed: DocumentText) -> Document {
+    Document {
+        team: pushed.team.into(),
+        revision: pushed.revision,
+        text: pushed.text.into(),
+    }
+}
+
+fn push_of(documents: &[Document]) -> Body {
+    let documents = documents.iter().map(|document| DocumentText {
+        team: document.team.to_string(),
+        revision: document.revision,
+        text: document.text.to_string(),
+    });
+    Body::DocumentPush(DocumentPush {
+        documents: documents.collect(),
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod docstore;
 pub mod document;
+mod gossip;
 pub mod hostlist;
 pub mod http;
 pub mod kernel;
