--- a/crates/core/src/admission.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Slots, connections, bounded queues and the retry budget of requests.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,6 @@
 //! Typed events and a monotonic time go in, typed actions come out. Nothing in this crate reads a clock, opens a
 //! socket, takes a lock or draws a random number, so tests, replay and fuzzing drive exactly the code that ships.
 
-pub mod admission;
 pub mod budget;
 pub mod capacity;
 pub mod digest;
@@ -23,6 +22,7 @@
 pub mod placement;
 pub mod prelude;
 pub mod queue;
+pub mod retry;
 pub mod shard;
 mod slots;
 pub mod tasks;
--- a/crates/core/src/peer_frame.rs
+++ b/crates/core/src/peer_frame.rs
@@ -51,7 +51,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerFrame {
     /// Content.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
     pub body: Option<Body>,
 }
 
@@ -100,6 +100,21 @@
     /// Answer to a job call.
     #[prost(message, tag = "14")]
     JobReply(JobReply),
+    /// Claims an idempotency key at its home.
+    #[prost(message, tag = "15")]
+    KeyClaim(KeyClaim),
+    /// Answer to a claim.
+    #[prost(message, tag = "16")]
+    KeyClaimed(KeyClaimed),
+    /// Keeps the answer of a claimed key.
+    #[prost(message, tag = "17")]
+    KeyAnswer(KeyAnswer),
+    /// Tells of the owner of a term.
+    #[prost(message, tag = "18")]
+    TermTold(TermTold),
+    /// The owner of a higher term asks for the release of an earlier one.
+    #[prost(message, tag = "19")]
+    ReleaseAsked(ReleaseAsked),
 }
 
 /// First frame of each side.
@@ -204,6 +219,34 @@
     pub term: u64,
 }
 
+/// Tells of the owner of a term.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TermTold {
+    /// Number of the shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// Term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Name of its owner.
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    /// Incarnation of its owner.
+    #[prost(fixed64, tag = "4")]
+    pub incarnation: u64,
+}
+
+/// The owner of a higher term asks for the release of an earlier one.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ReleaseAsked {
+    /// Number of the shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// The term to release.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
 /// Digest of the sender's documents.
 #[derive(Clone, PartialEq, Message)]
 pub struct DocumentDigest {
--- a/crates/core/src/peer_work.rs
+++ b/crates/core/src/peer_work.rs
@@ -88,6 +88,64 @@
     pub body: Vec<u8>,
 }
 
+/// Claims an idempotency key at its home before a non-idempotent request is sent.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct KeyClaim {
+    /// Names the call in its reply.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// Number of the shard.
+    #[prost(uint32, tag = "2")]
+    pub shard: u32,
+    /// The key.
+    #[prost(message, optional, tag = "3")]
+    pub key: Option<Key>,
+}
+
+/// What is known of an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum KeyState {
+    /// A state that this version does not know: the request must not be sent.
+    Unspecified = 0,
+    /// The claim is committed and the request may be sent once.
+    Fresh = 1,
+    /// Used before, and the answer is kept.
+    Answered = 2,
+    /// Used before, and the outcome cannot be told.
+    Unknown = 3,
+    /// Nothing was recorded; the request must not be sent.
+    NotRun = 4,
+}
+
+/// Answer to a claim.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyClaimed {
+    /// The call that it answers.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// State of the key.
+    #[prost(enumeration = "KeyState", tag = "2")]
+    pub state: i32,
+    /// The kept answer.
+    #[prost(bytes = "vec", tag = "3")]
+    pub answer: Vec<u8>,
+}
+
+/// Keeps the answer of a claimed key.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyAnswer {
+    /// Number of the shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// The key.
+    #[prost(message, optional, tag = "2")]
+    pub key: Option<Key>,
+    /// The answer.
+    #[prost(bytes = "vec", tag = "3")]
+    pub answer: Vec<u8>,
+}
+
 /// A job sent on to the owner of its shard.
 #[derive(Clone, PartialEq, Message)]
 pub struct JobSubmit {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -24,7 +24,7 @@
 use crate::docstore::{self, Listing};
 use crate::document;
 use crate::logs::Line;
-use crate::members::{Command, InForce, JoiningSnafu, Members, MembersError, MembersOptions, View};
+use crate::members::{Command, InForce, Members, MembersError, MembersOptions, View};
 use crate::peer::{Peers, Received};
 use crate::store::Store;
 
@@ -322,7 +322,7 @@
         text: Arc<str>,
     ) -> Result<Document, MembersError> {
         let Known::Serving(documents) = &self.documents else {
-            return JoiningSnafu.fail();
+            return Err(MembersError::Joining);
         };
         let prepared = documents.edit(team, if_match, stored, text);
         prepared.map_err(|source| MembersError::Edit { source })
--- /dev/null
+++ b/src/inbox.rs
@@ -0,0 +1,116 @@
+//! Hands the frames of peers to the services that take them.
+
+use primrosestack_core::event::Event;
+use primrosestack_core::ids::HostId;
+use primrosestack_core::peer_frame::Body;
+use primrosestack_core::time::MonoMs;
+use tokio::sync::mpsc;
+
+use crate::jobs::Jobs;
+use crate::keys::Keys;
+use crate::members::Members;
+use crate::peer::Received;
+use crate::requests::Requests;
+use crate::shards::Shards;
+
+/// The services that take frames.
+#[derive(Clone)]
+pub struct Inbox {
+    /// Heartbeats and documents.
+    pub members: Members,
+    /// Ownership.
+    pub shards: Shards,
+    /// Idempotency keys.
+    pub keys: Keys,
+    /// Requests.
+    pub requests: Requests,
+    /// Jobs.
+    pub jobs: Jobs,
+}
+
+impl Inbox {
+    /// Starts to hand over frames.
+    pub fn spawn(self, mut frames: mpsc::Receiver<Received>) {
+        tokio::spawn(async move {
+            while let Some(received) = frames.recv().await {
+                self.take(received).await;
+            }
+        });
+    }
+
+    /// Work that waits runs in a task of its own, so that a slow request does not hold up heartbeats.
+    async fn take(&self, received: Received) {
+        let from = received.from.clone();
+        match received.body {
+            Body::Heartbeat(_)
+            | Body::DocumentDigest(_)
+            | Body::DocumentHeads(_)
+            | Body::DocumentPush(_) => self.members.receive(received).await,
+            Body::RequestAnswer(answer) => self.requests.take_answer(answer),
+            Body::KeyClaimed(claimed) => self.keys.take_claimed(claimed),
+            Body::KeyAnswer(answer) => self.keys.serve_answer(answer),
+            Body::JobReply(reply) => self.jobs.take_reply(reply),
+            Body::RequestForward(forward) => {
+                let requests = self.requests.clone();
+                tokio::spawn(async move { requests.serve_peer(&from, forward).await });
+            }
+            Body::KeyClaim(claim) => {
+                let keys = self.keys.clone();
+                tokio::spawn(async move { keys.serve_claim(&from, claim).await });
+            }
+            Body::JobSubmit(_) | Body::JobCancel(_) | Body::JobList(_) => {
+                let jobs = self.jobs.clone();
+                tokio::spawn(async move { jobs.serve_peer(&from, received.body).await });
+            }
+            body => self.ownership(from, body).await,
+        }
+    }
+
+    async fn ownership(&self, from: HostId, body: Body) {
+        let (shard, event) = match body {
+            Body::PromiseAsked(asked) => (
+                asked.shard,
+                Event::PromiseAsked {
+                    owner: from,
+                    term: asked.term,
+                    sent: MonoMs(asked.sent_ms),
+                },
+            ),
+            Body::Promise(promise) => (
+                promise.shard,
+                Event::Promised {
+                    from,
+                    term: promise.term,
+                    sent: MonoMs(promise.sent_ms),
+                    forever: promise.forever,
+                },
+            ),
+            Body::ReleaseAsked(asked) => (
+                asked.shard,
+                Event::ReleaseAsked {
+                    owner: from,
+                    term: asked.term,
+                },
+            ),
+            Body::Release(release) => (
+                release.shard,
+                Event::Released {
+                    from,
+                    term: release.term,
+                },
+            ),
+            Body::TermTold(told) => (
+                told.shard,
+                Event::TermSeen {
+                    owner: HostId {
+                        name: told.owner.into(),
+                        incarnation: told.incarnation,
+                    },
+                    term: told.term,
+                },
+            ),
+            _ => return,
+        };
+        self.shards.event(shard, event).await;
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -96,6 +96,7 @@
 
 struct Link {
     id: u64,
+    incarnation: u64,
     sender: mpsc::Sender<Bytes>,
 }
 
@@ -175,16 +176,35 @@
     /// Queues a frame; false if there is no link or its queue is full, and then nothing was or will be sent.
     #[must_use]
     pub fn send(&self, to: &str, body: Body) -> bool {
+        self.inner.send(to, None, body)
+    }
+
+    /// Queues a frame for one incarnation of a host, as [`Peers::send`].
+    #[must_use]
+    pub fn send_to(&self, to: &HostId, body: Body) -> bool {
+        self.inner.send(&to.name, Some(to.incarnation), body)
+    }
+}
+
+impl Inner {
+    fn links(&self) -> MutexGuard<'_, Vec<(SmolStr, Vec<Link>)>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn send(&self, to: &str, incarnation: Option<u64>, body: Body) -> bool {
+        // A heartbeat goes over every link, since silence closes a link.
         let everywhere = matches!(body, Body::Heartbeat(_));
         let frame = Bytes::from(peer_frame::encode(body));
-        let links = self.inner.links();
+        let links = self.links();
         let found = links.binary_search_by(|(name, _)| name.as_str().cmp(to));
         let Ok(at) = found else {
             return false;
         };
         let mut sent = false;
         for link in links[at].1.iter().rev() {
-            // A heartbeat goes over every link, since silence closes a link.
+            if incarnation.is_some_and(|incarnation| incarnation != link.incarnation) {
+                continue;
+            }
             if sent && !everywhere {
                 break;
             }
@@ -192,12 +212,6 @@
         }
         sent
     }
-}
-
-impl Inner {
-    fn links(&self) -> MutexGuard<'_, Vec<(SmolStr, Vec<Link>)>> {
-        self.links.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 
     fn is_linked(&self, name: &str) -> bool {
         let links = self.links();
@@ -205,13 +219,17 @@
         found.is_ok_and(|at| !links[at].1.is_empty())
     }
 
-    fn add(&self, name: &SmolStr, sender: mpsc::Sender<Bytes>) -> u64 {
+    fn add(&self, host: &HostId, sender: mpsc::Sender<Bytes>) -> u64 {
         let id = self.next_link.fetch_add(1, Ordering::Relaxed);
-        let link = Link { id, sender };
+        let link = Link {
+            id,
+            incarnation: host.incarnation,
+            sender,
+        };
         let mut links = self.links();
-        match links.binary_search_by(|(known, _)| known.cmp(name)) {
+        match links.binary_search_by(|(known, _)| known.cmp(&host.name)) {
             Ok(at) => links[at].1.push(link),
-            Err(at) => links.insert(at, (name.clone(), vec![link])),
+            Err(at) => links.insert(at, (host.name.clone(), vec![link])),
         }
         id
     }
@@ -292,7 +310,7 @@
     };
     let failure_domain = SmolStr::from(hello.failure_domain);
     let (sender, mut queue) = mpsc::channel::<Bytes>(QUEUE_FRAMES);
-    let id = inner.add(&from.name, sender);
+    let id = inner.add(&from, sender);
     let writing = async {
         while let Some(frame) = queue.recv().await {
             sink.feed(frame).await.context(BrokenSnafu)?;
