Service-level burn and its report

Cause: operators need to see how fast a service spends its budget of bad requests, per failure domain, also while part of the system cannot be reached.

Each entry host keeps five rings of 31 steps per service (src/burn.rs, GET /v1/burn). src/burn_fetch.rs asks several hosts, src/burn_sum.rs adds the replies up and names what is missing, src/cmd/report.rs prints a table, JSON or one HTML page (src/burn_html.rs). The plots use a logarithmic axis: on a linear one a single bad request among a few hid both alarm lines.

The page was not rendered to an image, since no browser is installed; every inline SVG of a sample was parsed as XML.

--- /dev/null
+++ b/src/burn.rs
@@ -0,0 +1,354 @@
+//! Service-level burn: how fast each service uses up its budget of bad requests, as seen by this entry host.
+//!
+//! Counts are kept in memory only, so a restarted host has forgotten its older data.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use axum::extract::State;
+use axum::routing::get;
+use axum::{Json, Router};
+use primrosestack_core::ids::HostId;
+use primrosestack_core::time::{DurationMs, MonoMs};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::labels::OTHER;
+use crate::metrics::Outcome;
+
+/// Slots of a ring: 30 complete steps and the one in progress.
+pub const SLOTS: usize = 31;
+
+/// Services that a host counts separately; further ones are counted together as `other`.
+pub const SERVICE_LIMIT: usize = 256;
+
+/// Lengths of the windows in milliseconds: 5 min, 1 h, 6 h, 3 d, 30 d.
+pub const WINDOWS_MS: [u64; 5] = [300_000, 3_600_000, 21_600_000, 259_200_000, 2_592_000_000];
+
+/// Names of the windows.
+pub const WINDOW_NAMES: [&str; 5] = ["5 min", "1 h", "6 h", "3 d", "30 d"];
+
+/// Version of [`BurnReply`].
+pub const REPLY_VERSION: u32 = 1;
+
+/// What a service promises its callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceLevel {
+    /// Share of requests that must be good, in parts per million; below 1,000,000.
+    pub good_ppm: u32,
+    /// Longest latency of a good request in milliseconds.
+    pub latency_ms: u64,
+}
+
+impl Default for ServiceLevel {
+    /// 99.9% of requests within 1 s, for services whose document states nothing.
+    fn default() -> Self {
+        Self {
+            good_ppm: 999_000,
+            latency_ms: 1_000,
+        }
+    }
+}
+
+impl ServiceLevel {
+    /// Whether a request was good: answered without a server error, and in time.
+    #[must_use]
+    pub fn is_good(self, outcome: Outcome, latency: DurationMs) -> bool {
+        match outcome {
+            Outcome::Answered(status) => status < 500 && latency.0 <= self.latency_ms,
+            Outcome::NotRun(_) | Outcome::Unknown => false,
+        }
+    }
+
+    /// Share of requests that may be bad, in parts per million; at least 1.
+    #[must_use]
+    pub fn budget_ppm(self) -> u32 {
+        1_000_000_u32.saturating_sub(self.good_ppm).max(1)
+    }
+}
+
+/// Good and bad requests of one step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Good requests, saturating. One day at 5,000 a second is a tenth of the range.
+    #[serde(rename = "g")]
+    pub good: u32,
+    /// Bad requests, saturating.
+    #[serde(rename = "b")]
+    pub bad: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Ring {
+    // Number of the newest step, counted from the start of the monotonic clock.
+    newest: u64,
+    slots: [Counts; SLOTS],
+}
+
+impl Ring {
+    fn open(step: u64) -> Self {
+        Self {
+            newest: step,
+            slots: [Counts::default(); SLOTS],
+        }
+    }
+
+    fn advance(&mut self, step: u64) {
+        if step <= self.newest {
+            return;
+        }
+        let passed = usize::try_from(step - self.newest).unwrap_or(SLOTS);
+        for offset in 1..=passed.min(SLOTS) {
+            let at = slot_of(self.newest + offset as u64);
+            self.slots[at] = Counts::default();
+        }
+        // After a pause longer than the ring every slot is cleared above, whatever its position.
+        self.newest = step;
+    }
+
+    fn count(&mut self, step: u64, good: bool) {
+        self.advance(step);
+        let slot = &mut self.slots[slot_of(self.newest)];
+        let field = if good { &mut slot.good } else { &mut slot.bad };
+        *field = field.saturating_add(1);
+    }
+
+    fn newest_first(&mut self, step: u64) -> Vec<Counts> {
+        self.advance(step);
+        let mut counts = Vec::with_capacity(SLOTS);
+        for age in 0..SLOTS as u64 {
+            let Some(step) = self.newest.checked_sub(age) else {
+                counts.push(Counts::default());
+                continue;
+            };
+            counts.push(self.slots[slot_of(step)]);
+        }
+        counts
+    }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "the remainder is below SLOTS"
+)]
+fn slot_of(step: u64) -> usize {
+    (step % SLOTS as u64) as usize
+}
+
+#[derive(Debug)]
+struct Service {
+    name: SmolStr,
+    level: ServiceLevel,
+    rings: [Ring; WINDOWS_MS.len()],
+}
+
+/// Bytes that a host keeps per service, without the heap part of a name longer than 23 bytes.
+pub const BYTES_PER_SERVICE: usize = size_of::<Service>();
+
+impl Service {
+    fn open(name: SmolStr, now: MonoMs) -> Self {
+        Self {
+            name,
+            level: ServiceLevel::default(),
+            rings: std::array::from_fn(|window| Ring::open(step_of(window, now))),
+        }
+    }
+
+    fn count(&mut self, now: MonoMs, good: bool) {
+        for (window, ring) in self.rings.iter_mut().enumerate() {
+            ring.count(step_of(window, now), good);
+        }
+    }
+
+    fn reply(&mut self, now: MonoMs) -> ServiceBurn {
+        let mut windows = Vec::with_capacity(WINDOWS_MS.len());
+        for (window, ring) in self.rings.iter_mut().enumerate() {
+            windows.push(WindowCounts {
+                window_ms: WINDOWS_MS[window],
+                step_ms: step_ms(window),
+                counts: ring.newest_first(step_of(window, now)),
+            });
+        }
+        ServiceBurn {
+            service: self.name.clone(),
+            level: self.level,
+            windows,
+        }
+    }
+}
+
+/// Width of a step of a window in milliseconds.
+#[must_use]
+pub fn step_ms(window: usize) -> u64 {
+    WINDOWS_MS[window] / (SLOTS as u64 - 1)
+}
+
+fn step_of(window: usize, now: MonoMs) -> u64 {
+    now.0 / step_ms(window)
+}
+
+/// An entry host that a host knows from its settings.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KnownHost {
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+    /// Its name.
+    pub name: SmolStr,
+}
+
+/// Answer of one entry host to `GET /v1/burn`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BurnReply {
+    /// Version of this type, [`REPLY_VERSION`].
+    pub version: u32,
+    /// The host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+    /// Time since it began counting, in milliseconds; older data are forgotten.
+    pub up_ms: u64,
+    /// Entry hosts that it knows.
+    pub known_hosts: Vec<KnownHost>,
+    /// Its counts, by name of service.
+    pub services: Vec<ServiceBurn>,
+}
+
+/// Counts of one service at one entry host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceBurn {
+    /// The service.
+    pub service: SmolStr,
+    /// What it promises.
+    pub level: ServiceLevel,
+    /// One entry per window, shortest first.
+    pub windows: Vec<WindowCounts>,
+}
+
+/// Counts of one window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowCounts {
+    /// Length of the window in milliseconds.
+    pub window_ms: u64,
+    /// Width of a step in milliseconds.
+    pub step_ms: u64,
+    /// Counts by step, newest first; the first step is in progress.
+    pub counts: Vec<Counts>,
+}
+
+struct Shared {
+    host: HostId,
+    failure_domain: SmolStr,
+    known_hosts: Vec<KnownHost>,
+    opened: MonoMs,
+    // Sorted by name, for binary search.
+    services: Mutex<Vec<Service>>,
+}
+
+/// Handle to the counts of this process; a clone shares them.
+#[derive(Clone)]
+pub struct Burn {
+    shared: Arc<Shared>,
+}
+
+impl Burn {
+    /// Opens empty counts. `known_hosts` are the entry hosts of the settings, by which a report notices which are
+    /// missing.
+    #[must_use]
+    pub fn open(
+        host: HostId,
+        failure_domain: SmolStr,
+        mut known_hosts: Vec<KnownHost>,
+        now: MonoMs,
+    ) -> Self {
+        known_hosts.sort();
+        known_hosts.dedup();
+        Self {
+            shared: Arc::new(Shared {
+                host,
+                failure_domain,
+                known_hosts,
+                opened: now,
+                services: Mutex::new(Vec::new()),
+            }),
+        }
+    }
+
+    /// Sets what a service promises; it applies to requests recorded from then on.
+    pub fn set_level(&self, now: MonoMs, service: &str, level: ServiceLevel) {
+        let mut services = self.services();
+        entry(&mut services, service, now).level = level;
+    }
+
+    /// Counts a finished request of this host's callers.
+    pub fn record_request(
+        &self,
+        now: MonoMs,
+        service: &str,
+        outcome: Outcome,
+        latency: DurationMs,
+    ) {
+        let mut services = self.services();
+        let service = entry(&mut services, service, now);
+        let good = service.level.is_good(outcome, latency);
+        service.count(now, good);
+    }
+
+    /// The counts as answered to a report.
+    #[must_use]
+    pub fn reply(&self, now: MonoMs) -> BurnReply {
+        let shared = &*self.shared;
+        let mut services = self.services();
+        BurnReply {
+            version: REPLY_VERSION,
+            host: shared.host.clone(),
+            failure_domain: shared.failure_domain.clone(),
+            up_ms: now.since(shared.opened).0,
+            known_hosts: shared.known_hosts.clone(),
+            services: services
+                .iter_mut()
+                .map(|service| service.reply(now))
+                .collect(),
+        }
+    }
+
+    /// Routes of the administration listener: `GET /v1/burn`. `clock` gives the time on which requests are recorded.
+    pub fn router(&self, clock: impl Fn() -> MonoMs + Clone + Send + Sync + 'static) -> Router {
+        let burn = self.clone();
+        let answer = move |State(burn): State<Burn>| {
+            let reply = burn.reply(clock());
+            async move { Json(reply) }
+        };
+        Router::new()
+            .route("/v1/burn", get(answer))
+            .with_state(burn)
+    }
+
+    fn services(&self) -> MutexGuard<'_, Vec<Service>> {
+        let services = &self.shared.services;
+        services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn entry<'a>(services: &'a mut Vec<Service>, name: &str, now: MonoMs) -> &'a mut Service {
+    let find = |services: &[Service], name: &str| {
+        services.binary_search_by(|service| service.name.as_str().cmp(name))
+    };
+    if let Ok(at) = find(services, name) {
+        return &mut services[at];
+    }
+    // One place is kept for `other`.
+    let name = if services.len() < SERVICE_LIMIT {
+        name
+    } else {
+        OTHER
+    };
+    let at = match find(services, name) {
+        Ok(at) => at,
+        Err(at) => {
+            let service = Service::open(SmolStr::new(name), now);
+            services.insert(at, service);
+            at
+        }
+    };
+    &mut services[at]
+}
--- /dev/null
+++ b/src/burn_fetch.rs
@@ -0,0 +1,240 @@
+//! Fetches burn counts from entry hosts.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http_body_util::{BodyExt as _, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::header::{AUTHORIZATION, HOST};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rustls::pki_types::ServerName;
+use rustls::{ClientConfig, RootCertStore};
+use smol_str::ToSmolStr as _;
+use snafu::{IntoError as _, ResultExt, Snafu, ensure};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+
+use crate::burn::{BurnReply, REPLY_VERSION};
+use crate::burn_sum::Asked;
+
+/// Longest reply that is read, in bytes. 256 services with full counters make 1.1 MB.
+const REPLY_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why a client could not be opened.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// A file could not be read.
+    #[snafu(display("cannot read {}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file holds no usable certificate.
+    #[snafu(display("{} holds no usable certificate", path.display()))]
+    Certificate {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The TLS settings are not supported.
+    #[snafu(display("cannot set up TLS"))]
+    Tls {
+        /// Cause.
+        source: rustls::Error,
+    },
+}
+
+/// Why one host gave no counts.
+#[derive(Debug, Snafu)]
+pub enum FetchError {
+    /// No connection.
+    #[snafu(display("cannot connect: {source}"))]
+    Connect {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// TLS failed.
+    #[snafu(display("TLS failed: {source}"))]
+    Handshake {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The connection broke.
+    #[snafu(display("the connection broke: {source}"))]
+    Exchange {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The request could not be built, for example because the token holds a line break.
+    #[snafu(display("cannot build the request: {source}"))]
+    Build {
+        /// Cause.
+        source: hyper::http::Error,
+    },
+    /// The body could not be read whole.
+    #[snafu(display("the answer broke off or exceeds {REPLY_MAX_BYTES} bytes"))]
+    Body,
+    /// Another status than 200.
+    #[snafu(display("it answered with status {status}"))]
+    Status {
+        /// The status.
+        status: StatusCode,
+    },
+    /// The body is not a reply.
+    #[snafu(display("its answer cannot be understood: {source}"))]
+    Decode {
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// The reply is of another version.
+    #[snafu(display("it speaks version {version} of this answer, {REPLY_VERSION} is expected"))]
+    Version {
+        /// Its version.
+        version: u32,
+    },
+    /// No answer in time.
+    #[snafu(display("no answer within {timeout_ms} ms"))]
+    Timeout {
+        /// The limit in milliseconds.
+        timeout_ms: u64,
+    },
+}
+
+/// Asks entry hosts for their counts.
+pub struct Client {
+    timeout_ms: u64,
+    token: Option<String>,
+    tls: Option<TlsConnector>,
+}
+
+impl Client {
+    /// Opens a client that speaks plain text and sends no token.
+    #[must_use]
+    pub fn open(timeout_ms: u64) -> Self {
+        Self {
+            timeout_ms,
+            token: None,
+            tls: None,
+        }
+    }
+
+    /// Sends the token in the file, without the white space around it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError::Read`] if the file cannot be read.
+    pub fn with_token_file(mut self, path: &Path) -> Result<Self, ClientError> {
+        let token = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        self.token = Some(token.trim().to_owned());
+        Ok(self)
+    }
+
+    /// Speaks TLS and trusts the authorities in the PEM file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the file cannot be read or holds no certificate.
+    pub fn with_authority_file(mut self, path: &Path) -> Result<Self, ClientError> {
+        let bytes = std::fs::read(path).context(ReadSnafu { path })?;
+        let mut roots = RootCertStore::empty();
+        let mut rest = bytes.as_slice();
+        let certificates = rustls_pemfile::certs(&mut rest).flatten();
+        let (added, _ignored) = roots.add_parsable_certificates(certificates);
+        ensure!(added > 0, CertificateSnafu { path });
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .context(TlsSnafu)?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        self.tls = Some(TlsConnector::from(Arc::new(config)));
+        Ok(self)
+    }
+
+    /// Asks all hosts at the same time.
+    pub async fn fetch_all(&self, addresses: &[SocketAddr]) -> Vec<Asked> {
+        let ask = |address: &SocketAddr| {
+            let address = *address;
+            async move {
+                let result = self.fetch(address).await;
+                Asked {
+                    address: address.to_smolstr(),
+                    result: result.map_err(|error| error.to_smolstr()),
+                }
+            }
+        };
+        join_all(addresses.iter().map(ask)).await
+    }
+
+    /// Asks one host.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FetchError`] if there is no usable answer within the time limit.
+    pub async fn fetch(&self, address: SocketAddr) -> Result<BurnReply, FetchError> {
+        let limit = Duration::from_millis(self.timeout_ms);
+        let timeout_ms = self.timeout_ms;
+        match tokio::time::timeout(limit, self.connect(address)).await {
+            Ok(result) => result,
+            Err(_elapsed) => TimeoutSnafu { timeout_ms }.fail(),
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<BurnReply, FetchError> {
+        let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
+        let Some(tls) = &self.tls else {
+            return self.exchange(address, stream).await;
+        };
+        let name = ServerName::IpAddress(address.ip().into());
+        let stream = tls.connect(name, stream).await.context(HandshakeSnafu)?;
+        self.exchange(address, stream).await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    ) -> Result<BurnReply, FetchError> {
+        let mut request = Request::get("/v1/burn").header(HOST, address.to_string());
+        if let Some(token) = &self.token {
+            request = request.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let request = request.body(Empty::<Bytes>::new()).context(BuildSnafu)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .context(ExchangeSnafu)?;
+        // Ends when `sender` is dropped; a fault shows in the answer.
+        tokio::spawn(connection);
+        let answer = sender.send_request(request).await.context(ExchangeSnafu)?;
+        let status = answer.status();
+        ensure!(status == StatusCode::OK, StatusSnafu { status });
+        let body = Limited::new(answer.into_body(), REPLY_MAX_BYTES);
+        let Ok(body) = body.collect().await else {
+            return BodySnafu.fail();
+        };
+        decode(&body.to_bytes())
+    }
+}
+
+/// Reads a reply.
+///
+/// # Errors
+///
+/// Returns [`FetchError`] if the bytes are no reply of this version.
+pub fn decode(bytes: &[u8]) -> Result<BurnReply, FetchError> {
+    // The version is read first, since the rest of another version may not fit the type.
+    let value: serde_json::Value = serde_json::from_slice(bytes).context(DecodeSnafu)?;
+    let version = value.get("version").and_then(serde_json::Value::as_u64);
+    let version = version.and_then(|version| u32::try_from(version).ok());
+    if let Some(version) = version {
+        ensure!(version == REPLY_VERSION, VersionSnafu { version });
+    }
+    serde_json::from_value(value).map_err(|error| DecodeSnafu.into_error(error))
+}
--- /dev/null
+++ b/src/burn_html.rs
@@ -0,0 +1,387 @@
+//! The burn report as one HTML page without outside parts: styles are inline, plots are inline SVG, no script.
+
+use std::fmt::Write as _;
+
+use crate::burn::{SLOTS, WINDOW_NAMES, step_ms};
+use crate::burn_sum::{FAST_ALARM_BURN, Row, SLOW_ALARM_BURN, Summary, Total, duration_text};
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;color:#1a1a1a;background:#fff;margin:24px auto;\
+max-width:1180px;padding:0 16px}h1{font-size:24px;margin:0 0 4px}h2{font-size:19px;margin:32px 0 4px}\
+p{margin:4px 0 10px}.box{border-left:4px solid #777;background:#f4f4f4;padding:8px 14px;margin:12px 0}\
+.bad{border-color:#b00020;background:#fdecee}.box ul{margin:4px 0;padding-left:20px}\
+table{border-collapse:collapse;width:100%}th,td{padding:5px 10px;border-bottom:1px solid #ddd;text-align:right}\
+th{background:#f4f4f4;font-weight:600}th.t,td.t{text-align:left}tr.sum td{font-weight:600}\
+td.slow{background:#fff1d6}td.fast{background:#fbd5d9}.alarm{color:#b00020;font-weight:600}\
+.key span{margin-right:18px;white-space:nowrap}.key i{display:inline-block;width:22px;height:0;border-top:3px solid;\
+vertical-align:middle;margin-right:6px}.plots{display:flex;flex-wrap:wrap;gap:12px}\
+figure{margin:0}figcaption{font-size:13px;color:#444}small{color:#444}";
+
+/// Colours of failure domains; distinguishable with the common kinds of colour blindness (Okabe and Ito).
+const COLOURS: [&str; 6] = [
+    "#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9",
+];
+const SUM_COLOUR: &str = "#222222";
+
+// Size and inner area of a plot in SVG user units.
+const WIDTH: f64 = 370.0;
+const HEIGHT: f64 = 170.0;
+const LEFT: f64 = 44.0;
+const RIGHT: f64 = 362.0;
+const TOP: f64 = 10.0;
+const BOTTOM: f64 = 142.0;
+
+/// Burn at which horizontal lines are drawn; the two alarms are among them.
+const TICKS: [f64; 7] = [
+    0.0,
+    SLOW_ALARM_BURN,
+    FAST_ALARM_BURN,
+    100.0,
+    1_000.0,
+    10_000.0,
+    100_000.0,
+];
+
+/// The vertical axis reaches at least this burn, so that both alarms are on it.
+const LEAST_TOP: f64 = 20.0;
+
+/// Alarm of each window; the last one only shows the rate that spends the budget in 30 days.
+const ALARMS: [f64; WINDOW_NAMES.len()] = [
+    FAST_ALARM_BURN,
+    FAST_ALARM_BURN,
+    SLOW_ALARM_BURN,
+    SLOW_ALARM_BURN,
+    SLOW_ALARM_BURN,
+];
+
+/// Renders the page. `title_time` is printed as the time of the report.
+#[must_use]
+pub fn render(summary: &Summary, title_time: &str) -> String {
+    let mut page = String::with_capacity(64 * 1024);
+    page.push_str("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">");
+    page.push_str("<meta http-equiv=\"Content-Security-Policy\" ");
+    page.push_str("content=\"default-src 'none'; style-src 'unsafe-inline'\">");
+    page.push_str("<meta name=\"viewport\" content=\"width=device-width\">");
+    page.push_str("<title>Service-level burn</title><style>");
+    page.push_str(STYLE);
+    page.push_str("</style></head><body>\n<h1>Service-level burn</h1>\n");
+    put(
+        &mut page,
+        format_args!(
+            "<p><small>{}. Data from {} entry hosts. Burn 1 spends the budget in exactly 30 days.</small></p>\n",
+            escape(title_time),
+            summary.answered.len()
+        ),
+    );
+    let partial = "Data are missing. The figures leave out:";
+    sentences(&mut page, "box bad", partial, &summary.missing);
+    sentences(&mut page, "box", "Limits of the figures:", &summary.notes);
+    if summary.rows.is_empty() {
+        page.push_str("<p>No host counted a request.</p>\n");
+    } else {
+        table(&mut page, &summary.rows);
+    }
+    for rows in summary
+        .rows
+        .chunk_by(|left, right| left.service == right.service)
+    {
+        service(&mut page, rows);
+    }
+    page.push_str("</body></html>\n");
+    page
+}
+
+fn put(page: &mut String, text: std::fmt::Arguments<'_>) {
+    let _infallible = page.write_fmt(text);
+}
+
+fn sentences(page: &mut String, class: &str, title: &str, items: &[String]) {
+    if items.is_empty() {
+        return;
+    }
+    put(
+        page,
+        format_args!("<div class=\"{class}\"><b>{title}</b><ul>"),
+    );
+    for item in items {
+        put(page, format_args!("<li>{}</li>", escape(item)));
+    }
+    page.push_str("</ul></div>\n");
+}
+
+fn table(page: &mut String, rows: &[Row]) {
+    page.push_str(
+        "<table><thead><tr><th class=\"t\">Service</th><th class=\"t\">Failure domain</th>",
+    );
+    for name in WINDOW_NAMES {
+        put(page, format_args!("<th>Burn {name}</th>"));
+    }
+    page.push_str("<th>Budget left</th><th class=\"t\">Alarm</th></tr></thead><tbody>\n");
+    for row in rows {
+        table_row(page, row);
+    }
+    page.push_str("</tbody></table>\n");
+    put(
+        page,
+        format_args!(
+            "<p><small>Fast alarm: 5 min and 1 h both at {FAST_ALARM_BURN} or more. Slow alarm: 6 h and 3 d both at \
+             {SLOW_ALARM_BURN} or more. The alarms are the red dashed lines in the plots, whose vertical axis is \
+             logarithmic. &ndash; means no requests. * means that a host began counting within the window, so that \
+             older requests are missing.</small></p>\n"
+        ),
+    );
+}
+
+fn table_row(page: &mut String, row: &Row) {
+    let class = if row.failure_domain.is_none() {
+        " class=\"sum\""
+    } else {
+        ""
+    };
+    put(
+        page,
+        format_args!(
+            "<tr{class}><td class=\"t\">{}</td><td class=\"t\">{}</td>",
+            escape(&row.service),
+            domain_name(row)
+        ),
+    );
+    for window in &row.windows {
+        let class = match window.burn {
+            Some(burn) if burn >= FAST_ALARM_BURN => "fast",
+            Some(burn) if burn >= SLOW_ALARM_BURN => "slow",
+            _ => "",
+        };
+        let mark = if window.forgotten { "*" } else { "" };
+        let burn = number(window.burn);
+        put(
+            page,
+            format_args!("<td class=\"{class}\">{burn}{mark}</td>"),
+        );
+    }
+    let left = row
+        .budget_left
+        .map_or("&ndash;".to_owned(), |left| format!("{:.1}%", left * 100.0));
+    let alarm = match (row.fast_alarm, row.slow_alarm) {
+        (true, true) => "fast, slow",
+        (true, false) => "fast",
+        (false, true) => "slow",
+        (false, false) => "",
+    };
+    put(
+        page,
+        format_args!("<td>{left}</td><td class=\"t alarm\">{alarm}</td></tr>\n"),
+    );
+}
+
+fn number(burn: Option<f64>) -> String {
+    burn.map_or("&ndash;".to_owned(), |burn| format!("{burn:.2}"))
+}
+
+fn domain_name(row: &Row) -> String {
+    let name = row.failure_domain.as_deref();
+    name.map_or("all that answered".to_owned(), escape)
+}
+
+fn service(page: &mut String, rows: &[Row]) {
+    let Some(first) = rows.first() else {
+        return;
+    };
+    put(page, format_args!("<h2>{}</h2>\n", escape(&first.service)));
+    put(
+        page,
+        format_args!(
+            "<p>Level: {} of requests answered without a server error within {} ms.</p>\n",
+            percent(first.level.good_ppm),
+            first.level.latency_ms
+        ),
+    );
+    let drawn = drawn_rows(rows);
+    key(page, &drawn, rows.len());
+    page.push_str("<div class=\"plots\">\n");
+    for window in 0..WINDOW_NAMES.len() {
+        plot(page, &drawn, window);
+    }
+    page.push_str("</div>\n");
+}
+
+/// The sum, and the failure domains that spent most of their budget, as many as there are colours.
+fn drawn_rows(rows: &[Row]) -> Vec<(&Row, &'static str)> {
+    let mut domains: Vec<&Row> = rows
+        .iter()
+        .filter(|row| row.failure_domain.is_some())
+        .collect();
+    let left = |row: &Row| row.budget_left.unwrap_or(1.0);
+    domains.sort_by(|a, b| left(a).total_cmp(&left(b)));
+    domains.truncate(COLOURS.len());
+    domains.sort_by(|a, b| a.failure_domain.cmp(&b.failure_domain));
+    let mut drawn: Vec<(&Row, &'static str)> = domains.into_iter().zip(COLOURS).collect();
+    // Drawn last, so that it lies on top.
+    let sum = rows.iter().find(|row| row.failure_domain.is_none());
+    drawn.extend(sum.map(|row| (row, SUM_COLOUR)));
+    drawn
+}
+
+fn key(page: &mut String, drawn: &[(&Row, &str)], rows: usize) {
+    page.push_str("<p class=\"key\">");
+    for (row, colour) in drawn {
+        let name = domain_name(row);
+        put(
+            page,
+            format_args!("<span><i style=\"border-color:{colour}\"></i>{name}</span>"),
+        );
+    }
+    if rows > drawn.len() {
+        let hidden = rows - drawn.len();
+        put(
+            page,
+            format_args!(
+                "<small>{hidden} failure domains with more budget left are in the table only.</small>"
+            ),
+        );
+    }
+    page.push_str("</p>\n");
+}
+
+fn plot(page: &mut String, drawn: &[(&Row, &str)], window: usize) {
+    let mut top = LEAST_TOP;
+    for (row, _) in drawn {
+        for step in &row.windows[window].steps {
+            top = top.max(step.burn(row.level).unwrap_or(0.0));
+        }
+    }
+    let name = WINDOW_NAMES[window];
+    let step = duration_text(step_ms(window));
+    put(
+        page,
+        format_args!(
+            "<figure><svg role=\"img\" aria-label=\"Burn over {name}\" width=\"{WIDTH}\" height=\"{HEIGHT}\" \
+             viewBox=\"0 0 {WIDTH} {HEIGHT}\" font-family=\"system-ui,sans-serif\" font-size=\"11\" fill=\"#444\">"
+        ),
+    );
+    axes(page, top, window);
+    for (row, colour) in drawn {
+        line(page, row, window, top, colour);
+    }
+    put(
+        page,
+        format_args!(
+            "</svg><figcaption>Burn over {name}, in steps of {step}</figcaption></figure>\n"
+        ),
+    );
+}
+
+/// Draws the ticks; that of the window's alarm is red and dashed.
+fn axes(page: &mut String, top: f64, window: usize) {
+    let alarm = ALARMS[window];
+    for tick in TICKS {
+        if tick > top {
+            continue;
+        }
+        let y = height(tick, top);
+        let label_y = y + 4.0;
+        let label_x = LEFT - 6.0;
+        let style = if tick.total_cmp(&alarm).is_eq() {
+            "stroke=\"#b00020\" stroke-dasharray=\"5 4\""
+        } else {
+            "stroke=\"#ddd\""
+        };
+        put(
+            page,
+            format_args!(
+                "<line x1=\"{LEFT}\" y1=\"{y:.1}\" x2=\"{RIGHT}\" y2=\"{y:.1}\" {style}/>\
+                 <text x=\"{label_x}\" y=\"{label_y:.1}\" text-anchor=\"end\">{tick}</text>"
+            ),
+        );
+    }
+    let y = BOTTOM + 18.0;
+    let name = WINDOW_NAMES[window];
+    put(
+        page,
+        format_args!(
+            "<text x=\"{LEFT}\" y=\"{y}\">{name} ago</text>\
+             <text x=\"{RIGHT}\" y=\"{y}\" text-anchor=\"end\">now</text>"
+        ),
+    );
+}
+
+/// Draws one row, with a gap where there was no request, and a dot where a step stands alone between two gaps.
+fn line(page: &mut String, row: &Row, window: usize, top: f64, colour: &str) {
+    let steps = &row.windows[window].steps;
+    let stroke = if row.failure_domain.is_none() {
+        2.4
+    } else {
+        1.5
+    };
+    for (start, run) in runs(steps) {
+        let mut points = String::new();
+        for (offset, step) in run.iter().enumerate() {
+            let x = position(start + offset);
+            let y = height(step.burn(row.level).unwrap_or(0.0), top);
+            put(&mut points, format_args!("{x:.1},{y:.1} "));
+        }
+        let points = points.trim_end();
+        let Some((x, y)) = points.split_once(',') else {
+            continue;
+        };
+        if run.len() == 1 {
+            put(
+                page,
+                format_args!("<circle cx=\"{x}\" cy=\"{y}\" r=\"{stroke}\" fill=\"{colour}\"/>"),
+            );
+            continue;
+        }
+        put(
+            page,
+            format_args!(
+                "<polyline points=\"{points}\" fill=\"none\" stroke=\"{colour}\" stroke-width=\"{stroke}\"/>"
+            ),
+        );
+    }
+}
+
+/// Steps with requests in unbroken runs, with the age of the first.
+fn runs(steps: &[Total]) -> Vec<(usize, &[Total])> {
+    let has_requests = |step: &Total| step.good + step.bad > 0;
+    let mut runs = Vec::new();
+    let mut start = 0;
+    for run in steps.chunk_by(|left, right| has_requests(left) == has_requests(right)) {
+        if run.first().is_some_and(has_requests) {
+            runs.push((start, run));
+        }
+        start += run.len();
+    }
+    runs
+}
+
+#[allow(clippy::cast_precision_loss, reason = "an age is below SLOTS")]
+fn position(age: usize) -> f64 {
+    let last = (SLOTS - 1) as f64;
+    RIGHT - (RIGHT - LEFT) * (age as f64) / last
+}
+
+/// Logarithmic, shifted by 1 so that 0 has a place: with few requests in a step, one bad request makes a burn of some
+/// hundreds, beside which the alarms could not be seen on a linear scale.
+fn height(burn: f64, top: f64) -> f64 {
+    let share = burn.ln_1p() / top.ln_1p();
+    BOTTOM - (BOTTOM - TOP) * share.min(1.0)
+}
+
+fn percent(ppm: u32) -> String {
+    let text = format!("{:.4}", f64::from(ppm) / 10_000.0);
+    format!("{}%", text.trim_end_matches('0').trim_end_matches('.'))
+}
+
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for character in text.chars() {
+        match character {
+            '&' => escaped.push_str("&amp;"),
+            '<' => escaped.push_str("&lt;"),
+            '>' => escaped.push_str("&gt;"),
+            '"' => escaped.push_str("&quot;"),
+            '\'' => escaped.push_str("&#39;"),
+            other => escaped.push(other),
+        }
+    }
+    escaped
+}
--- /dev/null
+++ b/src/burn_sum.rs
@@ -0,0 +1,308 @@
+//! Sum of the burn counts of several entry hosts.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, ToSmolStr as _};
+
+use crate::burn::{BurnReply, KnownHost, SLOTS, ServiceBurn, ServiceLevel, WINDOWS_MS};
+
+/// Burn at which a 30-day budget is spent in about two days; both fast windows must reach it.
+pub const FAST_ALARM_BURN: f64 = 14.4;
+
+/// Burn at which a 30-day budget is spent in 30 days; both slow windows must reach it.
+pub const SLOW_ALARM_BURN: f64 = 1.0;
+
+/// Positions of the windows in [`WINDOWS_MS`].
+const FAST: [usize; 2] = [0, 1];
+const SLOW: [usize; 2] = [2, 3];
+const BUDGET: usize = 4;
+
+/// What one asked address gave.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// The address as given on the command line.
+    pub address: SmolStr,
+    /// The reply, or why there is none.
+    pub result: Result<BurnReply, SmolStr>,
+}
+
+/// Good and bad requests of all hosts, wider than those of one host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Total {
+    /// Good requests.
+    pub good: u64,
+    /// Bad requests.
+    pub bad: u64,
+}
+
+impl Total {
+    /// Share of bad requests over the share that may be bad; none without requests.
+    #[must_use]
+    pub fn burn(self, level: ServiceLevel) -> Option<f64> {
+        let all = self.good + self.bad;
+        if all == 0 {
+            return None;
+        }
+        let bad_ppm = as_f64(self.bad) * 1_000_000.0 / as_f64(all);
+        Some(bad_ppm / f64::from(level.budget_ppm()))
+    }
+}
+
+/// One window of a row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WindowSum {
+    /// Length in milliseconds.
+    pub window_ms: u64,
+    /// Sum over the window.
+    pub total: Total,
+    /// Burn; none without requests.
+    pub burn: Option<f64>,
+    /// Whether some host began counting within the window, so that older requests are missing.
+    pub forgotten: bool,
+    /// Sum by step, newest first. Steps of different hosts are out of line by up to one step.
+    pub steps: Vec<Total>,
+}
+
+/// Burn of one service, in one failure domain or in all that answered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The service.
+    pub service: SmolStr,
+    /// Failure domain of the entry hosts that received the requests; none for the sum over all.
+    pub failure_domain: Option<SmolStr>,
+    /// The strictest level that a host applies.
+    pub level: ServiceLevel,
+    /// One entry per window, shortest first.
+    pub windows: Vec<WindowSum>,
+    /// Share of the 30-day budget that is left; negative if overspent, none without requests.
+    pub budget_left: Option<f64>,
+    /// Both fast windows burn at [`FAST_ALARM_BURN`] or more.
+    pub fast_alarm: bool,
+    /// Both slow windows burn at [`SLOW_ALARM_BURN`] or more.
+    pub slow_alarm: bool,
+}
+
+/// The report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Names of the hosts that answered.
+    pub answered: Vec<KnownHost>,
+    /// What is missing, in sentences; empty if nothing is.
+    pub missing: Vec<String>,
+    /// What limits the figures although every host answered, in sentences.
+    pub notes: Vec<String>,
+    /// Rows by service; the sum over all failure domains first.
+    pub rows: Vec<Row>,
+}
+
+impl Summary {
+    /// Adds up what the asked hosts gave.
+    #[must_use]
+    pub fn of(asked: &[Asked]) -> Self {
+        let mut summary = Self::default();
+        let replies = distinct_replies(asked, &mut summary);
+        for reply in &replies {
+            summary.answered.push(known(reply));
+        }
+        summary.answered.sort();
+        note_missing(&replies, &mut summary);
+        note_restarts(&replies, &mut summary);
+        summary.rows = rows(&replies);
+        note_levels(&replies, &mut summary);
+        summary
+    }
+
+    /// Whether a host or a failure domain is missing.
+    #[must_use]
+    pub fn is_partial(&self) -> bool {
+        !self.missing.is_empty()
+    }
+}
+
+fn known(reply: &BurnReply) -> KnownHost {
+    KnownHost {
+        failure_domain: reply.failure_domain.clone(),
+        name: reply.host.name.clone(),
+    }
+}
+
+/// The replies, each host once even if several addresses lead to it.
+fn distinct_replies<'a>(asked: &'a [Asked], summary: &mut Summary) -> Vec<&'a BurnReply> {
+    let mut replies: Vec<&BurnReply> = Vec::new();
+    for one in asked {
+        let reply = match &one.result {
+            Ok(reply) => reply,
+            Err(cause) => {
+                let text = format!("{} gave no data: {cause}", one.address);
+                summary.missing.push(text);
+                continue;
+            }
+        };
+        if replies.iter().any(|other| other.host == reply.host) {
+            let name = &reply.host.name;
+            let text = format!("{} is host {name}, counted once", one.address);
+            summary.notes.push(text);
+            continue;
+        }
+        replies.push(reply);
+    }
+    replies
+}
+
+fn note_missing(replies: &[&BurnReply], summary: &mut Summary) {
+    let mut absent: Vec<&KnownHost> = Vec::new();
+    for host in replies.iter().flat_map(|reply| &reply.known_hosts) {
+        if !summary.answered.contains(host) {
+            absent.push(host);
+        }
+    }
+    absent.sort();
+    absent.dedup();
+    for host in &absent {
+        let domain = &host.failure_domain;
+        let text = format!("no data from host {} of failure domain {domain}", host.name);
+        summary.missing.push(text);
+    }
+    let mut domains: Vec<&SmolStr> = absent.iter().map(|host| &host.failure_domain).collect();
+    domains.dedup();
+    for domain in domains {
+        let has_answer = |host: &KnownHost| host.failure_domain == *domain;
+        if summary.answered.iter().any(has_answer) {
+            continue;
+        }
+        let text = format!("failure domain {domain} is missing: none of its hosts gave data");
+        summary.missing.push(text);
+    }
+}
+
+fn note_restarts(replies: &[&BurnReply], summary: &mut Summary) {
+    for reply in replies {
+        if reply.up_ms >= WINDOWS_MS[BUDGET] {
+            continue;
+        }
+        let name = &reply.host.name;
+        let up = duration_text(reply.up_ms);
+        let text = format!("host {name} began counting {up} ago and has no older data");
+        summary.notes.push(text);
+    }
+}
+
+fn note_levels(replies: &[&BurnReply], summary: &mut Summary) {
+    let mut levels: BTreeMap<&SmolStr, ServiceLevel> = BTreeMap::new();
+    let mut differing: Vec<&SmolStr> = Vec::new();
+    for service in replies.iter().flat_map(|reply| &reply.services) {
+        let level = *levels.entry(&service.service).or_insert(service.level);
+        if level != service.level {
+            differing.push(&service.service);
+        }
+    }
+    differing.sort();
+    differing.dedup();
+    for service in differing {
+        let text = format!(
+            "hosts apply different levels to service {service}; the strictest is used here"
+        );
+        summary.notes.push(text);
+    }
+}
+
+fn rows(replies: &[&BurnReply]) -> Vec<Row> {
+    // None sorts before every failure domain, so the sum over all comes first.
+    let mut rows: BTreeMap<(SmolStr, Option<SmolStr>), Row> = BTreeMap::new();
+    for reply in replies {
+        for service in &reply.services {
+            for domain in [None, Some(reply.failure_domain.clone())] {
+                let key = (service.service.clone(), domain.clone());
+                let row = rows
+                    .entry(key)
+                    .or_insert_with(|| empty_row(service, domain));
+                add(row, service, reply.up_ms);
+            }
+        }
+    }
+    let mut rows: Vec<Row> = rows.into_values().collect();
+    for row in &mut rows {
+        finish(row);
+    }
+    rows
+}
+
+fn empty_row(service: &ServiceBurn, failure_domain: Option<SmolStr>) -> Row {
+    let windows = WINDOWS_MS.map(|window_ms| WindowSum {
+        window_ms,
+        total: Total::default(),
+        burn: None,
+        forgotten: false,
+        steps: vec![Total::default(); SLOTS],
+    });
+    Row {
+        service: service.service.clone(),
+        failure_domain,
+        level: service.level,
+        windows: windows.to_vec(),
+        budget_left: None,
+        fast_alarm: false,
+        slow_alarm: false,
+    }
+}
+
+fn add(row: &mut Row, service: &ServiceBurn, up_ms: u64) {
+    row.level.good_ppm = row.level.good_ppm.max(service.level.good_ppm);
+    row.level.latency_ms = row.level.latency_ms.min(service.level.latency_ms);
+    for window in &mut row.windows {
+        window.forgotten |= up_ms < window.window_ms;
+        let same = |other: &&crate::burn::WindowCounts| other.window_ms == window.window_ms;
+        let Some(counts) = service.windows.iter().find(same) else {
+            continue;
+        };
+        for (step, count) in window.steps.iter_mut().zip(&counts.counts) {
+            step.good += u64::from(count.good);
+            step.bad += u64::from(count.bad);
+        }
+    }
+}
+
+fn finish(row: &mut Row) {
+    for window in &mut row.windows {
+        for step in &window.steps {
+            window.total.good += step.good;
+            window.total.bad += step.bad;
+        }
+        window.burn = window.total.burn(row.level);
+    }
+    row.budget_left = row.windows[BUDGET].burn.map(|burn| 1.0 - burn);
+    row.fast_alarm = burns(row, FAST, FAST_ALARM_BURN);
+    row.slow_alarm = burns(row, SLOW, SLOW_ALARM_BURN);
+}
+
+fn burns(row: &Row, windows: [usize; 2], limit: f64) -> bool {
+    windows
+        .iter()
+        .all(|window| row.windows[*window].burn.is_some_and(|burn| burn >= limit))
+}
+
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "ratios need no more than 52 bits"
+)]
+fn as_f64(count: u64) -> f64 {
+    count as f64
+}
+
+/// A length of time in its largest whole unit, as `3 h`.
+#[must_use]
+pub fn duration_text(ms: u64) -> SmolStr {
+    const UNITS: [(u64, &str); 4] = [
+        (86_400_000, "d"),
+        (3_600_000, "h"),
+        (60_000, "min"),
+        (1_000, "s"),
+    ];
+    for (unit_ms, name) in UNITS {
+        if ms >= unit_ms {
+            return format_args!("{} {name}", ms / unit_ms).to_smolstr();
+        }
+    }
+    format_args!("{ms} ms").to_smolstr()
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! Subcommands, one file each.
+
+pub mod report;
