--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,13 @@
 //! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
 
 pub mod backend;
+pub mod burn;
+pub mod burn_fetch;
+pub mod burn_html;
+pub mod burn_sum;
 pub mod check;
 pub mod clock;
+pub mod cmd;
 pub mod docstore;
 pub mod document;
 mod gossip;
