--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -42,4 +42,23 @@
             accelerators: self.accelerators.saturating_sub(other.accelerators),
         }
     }
+
+    /// Each amount times `count`, saturating.
+    #[must_use]
+    pub fn saturating_mul(self, count: u32) -> Self {
+        Self {
+            millicores: self.millicores.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// How many times `size` fits in this; `u32::MAX` if `size` is nothing.
+    #[must_use]
+    pub fn count_of(self, size: Self) -> u32 {
+        let times = |have: u32, need: u32| have.checked_div(need).unwrap_or(u32::MAX);
+        times(self.millicores, size.millicores)
+            .min(times(self.memory_mib, size.memory_mib))
+            .min(times(self.accelerators, size.accelerators))
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Typed events and a monotonic time go in, typed actions come out. Nothing in this crate reads a clock, opens a
 //! socket, takes a lock or draws a random number, so tests, replay and fuzzing drive exactly the code that ships.
 
+pub mod allotment;
 pub mod budget;
 pub mod capacity;
 pub mod digest;
--- a/crates/core/src/peer_frame.rs
+++ b/crates/core/src/peer_frame.rs
@@ -51,7 +51,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerFrame {
     /// Content.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+    )]
     pub body: Option<Body>,
 }
 
@@ -94,9 +97,9 @@
     /// Cancellations sent on to the owner of a shard.
     #[prost(message, tag = "12")]
     JobCancel(JobCancel),
-    /// Asks the owner of a shard for its jobs.
+    /// Asks for state that only its owner has.
     #[prost(message, tag = "13")]
-    JobList(JobList),
+    Inspect(Inspect),
     /// Answer to a job call.
     #[prost(message, tag = "14")]
     JobReply(JobReply),
@@ -115,6 +118,9 @@
     /// The owner of a higher term asks for the release of an earlier one.
     #[prost(message, tag = "19")]
     ReleaseAsked(ReleaseAsked),
+    /// Answer to an inspection.
+    #[prost(message, tag = "20")]
+    Inspected(Inspected),
 }
 
 /// First frame of each side.
--- a/crates/core/src/peer_work.rs
+++ b/crates/core/src/peer_work.rs
@@ -201,18 +201,51 @@
     pub jobs: Vec<u64>,
 }
 
-/// Asks the owner of a shard for its jobs.
-#[derive(Clone, PartialEq, Message)]
-pub struct JobList {
+/// What an inspection asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum Subject {
+    /// A subject that this version does not know.
+    Unspecified = 0,
+    /// The jobs of the shards that the addressee owns.
+    Jobs = 1,
+    /// The backend servers of the shards that the addressee owns.
+    Servers = 2,
+    /// The addressee itself.
+    Host = 3,
+    /// Declares the named backend server gone at its owner.
+    DeclareGone = 4,
+}
+
+/// Asks for state that only its owner has, for the administration API.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Inspect {
     /// Names the call in its reply.
     #[prost(uint64, tag = "1")]
     pub call: u64,
-    /// Number of the shard.
-    #[prost(uint32, tag = "2")]
-    pub shard: u32,
-    /// Only jobs of this team; empty for all.
+    /// What is asked for.
+    #[prost(enumeration = "Subject", tag = "2")]
+    pub subject: i32,
+    /// Team, job or server that it is limited to; empty for all.
     #[prost(string, tag = "3")]
-    pub team: String,
+    pub name: String,
+    /// The addressee asks the other entry hosts of its failure domain too.
+    #[prost(bool, tag = "4")]
+    pub whole_domain: bool,
+}
+
+/// Answer to an inspection.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Inspected {
+    /// The call that it answers.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// The elements, each in the JSON form of the administration API.
+    #[prost(string, repeated, tag = "2")]
+    pub elements: Vec<String>,
+    /// Entry hosts that did not answer.
+    #[prost(string, repeated, tag = "3")]
+    pub silent: Vec<String>,
 }
 
 /// Why a job call did nothing.
@@ -240,7 +273,7 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// Result; absent if the outcome cannot be told and the call can be repeated safely.
-    #[prost(oneof = "JobResult", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "JobResult", tags = "2, 3, 4")]
     pub result: Option<JobResult>,
 }
 
@@ -256,9 +289,6 @@
     /// Nothing was recorded.
     #[prost(enumeration = "Refusal", tag = "4")]
     NotRun(i32),
-    /// The jobs of the shard.
-    #[prost(message, tag = "5")]
-    Listed(JobsListed),
 }
 
 /// The job is accepted.
@@ -280,37 +310,6 @@
     pub jobs: Vec<u64>,
 }
 
-/// The jobs of a shard.
-#[derive(Clone, PartialEq, Message)]
-pub struct JobsListed {
-    /// The jobs.
-    #[prost(message, repeated, tag = "1")]
-    pub jobs: Vec<JobSummary>,
-}
-
-/// How far a job is.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct JobSummary {
-    /// The job.
-    #[prost(fixed64, tag = "1")]
-    pub job: u64,
-    /// Team.
-    #[prost(string, tag = "2")]
-    pub team: String,
-    /// Tasks that wait.
-    #[prost(uint32, tag = "3")]
-    pub pending: u32,
-    /// Tasks that run.
-    #[prost(uint32, tag = "4")]
-    pub running: u32,
-    /// Tasks that ended, cancelled ones included.
-    #[prost(uint32, tag = "5")]
-    pub ended: u32,
-    /// Tasks that are parked.
-    #[prost(uint32, tag = "6")]
-    pub parked: u32,
-}
-
 impl RequestAnswer {
     /// Whether the body is as long as announced; otherwise it must not be passed on.
     #[must_use]
--- /dev/null
+++ b/src/shards.rs
@@ -0,0 +1,512 @@
+//! The shards of this failure domain: drives the core's shards and performs what they ask for.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosestack_core::event::{
+    Action, Event, JobSpec, NotRun, ServerCommand, ServerReply, StoreCall, StoreReply, Token,
+    TokenReply,
+};
+use primrosestack_core::ids::{Epoch, HostId, JobId, OpId, RequestKey, rendezvous};
+use primrosestack_core::peer_frame::{
+    Body, Promise, PromiseAsked, Release, ReleaseAsked, TermTold,
+};
+use primrosestack_core::placement::Objective;
+use primrosestack_core::shard::{Shard, ShardConfig};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::backend::Backend;
+use crate::clock::{Clock, unix_ms};
+use crate::hostlist::{ListedServer, ListedState};
+use crate::logs::Line;
+use crate::metrics::Metrics;
+use crate::peer::Peers;
+use crate::slots::{Slots, Target};
+use crate::store::Store;
+
+const TICK: Duration = Duration::from_millis(50);
+/// The wall clock is read again this often, in ticks.
+const WALL_CLOCK_TICKS: u64 = 200;
+const COMMANDS: usize = 16_384;
+
+/// What the service needs.
+pub struct ShardsOptions {
+    /// This process.
+    pub host: HostId,
+    /// Failure domain.
+    pub failure_domain: SmolStr,
+    /// Names of the entry hosts of the failure domain, sorted.
+    pub hosts: Vec<SmolStr>,
+    /// Number of shards.
+    pub shards: u32,
+    /// Bound on the difference of clock rates, in parts per million.
+    pub clock_drift_ppm: u64,
+    /// Store writes a second.
+    pub store_writes_per_s: u32,
+    /// Store reads a second.
+    pub store_reads_per_s: u32,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Backend servers.
+    pub backend: Arc<dyn Backend>,
+    /// Links to peers.
+    pub peers: Peers,
+    /// Slots of own servers.
+    pub slots: Slots,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+enum Command {
+    Event(u32, Event),
+    Everywhere(Event),
+    Call(u32, CallKind, oneshot::Sender<TokenReply>),
+    Listed(Vec<ListedServer>),
+    Teams(Vec<(SmolStr, u32)>),
+    Inspect(Box<dyn FnOnce(&[Shard]) + Send>),
+    Stop(oneshot::Sender<()>),
+}
+
+enum CallKind {
+    Submit(JobSpec),
+    Cancel(Vec<JobId>),
+    ClaimKey(RequestKey),
+}
+
+/// What the other services see of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ShardView {
+    /// Owner, if known.
+    pub owner: Option<HostId>,
+    /// Whether this process owns the shard.
+    pub owned: bool,
+    /// Whether this process may command the shard's servers.
+    pub commands: bool,
+}
+
+/// The running service; a clone is the same.
+#[derive(Clone)]
+pub struct Shards {
+    commands: mpsc::Sender<Command>,
+    view: watch::Receiver<Arc<[ShardView]>>,
+    names: Arc<[SmolStr]>,
+}
+
+impl Shards {
+    /// Starts the service.
+    #[must_use]
+    pub fn spawn(options: ShardsOptions) -> Self {
+        let (commands, queue) = mpsc::channel(COMMANDS);
+        let count = options.shards as usize;
+        let empty: Arc<[ShardView]> = vec![ShardView::default(); count].into();
+        let (view_sender, view) = watch::channel(empty);
+        let names = (0..options.shards).map(|number| format_smolstr!("{number}"));
+        let shards = Self {
+            commands,
+            view,
+            names: names.collect(),
+        };
+        let actor = Actor::open(options, shards.clone(), view_sender);
+        tokio::spawn(actor.run(queue));
+        shards
+    }
+
+    /// What is known of each shard, by number.
+    #[must_use]
+    pub fn view(&self) -> Arc<[ShardView]> {
+        self.view.borrow().clone()
+    }
+
+    /// Whether this process owns a shard.
+    #[must_use]
+    pub fn owns(&self, shard: u32) -> bool {
+        let view = self.view();
+        view.get(shard as usize).is_some_and(|shard| shard.owned)
+    }
+
+    /// Name of the owner of a shard, if known.
+    #[must_use]
+    pub fn owner(&self, shard: u32) -> Option<SmolStr> {
+        let view = self.view();
+        let owner = view.get(shard as usize)?.owner.as_ref()?;
+        Some(owner.name.clone())
+    }
+
+    /// Shard of a rack of backend servers.
+    #[must_use]
+    pub fn shard_of_rack(&self, rack: &str) -> u32 {
+        let found = rendezvous(rack, self.names.iter().map(SmolStr::as_str));
+        found.and_then(|name| name.parse().ok()).unwrap_or_default()
+    }
+
+    /// Shard that keeps a job.
+    #[must_use]
+    pub fn shard_of_job(&self, job: JobId) -> u32 {
+        self.modulo(u128::from(job.0 & 0xffff_ffff))
+    }
+
+    /// Shard that keeps an idempotency key.
+    #[must_use]
+    pub fn shard_of_key(&self, key: RequestKey) -> u32 {
+        // Another part of the hash than the one that chooses the failure domain.
+        self.modulo(key.0 >> 64)
+    }
+
+    fn modulo(&self, hash: u128) -> u32 {
+        let count = self.names.len().max(1) as u128;
+        u32::try_from(hash % count).unwrap_or_default()
+    }
+
+    /// Hands an event to one shard.
+    pub async fn event(&self, shard: u32, event: Event) {
+        // The service runs as long as the process.
+        let _ = self.commands.send(Command::Event(shard, event)).await;
+    }
+
+    /// Hands an event to all shards.
+    pub async fn everywhere(&self, event: Event) {
+        let _ = self.commands.send(Command::Everywhere(event)).await;
+    }
+
+    /// Takes in the platform's list of this failure domain's backend servers.
+    pub async fn listed(&self, servers: Vec<ListedServer>) {
+        let _ = self.commands.send(Command::Listed(servers)).await;
+    }
+
+    /// Takes in the quotas of all teams.
+    pub async fn teams(&self, quotas: Vec<(SmolStr, u32)>) {
+        let _ = self.commands.send(Command::Teams(quotas)).await;
+    }
+
+    /// Submits a job to a shard of this process.
+    pub async fn submit(&self, shard: u32, job: JobSpec) -> TokenReply {
+        self.call(shard, CallKind::Submit(job)).await
+    }
+
+    /// Cancels jobs of a shard of this process.
+    pub async fn cancel(&self, shard: u32, jobs: Vec<JobId>) -> TokenReply {
+        self.call(shard, CallKind::Cancel(jobs)).await
+    }
+
+    /// Claims an idempotency key at a shard of this process.
+    pub async fn claim_key(&self, shard: u32, key: RequestKey) -> TokenReply {
+        self.call(shard, CallKind::ClaimKey(key)).await
+    }
+
+    /// Keeps the answer of a claimed key; without room in the queue it is dropped, and a repeat is told that the
+    /// outcome is unknown.
+    pub fn answer_key(&self, shard: u32, key: RequestKey, answer: Arc<[u8]>) {
+        let event = Event::AnswerKey { key, answer };
+        let _ = self.commands.try_send(Command::Event(shard, event));
+    }
+
+    async fn call(&self, shard: u32, kind: CallKind) -> TokenReply {
+        let (sender, reply) = oneshot::channel();
+        let command = Command::Call(shard, kind, sender);
+        if self.commands.send(command).await.is_err() {
+            return TokenReply::NotRun(NotRun::ShuttingDown);
+        }
+        reply.await.unwrap_or(TokenReply::Unknown)
+    }
+
+    /// Reads the shards' state between two events.
+    pub async fn inspect<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&[Shard]) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (sender, answer) = oneshot::channel();
+        let read = Box::new(move |shards: &[Shard]| {
+            // The reader may have gone away.
+            let _ = sender.send(read(shards));
+        });
+        self.commands.send(Command::Inspect(read)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Hands all shards over; returns when that is done.
+    pub async fn stop(&self) {
+        let (sender, done) = oneshot::channel();
+        if self.commands.send(Command::Stop(sender)).await.is_ok() {
+            let _ = done.await;
+        }
+    }
+}
+
+struct Actor {
+    options: ShardsOptions,
+    own: Shards,
+    shards: Vec<Shard>,
+    addresses: BTreeMap<SmolStr, SocketAddr>,
+    tokens: BTreeMap<Token, oneshot::Sender<TokenReply>>,
+    next_token: u64,
+    ticks: u64,
+    stopping: Option<oneshot::Sender<()>>,
+    view: watch::Sender<Arc<[ShardView]>>,
+}
+
+impl Actor {
+    fn open(options: ShardsOptions, own: Shards, view: watch::Sender<Arc<[ShardView]>>) -> Self {
+        let now = options.clock.now();
+        let mut shards = Vec::new();
+        for number in 0..options.shards {
+            let config = ShardConfig {
+                failure_domain: options.failure_domain.clone(),
+                number,
+                hosts: options.hosts.clone(),
+                objective: Objective {
+                    latency_permille: 500,
+                    throughput_permille: 300,
+                    eviction_permille: 200,
+                },
+                seed: u64::from(number),
+                clock_drift_ppm: options.clock_drift_ppm,
+            };
+            let mut shard = Shard::new(config, options.host.clone(), now);
+            shard.set_store_rates(options.store_writes_per_s, options.store_reads_per_s);
+            shards.push(shard);
+        }
+        Self {
+            options,
+            own,
+            shards,
+            addresses: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            next_token: 1,
+            ticks: 0,
+            stopping: None,
+            view,
+        }
+    }
+
+    async fn run(mut self, mut queue: mpsc::Receiver<Command>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                command = queue.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.ticks.is_multiple_of(WALL_CLOCK_TICKS) {
+            self.everywhere(&Event::WallClock { unix_ms: unix_ms() });
+        }
+        self.ticks += 1;
+        self.everywhere(&Event::Tick);
+        self.publish();
+    }
+
+    fn everywhere(&mut self, event: &Event) {
+        for number in 0..self.options.shards {
+            self.handle(number, event.clone());
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Event(shard, event) => self.handle(shard, event),
+            Command::Everywhere(event) => self.everywhere(&event),
+            Command::Call(shard, kind, sender) => self.call(shard, kind, sender),
+            Command::Listed(servers) => self.listed(servers),
+            Command::Teams(quotas) => {
+                for (team, weight) in quotas {
+                    for shard in &mut self.shards {
+                        shard.set_quota(&team, weight);
+                    }
+                }
+            }
+            Command::Inspect(read) => read(&self.shards),
+            Command::Stop(done) => {
+                self.stopping = Some(done);
+                self.everywhere(&Event::Shutdown);
+                self.publish();
+            }
+        }
+    }
+
+    fn call(&mut self, shard: u32, kind: CallKind, sender: oneshot::Sender<TokenReply>) {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.tokens.insert(token, sender);
+        let event = match kind {
+            CallKind::Submit(job) => Event::Submit { token, job },
+            CallKind::Cancel(jobs) => Event::Cancel { token, jobs },
+            CallKind::ClaimKey(key) => Event::ClaimKey { token, key },
+        };
+        self.handle(shard, event);
+    }
+
+    fn listed(&mut self, servers: Vec<ListedServer>) {
+        for server in servers {
+            if server.failure_domain != self.options.failure_domain {
+                continue;
+            }
+            self.addresses.insert(server.name.clone(), server.address);
+            let shard = self.own.shard_of_rack(&server.rack);
+            let event = Event::Listed {
+                server: server.name,
+                rack: server.rack,
+                size: server.resources,
+                leaving: server.state == ListedState::Leaving,
+            };
+            self.handle(shard, event);
+        }
+    }
+
+    fn handle(&mut self, number: u32, event: Event) {
+        let now = self.options.clock.now();
+        let Some(shard) = self.shards.get_mut(number as usize) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        shard.handle(now, event, &mut actions);
+        for action in actions {
+            self.perform(number, action);
+        }
+    }
+
+    fn perform(&mut self, shard: u32, action: Action) {
+        match action {
+            Action::Store { op, call } => self.call_store(shard, op, call),
+            Action::Command {
+                op,
+                name,
+                epoch,
+                command,
+                ..
+            } => self.command_server(shard, op, &name, epoch, command),
+            Action::Reply { token, reply } => {
+                if let Some(sender) = self.tokens.remove(&token) {
+                    // The caller may have gone away.
+                    let _ = sender.send(reply);
+                }
+            }
+            Action::Log(notice) => Line::from_notice(&notice).with("shard", shard).write(),
+            Action::AskPromise { to, term, sent } => {
+                let sent_ms = sent.0;
+                let asked = PromiseAsked {
+                    shard,
+                    term,
+                    sent_ms,
+                };
+                self.tell(&to, Body::PromiseAsked(asked));
+            }
+            Action::Promise {
+                to,
+                term,
+                sent,
+                forever,
+            } => {
+                let promise = Promise {
+                    shard,
+                    term,
+                    sent_ms: sent.0,
+                    forever,
+                };
+                self.tell(&to, Body::Promise(promise));
+            }
+            Action::TellTerm { to, term, owner } => {
+                let told = TermTold {
+                    shard,
+                    term,
+                    owner: owner.name.to_string(),
+                    incarnation: owner.incarnation,
+                };
+                self.tell(&to, Body::TermTold(told));
+            }
+            Action::AskRelease { to, term } => {
+                self.tell(&to, Body::ReleaseAsked(ReleaseAsked { shard, term }));
+            }
+            Action::Release { to, term } => {
+                self.tell(&to, Body::Release(Release { shard, term }));
+            }
+        }
+    }
+
+    /// A message that cannot be sent is lost; the core repeats what it needs.
+    fn tell(&self, to: &HostId, body: Body) {
+        let _ = self.options.peers.send_to(to, body);
+    }
+
+    fn call_store(&self, shard: u32, op: OpId, call: StoreCall) {
+        let store = self.options.store.clone();
+        let own = self.own.clone();
+        let metrics = self.options.metrics.clone();
+        tokio::spawn(async move {
+            let reply: StoreReply = store.call(call.clone()).await;
+            metrics.record_store_call(&call, &reply);
+            own.event(shard, Event::Store { op, reply }).await;
+        });
+    }
+
+    fn command_server(
+        &self,
+        shard: u32,
+        op: OpId,
+        name: &SmolStr,
+        epoch: Epoch,
+        command: ServerCommand,
+    ) {
+        let own = self.own.clone();
+        let Some(address) = self.addresses.get(name).copied() else {
+            // A server of a recovered journal that the platform does not list now.
+            tokio::spawn(async move {
+                let reply = ServerReply::Lost;
+                own.event(shard, Event::Server { op, reply }).await;
+            });
+            return;
+        };
+        let backend = self.options.backend.clone();
+        tokio::spawn(async move {
+            let reply = backend.command(address, epoch, command).await;
+            own.event(shard, Event::Server { op, reply }).await;
+        });
+    }
+
+    /// Tells the other services which servers may be sent requests and who owns what.
+    fn publish(&mut self) {
+        let now = self.options.clock.now();
+        let mut targets = Vec::new();
+        let mut views = Vec::new();
+        let mut owned = 0;
+        for shard in &self.shards {
+            for server in shard.servers(now) {
+                let Some(address) = self.addresses.get(&server.name).copied() else {
+                    continue;
+                };
+                let epoch = shard.may_send(&server.name, now);
+                targets.push(Target {
+                    name: server.name,
+                    address,
+                    epoch: epoch.unwrap_or_default(),
+                    open: epoch.is_some(),
+                    foreign_slots: 0,
+                });
+            }
+            owned += u64::from(shard.is_owner());
+            views.push(ShardView {
+                owner: shard.owner(),
+                owned: shard.is_owner(),
+                commands: shard.epoch().is_some(),
+            });
+        }
+        self.options.slots.set_targets(&targets);
+        self.options.metrics.set_shards(owned);
+        self.view.send_replace(views.into());
+        let holds_any = self.shards.iter().any(Shard::is_owner);
+        if !holds_any && let Some(done) = self.stopping.take() {
+            let _ = done.send(());
+        }
+    }
+}
