--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -42,4 +42,73 @@
             accelerators: self.accelerators.saturating_sub(other.accelerators),
         }
     }
+
+    /// Greater of each amount.
+    #[must_use]
+    pub fn greater(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Lesser of each amount.
+    #[must_use]
+    pub fn lesser(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Whether every amount is 0.
+    #[must_use]
+    pub fn is_none(self) -> bool {
+        self == Self::default()
+    }
+}
+
+/// Share of used processors or memory, in thousandths of the reservation, from which a task is taken to be held back
+/// by its reservation. Use is sampled, so a task at its limit rarely shows all of it.
+const AT_LIMIT_PERMILLE: u64 = 970;
+
+/// What a task may take and what is reserved for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reservation {
+    /// Reserved on the server: at least the declaration, the observed use and the limits.
+    pub reserved: Resources,
+    /// Processor limit commanded at the server, at most the reserved millicores.
+    pub limit_millicores: u32,
+    /// Last observed use.
+    pub used: Resources,
+}
+
+impl Reservation {
+    /// Reserves `size` without a lower limit.
+    #[must_use]
+    pub fn of(size: Resources) -> Self {
+        Self {
+            reserved: size,
+            limit_millicores: size.millicores,
+            used: size,
+        }
+    }
+
+    /// Whether the task takes all the processor time that it may.
+    #[must_use]
+    pub fn at_processor_limit(&self) -> bool {
+        at_limit(self.used.millicores, self.limit_millicores)
+    }
+
+    /// Whether the task takes all the memory that is reserved for it.
+    #[must_use]
+    pub fn at_memory_limit(&self) -> bool {
+        at_limit(self.used.memory_mib, self.reserved.memory_mib)
+    }
+}
+
+fn at_limit(used: u32, limit: u32) -> bool {
+    u64::from(used) * 1_000 >= u64::from(limit) * AT_LIMIT_PERMILLE && limit > 0
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -319,6 +319,7 @@
 
     fn take_slot(&mut self, now: MonoMs, server: ServerKey, id: u64, kind: u32, client: ClientKey) {
         let charged_ms = self.service[kind as usize] / 1024;
+        self.accounts.serve(client);
         self.accounts.charge(client, charged_ms);
         let request = InFlight {
             id,
--- a/crates/core/src/eviction.rs
+++ b/crates/core/src/eviction.rs
@@ -1,1 +1,207 @@
 //! Choice of the batch tasks that make room.
+
+use std::collections::BTreeMap;
+
+use crate::capacity::Resources;
+use crate::ids::TaskId;
+use crate::time::{DurationMs, MonoMs};
+
+/// Time that an eviction costs besides the work since the last checkpoint: checkpoint, commit, stop and start.
+const RESTART_MS: u64 = 10_000;
+
+/// Time for which an evicted task is not evicted again while another choice exists.
+const SPARED_MS: u64 = 600_000;
+
+/// Time after which an eviction is forgotten.
+const REMEMBERED_MS: u64 = 3_600_000;
+
+/// Evictions after which a task is evicted only when nothing else makes room.
+const MAX_EVICTIONS: u32 = 3;
+
+/// A task that could be evicted.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The task.
+    pub task: TaskId,
+    /// What its eviction frees.
+    pub frees: Resources,
+    /// Slowdown that it causes, weighted by its victims; 0 if only room counts.
+    pub harm: f32,
+    /// Time since its last checkpoint, or since its start.
+    pub since_checkpoint: DurationMs,
+    /// Would miss its finish-by time if it were evicted.
+    pub at_risk: bool,
+}
+
+/// The evictions of each task that is still wanted.
+#[derive(Default)]
+pub struct History {
+    evictions: BTreeMap<TaskId, (u32, MonoMs)>,
+    swept: MonoMs,
+}
+
+impl History {
+    /// Counts an eviction.
+    pub fn evicted(&mut self, now: MonoMs, task: TaskId) {
+        self.sweep(now);
+        let entry = self.evictions.entry(task).or_insert((0, now));
+        *entry = (entry.0 + 1, now);
+    }
+
+    /// Number of remembered evictions of a task.
+    #[must_use]
+    pub fn count(&self, task: TaskId) -> u32 {
+        self.evictions.get(&task).map_or(0, |entry| entry.0)
+    }
+
+    /// Forgets a task that ended.
+    pub fn forget(&mut self, task: TaskId) {
+        self.evictions.remove(&task);
+    }
+
+    /// How much a task is spared: 0 to 2, higher for one that has suffered enough.
+    #[must_use]
+    pub fn spared(&self, now: MonoMs, task: TaskId) -> u8 {
+        let Some(&(count, last)) = self.evictions.get(&task) else {
+            return 0;
+        };
+        if count >= MAX_EVICTIONS {
+            return 2;
+        }
+        u8::from(now.since(last).0 < SPARED_MS)
+    }
+
+    fn sweep(&mut self, now: MonoMs) {
+        if now.since(self.swept).0 < SPARED_MS {
+            return;
+        }
+        self.swept = now;
+        self.evictions
+            .retain(|_, (_, last)| now.since(*last).0 < REMEMBERED_MS);
+    }
+}
+
+/// Work lost by an eviction, in core-milliseconds.
+#[must_use]
+pub fn lost_work(candidate: &Candidate) -> u64 {
+    let time_ms = candidate.since_checkpoint.0 + RESTART_MS;
+    u64::from(candidate.frees.millicores.max(1)) * time_ms / 1_000
+}
+
+/// Picks tasks that free at least `need` together, with little work lost.
+///
+/// Tasks that were spared or are at risk come last. The result may free less if the candidates do not suffice.
+#[must_use]
+pub fn choose(
+    now: MonoMs,
+    history: &History,
+    candidates: &[Candidate],
+    need: Resources,
+) -> Vec<Candidate> {
+    let mut left: Vec<&Candidate> = candidates.iter().collect();
+    let mut chosen: Vec<Candidate> = Vec::new();
+    let mut missing = need;
+    while !missing.is_none() {
+        let best = left
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| useful(one.frees, missing))
+            .min_by(|(_, a), (_, b)| {
+                rank(now, history, a, missing).cmp(&rank(now, history, b, missing))
+            });
+        let Some((at, _)) = best else {
+            break;
+        };
+        let candidate = *left.swap_remove(at);
+        missing = missing.saturating_sub(candidate.frees);
+        chosen.push(candidate);
+    }
+    drop_needless(&mut chosen, need);
+    chosen
+}
+
+/// Class, then work lost per thousandth of the missing room that it frees.
+fn rank(now: MonoMs, history: &History, one: &Candidate, missing: Resources) -> (u8, u64, TaskId) {
+    let class = history.spared(now, one.task) + u8::from(one.at_risk);
+    let relief = relief_permille(one.frees, missing).max(1);
+    (class, lost_work(one) * 1_000 / relief, one.task)
+}
+
+/// Mean share of the missing amounts that `frees` covers, in thousandths.
+fn relief_permille(frees: Resources, missing: Resources) -> u64 {
+    let pairs = [
+        (frees.millicores, missing.millicores),
+        (frees.memory_mib, missing.memory_mib),
+        (frees.accelerators, missing.accelerators),
+    ];
+    let mut sum = 0;
+    let mut counted = 0;
+    for (freed, wanted) in pairs {
+        if wanted == 0 {
+            continue;
+        }
+        sum += u64::from(freed.min(wanted)) * 1_000 / u64::from(wanted);
+        counted += 1;
+    }
+    sum / u64::max(counted, 1)
+}
+
+fn useful(frees: Resources, missing: Resources) -> bool {
+    relief_permille(frees, missing) > 0
+}
+
+/// Leaves out tasks that the later choices made needless.
+fn drop_needless(chosen: &mut Vec<Candidate>, need: Resources) {
+    let mut at = 0;
+    while at < chosen.len() {
+        let others = chosen.iter().enumerate().filter(|(other, _)| *other != at);
+        let freed = others.fold(Resources::default(), |sum, (_, one)| {
+            sum.saturating_add(one.frees)
+        });
+        if need.fits_in(freed) {
+            chosen.remove(at);
+        } else {
+            at += 1;
+        }
+    }
+}
+
+/// Counts how often a value was beyond a bound in a row, so that one report changes nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Hysteresis {
+    above: u32,
+    below: u32,
+}
+
+impl Hysteresis {
+    /// Takes in a value with its two bounds; between them both counts start again.
+    pub fn observe(&mut self, value: u32, low: u32, high: u32) {
+        if value > high {
+            self.above += 1;
+            self.below = 0;
+        } else if value < low {
+            self.below += 1;
+            self.above = 0;
+        } else {
+            *self = Self::default();
+        }
+    }
+
+    /// Whether the value was above the upper bound `times` times in a row; starts a new count if so.
+    pub fn take_above(&mut self, times: u32) -> bool {
+        let reached = self.above >= times;
+        if reached {
+            *self = Self::default();
+        }
+        reached
+    }
+
+    /// Whether the value was below the lower bound `times` times in a row; starts a new count if so.
+    pub fn take_below(&mut self, times: u32) -> bool {
+        let reached = self.below >= times;
+        if reached {
+            *self = Self::default();
+        }
+        reached
+    }
+}
--- a/crates/core/src/fairness.rs
+++ b/crates/core/src/fairness.rs
@@ -165,15 +165,23 @@
         TeamKey(self.client(client).map_or(0, |found| found.team))
     }
 
-    /// Charges served work to a client and its team.
+    /// Moves the virtual time of the pool and of the team to that of a client that is served now.
+    pub fn serve(&mut self, client: ClientKey) {
+        let Some(found) = &self.clients[client.0 as usize] else {
+            return;
+        };
+        let team = &mut self.teams[found.team as usize];
+        team.virtual_now = team.virtual_now.max(found.account.virtual_start);
+        self.virtual_now = self.virtual_now.max(team.account.virtual_start);
+    }
+
+    /// Charges work to a client and its team.
     pub fn charge(&mut self, client: ClientKey, cost: u64) {
         let Some(found) = &mut self.clients[client.0 as usize] else {
             return;
         };
         let units = cost.saturating_mul(UNITS_PER_COST);
         let team = &mut self.teams[found.team as usize];
-        team.virtual_now = team.virtual_now.max(found.account.virtual_start);
-        self.virtual_now = self.virtual_now.max(team.account.virtual_start);
         found.account.charge(units);
         team.account.charge(units / u64::from(team.weight));
     }
--- a/crates/core/src/interference.rs
+++ b/crates/core/src/interference.rs
@@ -1,1 +1,217 @@
 //! How much one kind of task slows another, learned from lagging reports.
+//!
+//! The slowdown of a kind on a server is 1 plus, for each other kind there, a slope times its load. Each pair of kinds
+//! has one slope for loads up to [`KNEE`] of the server and one for the load above it. The slopes are estimated by a
+//! Kalman filter with a diagonal covariance: the prior variance shrinks estimates from few samples, the noise variance
+//! dampens single reports, and the variance that returns with age lets old estimates go.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::time::MonoMs;
+
+/// Index of a kind of task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindKey(u16);
+
+impl KindKey {
+    /// Latency-critical requests.
+    pub const REQUESTS: Self = Self(0);
+    /// All kinds after the first `MAX_KINDS`.
+    const OTHER: Self = Self(1);
+}
+
+/// Kinds learned one by one; bounds the table of pairs to 3 MB.
+const MAX_KINDS: usize = 256;
+
+/// Load, as a share of the server, at which the second slope begins.
+pub const KNEE: f32 = 0.5;
+
+/// Assumed slope of a pair without samples: a full server of an unknown kind slows its neighbours by a tenth.
+const PRIOR_SLOPE: f32 = 0.1;
+
+/// Variance of a slope without samples. Noisy pairs have slopes around 1.
+const PRIOR_VARIANCE: f32 = 0.25;
+
+/// Variance of one reported slowdown around the true one, for slowdowns near 1.
+const NOISE_VARIANCE: f32 = 0.01;
+
+/// Deviations beyond this many standard deviations are cut, so that one wild report moves an estimate little.
+const CUT_DEVIATIONS: f32 = 3.0;
+
+/// Time in which an estimate without new samples returns halfway to its prior.
+pub const HALF_LIFE_MS: u64 = 1_800_000;
+
+/// Estimates age in steps of this length.
+const AGE_STEP_MS: u64 = 60_000;
+
+/// Weight of a learned slope in the mean effect of its kind on all others.
+const POOL_WEIGHT: f32 = 0.02;
+
+/// Loads of the kinds on one server, as shares of its processors.
+pub type Loads = [(KindKey, f32)];
+
+#[derive(Clone, Copy)]
+struct Slope {
+    mean: f32,
+    variance: f32,
+}
+
+#[derive(Clone, Copy)]
+struct Pair {
+    slopes: [Slope; 2],
+}
+
+/// Mean effect of a kind on all others: the prior of its pairs without samples.
+#[derive(Clone, Copy)]
+struct Pool {
+    slope: f32,
+}
+
+/// Learned slowdowns by pair of kinds.
+pub struct Interference {
+    names: BTreeMap<SmolStr, KindKey>,
+    /// By victim, then by aggressor.
+    pairs: Vec<Vec<Option<Pair>>>,
+    pools: Vec<Pool>,
+    aged_ms: u64,
+}
+
+impl Default for Interference {
+    fn default() -> Self {
+        let pool = Pool { slope: PRIOR_SLOPE };
+        Self {
+            names: BTreeMap::new(),
+            pairs: vec![Vec::new(), Vec::new()],
+            pools: vec![pool, pool],
+            aged_ms: 0,
+        }
+    }
+}
+
+impl Interference {
+    /// Key of a kind, known or new.
+    pub fn kind(&mut self, name: &SmolStr) -> KindKey {
+        if let Some(&kind) = self.names.get(name) {
+            return kind;
+        }
+        if self.pairs.len() >= MAX_KINDS {
+            return KindKey::OTHER;
+        }
+        let kind = KindKey(u16::try_from(self.pairs.len()).unwrap_or(KindKey::OTHER.0));
+        self.pairs.push(Vec::new());
+        self.pools.push(Pool { slope: PRIOR_SLOPE });
+        self.names.insert(name.clone(), kind);
+        kind
+    }
+
+    /// Expected slowdown of `victim` beyond 1 beside `loads`, which do not include its own.
+    #[must_use]
+    pub fn excess(&self, victim: KindKey, loads: &Loads) -> f32 {
+        let row = &self.pairs[usize::from(victim.0)];
+        let mut sum = 0.0;
+        for &(aggressor, load) in loads {
+            let (low, high) = split(load);
+            sum += match row.get(usize::from(aggressor.0)) {
+                Some(Some(pair)) => pair.slopes[0].mean * low + pair.slopes[1].mean * high,
+                _ => self.pools[usize::from(aggressor.0)].slope * load,
+            };
+        }
+        sum
+    }
+
+    /// Expected growth of the slowdown of `victim` when the load of `aggressor` grows from `load` by `more`.
+    #[must_use]
+    pub fn growth(&self, victim: KindKey, aggressor: KindKey, load: f32, more: f32) -> f32 {
+        self.excess(victim, &[(aggressor, load + more)]) - self.excess(victim, &[(aggressor, load)])
+    }
+
+    /// Takes in a reported slowdown of `victim` beside `loads`, in thousandths.
+    pub fn learn(&mut self, victim: KindKey, loads: &Loads, slowdown_permille: u32) {
+        if loads.is_empty() || slowdown_permille == 0 {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "reports are far below 2^24")]
+        let observed = slowdown_permille as f32 / 1_000.0 - 1.0;
+        let expected = self.excess(victim, loads);
+        let scale = (1.0 + expected).max(1.0);
+        let noise = NOISE_VARIANCE * scale * scale;
+        self.open_pairs(victim, loads);
+        let row = &mut self.pairs[usize::from(victim.0)];
+        let mut total = noise;
+        for &(aggressor, load) in loads {
+            let (low, high) = split(load);
+            if let Some(Some(pair)) = row.get(usize::from(aggressor.0)) {
+                total += pair.slopes[0].variance * low * low;
+                total += pair.slopes[1].variance * high * high;
+            }
+        }
+        let bound = CUT_DEVIATIONS * total.sqrt();
+        let deviation = (observed - expected).clamp(-bound, bound);
+        for &(aggressor, load) in loads {
+            let (low, high) = split(load);
+            let Some(Some(pair)) = row.get_mut(usize::from(aggressor.0)) else {
+                continue;
+            };
+            for (slope, part) in pair.slopes.iter_mut().zip([low, high]) {
+                let gain = slope.variance * part / total;
+                // No task speeds up its neighbours.
+                slope.mean = (slope.mean + gain * deviation).max(0.0);
+                slope.variance -= gain * part * slope.variance;
+            }
+            if low > 0.0 {
+                let pool = &mut self.pools[usize::from(aggressor.0)];
+                pool.slope += POOL_WEIGHT * (pair.slopes[0].mean - pool.slope);
+            }
+        }
+    }
+
+    /// Lets estimates return towards their priors.
+    pub fn age(&mut self, now: MonoMs) {
+        let steps = now.0.saturating_sub(self.aged_ms) / AGE_STEP_MS;
+        if steps == 0 {
+            return;
+        }
+        self.aged_ms += steps * AGE_STEP_MS;
+        #[expect(clippy::cast_precision_loss, reason = "a ratio of times")]
+        let kept = 0.5_f32.powf((steps * AGE_STEP_MS) as f32 / HALF_LIFE_MS as f32);
+        for pool in &mut self.pools {
+            pool.slope = toward(PRIOR_SLOPE, pool.slope, kept);
+        }
+        for row in &mut self.pairs {
+            for (pair, pool) in row.iter_mut().zip(&self.pools) {
+                let Some(pair) = pair else {
+                    continue;
+                };
+                for slope in &mut pair.slopes {
+                    slope.mean = toward(pool.slope, slope.mean, kept);
+                    slope.variance = toward(PRIOR_VARIANCE, slope.variance, kept);
+                }
+            }
+        }
+    }
+
+    fn open_pairs(&mut self, victim: KindKey, loads: &Loads) {
+        let row = &mut self.pairs[usize::from(victim.0)];
+        for &(aggressor, _) in loads {
+            let at = usize::from(aggressor.0);
+            if row.len() <= at {
+                row.resize(at + 1, None);
+            }
+            let slope = Slope {
+                mean: self.pools[at].slope,
+                variance: PRIOR_VARIANCE,
+            };
+            row[at].get_or_insert(Pair { slopes: [slope; 2] });
+        }
+    }
+}
+
+fn split(load: f32) -> (f32, f32) {
+    (load.min(KNEE), (load - KNEE).max(0.0))
+}
+
+fn toward(goal: f32, value: f32, kept: f32) -> f32 {
+    goal + (value - goal) * kept
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod budget;
 pub mod capacity;
+mod cells;
 pub mod dispatch;
 pub mod documents;
 pub mod event;
@@ -20,6 +21,8 @@
 pub mod placement;
 pub mod prelude;
 pub mod queue;
+mod relief;
+mod running;
 pub mod shard;
 mod slots;
 pub mod tasks;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,10 +1,19 @@
 //! Choice of the backend server that runs a batch task.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
 use smol_str::SmolStr;
 
 use crate::capacity::Resources;
-use crate::ids::{ServerKey, TaskId};
-use crate::time::MonoMs;
+use crate::cells::{Cell, Goals, Server, Waiting};
+use crate::eviction::History;
+use crate::fairness::{Accounts, ClientKey};
+use crate::ids::{JobId, ServerKey, TaskId};
+use crate::interference::Interference;
+use crate::queue::Class;
+use crate::running::Task;
+use crate::time::{DurationMs, MonoMs};
 
 /// The backend servers of one rack in one shard; a pending task is bound to one cell.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -56,7 +65,7 @@
 /// A measure that gives room back to latency-critical requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Relief {
-    /// Limit the processor time of a task.
+    /// Limit the processor time of a task; a higher limit than before raises it again.
     Throttle {
         /// The task.
         task: TaskId,
@@ -81,64 +90,120 @@
     pub slowdown_permille: u32,
 }
 
-struct Server {
-    key: ServerKey,
-    cell: CellKey,
-    size: Resources,
-    reserved: Resources,
-    open: bool,
-}
+/// Heads of clients that are tried in a cell before it counts as full.
+const TRIES: usize = 8;
+
+/// Waiting time after which a task that no server has room for gets a server drained for it.
+const AGED_MS: u64 = 120_000;
+
+/// Longest time for which a server is drained for one task.
+const DRAIN_MS: u64 = 300_000;
 
-struct Running {
-    task: TaskId,
-    server: ServerKey,
-    reserved: Resources,
+/// Learned sizes of jobs are forgotten after this time without a report.
+const SIZE_KEPT_MS: u64 = 3_600_000;
+
+/// Where a known task is.
+pub(crate) enum Place {
+    Pending {
+        cell: u32,
+        urgent: bool,
+        urgent_at: Option<MonoMs>,
+        client: ClientKey,
+        order: u64,
+        sequence: u64,
+    },
+    Running(u32),
 }
 
 /// Places batch tasks on the servers of one shard.
 pub struct Scheduler {
-    servers: Vec<Server>,
-    pending: Vec<TaskRequest>,
-    running: Vec<Running>,
+    pub(crate) goals: Goals,
+    seed: u64,
+    pub(crate) servers: Vec<Server>,
+    by_key: BTreeMap<ServerKey, u32>,
+    pub(crate) cells: Vec<Cell>,
+    cell_names: BTreeMap<CellKey, u32>,
+    /// Cells in which something may have become possible.
+    ready: BTreeSet<u32>,
+    cursor: u32,
+    pub(crate) tasks: Vec<Option<Task>>,
+    pub(crate) vacant: Vec<u32>,
+    pub(crate) index: BTreeMap<TaskId, Place>,
+    sequence: u64,
+    pub(crate) accounts: Accounts,
+    pub(crate) interference: Interference,
+    pub(crate) history: History,
+    /// Size learned of jobs that outgrew their declaration, and when.
+    pub(crate) sizes: BTreeMap<JobId, (Resources, MonoMs)>,
+    sizes_swept: MonoMs,
+    largest: Resources,
 }
 
 impl Scheduler {
     /// Opens a scheduler without servers; `seed` breaks ties.
     #[must_use]
-    pub fn open(_objective: Objective, _seed: u64) -> Self {
+    pub fn open(objective: Objective, seed: u64) -> Self {
         Self {
+            goals: Goals::of(objective),
+            seed,
             servers: Vec::new(),
-            pending: Vec::new(),
-            running: Vec::new(),
+            by_key: BTreeMap::new(),
+            cells: Vec::new(),
+            cell_names: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            cursor: 0,
+            tasks: Vec::new(),
+            vacant: Vec::new(),
+            index: BTreeMap::new(),
+            sequence: 0,
+            accounts: Accounts::open(seed),
+            interference: Interference::default(),
+            history: History::default(),
+            sizes: BTreeMap::new(),
+            sizes_swept: MonoMs(0),
+            largest: Resources::default(),
         }
     }
 
+    /// Changes the weights of the goals.
+    pub fn set_objective(&mut self, objective: Objective) {
+        self.goals = Goals::of(objective);
+    }
+
     /// Adds a server, or changes its size. A new server is closed.
     pub fn put_server(&mut self, key: ServerKey, cell: CellKey, size: Resources) {
-        match self.servers.binary_search_by_key(&key, |server| server.key) {
-            Ok(at) => self.servers[at].size = size,
-            Err(at) => self.servers.insert(
-                at,
-                Server {
-                    key,
-                    cell,
-                    size,
-                    reserved: Resources::default(),
-                    open: false,
-                },
-            ),
+        if let Some(&at) = self.by_key.get(&key) {
+            self.servers[at as usize].size = size;
+            let cell = self.servers[at as usize].cell;
+            self.cells[cell as usize].index_free(&mut self.servers, at);
+            self.ready.insert(cell);
+        } else {
+            let at = index_u32(self.servers.len());
+            let cell_at = self.cell_at(cell);
+            self.servers.push(Server::closed(key, cell_at, size));
+            self.by_key.insert(key, at);
+            self.cells[cell_at as usize].add_server(&mut self.servers, at);
         }
+        let sizes = self.servers.iter().map(|server| server.size);
+        self.largest = sizes.clone().fold(Resources::default(), Resources::greater);
+        let capacity = sizes.map(|size| u64::from(size.millicores)).sum();
+        self.accounts.set_capacity(capacity);
     }
 
     /// Opens or closes a server for new tasks.
     pub fn set_open(&mut self, key: ServerKey, open: bool) {
-        if let Ok(at) = self.servers.binary_search_by_key(&key, |server| server.key) {
-            self.servers[at].open = open;
-        }
+        let Some(&at) = self.by_key.get(&key) else {
+            return;
+        };
+        let server = &mut self.servers[at as usize];
+        server.open = open;
+        self.ready.insert(server.cell);
     }
 
     /// Sets the quota of a team, the weight of its share.
-    pub fn set_quota(&mut self, _team: &str, _weight: u32) {}
+    pub fn set_quota(&mut self, team: &str, weight: u32) {
+        self.accounts.set_quota(team, weight);
+    }
 
     /// Whether some server could hold `size` when empty.
     #[must_use]
@@ -146,99 +211,267 @@
         self.servers.iter().any(|server| size.fits_in(server.size))
     }
 
-    /// Adds a pending task.
-    pub fn submit(&mut self, _now: MonoMs, request: TaskRequest) {
-        self.pending.push(request);
+    /// Whether some server of a cell could hold `size` when empty.
+    #[must_use]
+    pub fn can_ever_hold_in(&self, cell: CellKey, size: Resources) -> bool {
+        let Some(&cell) = self.cell_names.get(&cell) else {
+            return false;
+        };
+        let servers = &self.cells[cell as usize].servers;
+        let mut sizes = servers.iter().map(|&at| self.servers[at as usize].size);
+        sizes.any(|limit| size.fits_in(limit))
     }
 
-    /// Records that a task already runs on a server, as found by a new owner.
-    pub fn adopt(&mut self, _now: MonoMs, request: &TaskRequest, server: ServerKey) {
-        self.reserve(request.task, server, request.size);
+    /// What is reserved on a server, and its size.
+    #[must_use]
+    pub fn reserved(&self, key: ServerKey) -> Option<(Resources, Resources)> {
+        let server = &self.servers[*self.by_key.get(&key)? as usize];
+        Some((server.reserved, server.size))
     }
 
-    /// Forgets a task, pending or running, and frees what it had reserved.
-    pub fn remove(&mut self, _now: MonoMs, task: TaskId) {
-        self.pending.retain(|request| request.task != task);
-        let Some(at) = self.running.iter().position(|running| running.task == task) else {
+    /// Expected slowdown of requests on a server in thousandths, for the choice of a server for requests.
+    #[must_use]
+    pub fn request_slowdown_permille(&self, key: ServerKey) -> u32 {
+        let found = self.by_key.get(&key);
+        found.map_or(1_000, |&at| self.servers[at as usize].slowdown_permille())
+    }
+
+    /// The part of [`Scheduler::request_slowdown_permille`] that is learned by kind, without the server's own reports.
+    #[must_use]
+    pub fn expected_request_slowdown_permille(&self, key: ServerKey) -> u32 {
+        let found = self.by_key.get(&key);
+        found.map_or(1_000, |&at| self.servers[at as usize].expected_permille())
+    }
+
+    /// Adds a pending task. A task that is known already is left as it is; remove an evicted one first.
+    pub fn submit(&mut self, now: MonoMs, request: TaskRequest) {
+        let TaskRequest {
+            task,
+            team,
+            client,
+            kind,
+            size: declared,
+            run_ms,
+            finish_by,
+            cell,
+        } = request;
+        if self.index.contains_key(&task) {
             return;
+        }
+        let cell = self.cell_at(cell);
+        let client = self.accounts.hold(&team, &client);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let order = finish_by.map_or(u64::MAX, |time| time.0);
+        let urgent_at = request
+            .finish_by
+            .map(|by| urgent_from(now, by, request.run_ms));
+        let waiting = Waiting {
+            task,
+            kind: self.interference.kind(&kind),
+            declared,
+            run_ms,
+            finish_by,
+            submitted: now,
+        };
+        let found = &mut self.cells[cell as usize];
+        found
+            .normal
+            .push(&mut self.accounts, client, order, sequence, waiting);
+        if let Some(time) = urgent_at {
+            found.urgent_at.insert((time, task));
+        }
+        let place = Place::Pending {
+            cell,
+            urgent: false,
+            urgent_at,
+            client,
+            order,
+            sequence,
         };
-        let running = self.running.swap_remove(at);
-        if let Ok(at) = self
-            .servers
-            .binary_search_by_key(&running.server, |server| server.key)
-        {
-            let server = &mut self.servers[at];
-            server.reserved = server.reserved.saturating_sub(running.reserved);
+        self.index.insert(task, place);
+        self.ready.insert(cell);
+    }
+
+    /// Forgets a task, pending or running, and frees what it had reserved.
+    pub fn remove(&mut self, now: MonoMs, task: TaskId) {
+        match self.index.remove(&task) {
+            None => {}
+            Some(Place::Running(at)) => self.end(now, at),
+            Some(Place::Pending {
+                cell,
+                urgent,
+                urgent_at,
+                client,
+                order,
+                sequence,
+            }) => {
+                let found = &mut self.cells[cell as usize];
+                let queue = if urgent {
+                    &mut found.urgent
+                } else {
+                    &mut found.normal
+                };
+                queue.remove(&mut self.accounts, client, order, sequence);
+                if let Some(time) = urgent_at {
+                    found.urgent_at.remove(&(time, task));
+                }
+                found.end_drain(task);
+                self.accounts.release(client);
+                self.history.forget(task);
+            }
         }
     }
 
     /// Takes the next pending task in fair order that some open server of its cell can hold.
-    pub fn next(&mut self, _now: MonoMs) -> Option<Placement> {
-        for at in 0..self.pending.len() {
-            let request = &self.pending[at];
-            let found = self.servers.iter().find(|server| {
-                server.open
-                    && server.cell == request.cell
-                    && server
-                        .reserved
-                        .saturating_add(request.size)
-                        .fits_in(server.size)
+    pub fn next(&mut self, now: MonoMs) -> Option<Placement> {
+        while let Some(cell) = self.next_ready() {
+            self.cursor = cell;
+            if let Some(placement) = self.next_in(now, cell) {
+                return Some(placement);
+            }
+            self.ready.remove(&cell);
+        }
+        None
+    }
+
+    fn next_ready(&self) -> Option<u32> {
+        let later = (Bound::Excluded(self.cursor), Bound::Unbounded);
+        let next = self.ready.range(later).next();
+        next.or_else(|| self.ready.first()).copied()
+    }
+
+    fn next_in(&mut self, now: MonoMs, cell: u32) -> Option<Placement> {
+        self.promote_urgent(now, cell);
+        let found = &mut self.cells[cell as usize];
+        found.expire_drain(now);
+        let rounds = [
+            (true, Class::WithinQuota),
+            (false, Class::WithinQuota),
+            (true, Class::Any),
+            (false, Class::Any),
+        ];
+        for (urgent, class) in rounds {
+            let (queue, chooser) = found.split(urgent, &self.servers, &self.interference);
+            if queue.is_empty() {
+                continue;
+            }
+            let mut chosen = None;
+            let mut starved = None;
+            let taken = queue.take(&mut self.accounts, class, TRIES, |waiting| {
+                let size = learned_size(&self.sizes, self.largest, waiting);
+                chosen = chooser.best(&self.goals, now, waiting, size, self.seed);
+                let aged = urgent || now.since(waiting.submitted).0 >= AGED_MS;
+                if chosen.is_none() && aged && starved.is_none() {
+                    starved = Some((waiting.task, size));
+                }
+                chosen.is_some()
             });
-            let Some(server) = found else {
+            if let Some((task, size)) = starved {
+                found.start_drain(&self.servers, task, size, now + DurationMs(DRAIN_MS));
+            }
+            let (Some((client, waiting)), Some(server)) = (taken, chosen) else {
                 continue;
             };
-            let key = server.key;
-            let request = self.pending.remove(at);
-            self.reserve(request.task, key, request.size);
-            return Some(Placement {
-                task: request.task,
-                server: key,
-                reserved: request.size,
-            });
+            found.end_drain(waiting.task);
+            if let Some(Place::Pending {
+                urgent_at: Some(time),
+                ..
+            }) = self.index.get(&waiting.task)
+            {
+                found.urgent_at.remove(&(*time, waiting.task));
+            }
+            self.accounts.serve(client);
+            let size = learned_size(&self.sizes, self.largest, &waiting);
+            return Some(self.start(now, &waiting, client, server, size));
         }
         None
     }
 
-    /// Takes in a lagging report of a server.
-    pub fn report(
-        &mut self,
-        _now: MonoMs,
-        _server: ServerKey,
-        _usage: &[TaskUsage],
-        _request_slowdown_permille: u32,
-    ) {
-    }
-
-    /// Chooses what gives `need` back to latency-critical requests on a server.
-    pub fn relieve(&mut self, _now: MonoMs, server: ServerKey, need: Resources) -> Vec<Relief> {
-        let mut freed = Resources::default();
-        let mut relief = Vec::new();
-        for running in self
-            .running
-            .iter()
-            .filter(|running| running.server == server)
-        {
-            if need.fits_in(freed) {
-                break;
+    /// Moves tasks whose finish-by time comes near to the queue that is served first.
+    fn promote_urgent(&mut self, now: MonoMs, cell: u32) {
+        let found = &mut self.cells[cell as usize];
+        while let Some(&(time, task)) = found.urgent_at.first() {
+            if time > now {
+                return;
+            }
+            found.urgent_at.pop_first();
+            let Some(Place::Pending {
+                urgent,
+                urgent_at,
+                client,
+                order,
+                sequence,
+                ..
+            }) = self.index.get_mut(&task)
+            else {
+                continue;
+            };
+            *urgent = true;
+            *urgent_at = None;
+            let moved = found
+                .normal
+                .remove(&mut self.accounts, *client, *order, *sequence);
+            if let Some(waiting) = moved {
+                found
+                    .urgent
+                    .push(&mut self.accounts, *client, *order, *sequence, waiting);
             }
-            freed = freed.saturating_add(running.reserved);
-            relief.push(Relief::Evict { task: running.task });
         }
-        relief
     }
 
-    fn reserve(&mut self, task: TaskId, server: ServerKey, reserved: Resources) {
-        self.running.push(Running {
-            task,
-            server,
-            reserved,
-        });
-        if let Ok(at) = self
-            .servers
-            .binary_search_by_key(&server, |server| server.key)
-        {
-            let server = &mut self.servers[at];
-            server.reserved = server.reserved.saturating_add(reserved);
+    pub(crate) fn server_at(&self, key: ServerKey) -> Option<u32> {
+        self.by_key.get(&key).copied()
+    }
+
+    pub(crate) fn running_at(&self, task: TaskId) -> Option<u32> {
+        match self.index.get(&task) {
+            Some(Place::Running(at)) => Some(*at),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn wake(&mut self, cell: u32) {
+        self.ready.insert(cell);
+    }
+
+    pub(crate) fn sweep_sizes(&mut self, now: MonoMs) {
+        if now.since(self.sizes_swept).0 >= SIZE_KEPT_MS {
+            self.sizes_swept = now;
+            self.sizes
+                .retain(|_, (_, seen)| now.since(*seen).0 < SIZE_KEPT_MS);
+        }
+    }
+
+    fn cell_at(&mut self, key: CellKey) -> u32 {
+        let next = index_u32(self.cells.len());
+        let at = *self.cell_names.entry(key).or_insert(next);
+        if at == next {
+            self.cells.push(Cell::default());
         }
+        at
+    }
+}
+
+/// From when a task with a finish-by time goes before others: when half of its time has passed, or earlier if three
+/// declared run times would no longer fit, since declarations are often too short.
+fn urgent_from(now: MonoMs, finish_by: MonoMs, run_ms: u64) -> MonoMs {
+    let half = now + DurationMs(finish_by.since(now).0 / 2);
+    half.min(finish_by - DurationMs(run_ms.saturating_mul(3)))
+}
+
+/// Size to reserve for a task: its declaration, or what tasks of its job needed, within the largest server.
+fn learned_size(
+    sizes: &BTreeMap<JobId, (Resources, MonoMs)>,
+    largest: Resources,
+    waiting: &Waiting,
+) -> Resources {
+    match sizes.get(&waiting.task.job) {
+        Some((seen, _)) => waiting.declared.greater(seen.lesser(largest)),
+        None => waiting.declared,
     }
 }
+
+pub(crate) fn index_u32(index: usize) -> u32 {
+    u32::try_from(index).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/relief.rs
@@ -0,0 +1,454 @@
+//! What reports teach, and the measures that give room back.
+
+use crate::capacity::Resources;
+use crate::eviction::{self, Candidate};
+use crate::ids::{ServerKey, TaskId};
+use crate::interference::KindKey;
+use crate::placement::{Relief, Scheduler, TaskUsage};
+use crate::running::{Task, cost};
+use crate::time::{DurationMs, MonoMs};
+
+/// Time for which room given back to requests is kept free after the last request for it.
+const WITHHELD_MS: u64 = 30_000;
+
+/// Time after which a changed processor limit is taken to show in reports.
+const SETTLE_MS: u64 = 10_000;
+
+/// Time after which an eviction that was not carried out may be asked for again.
+const EVICTION_MS: u64 = 60_000;
+
+/// Time between two measures against slowed requests on one server; reports lag, so the effect shows late.
+const ACT_EVERY_MS: u64 = 15_000;
+
+/// Reports in a row beyond the limit before a measure, and below it before a measure is taken back.
+const REPORTS_ABOVE: u32 = 3;
+const REPORTS_BELOW: u32 = 5;
+
+/// Reports in a row at the limit before a reservation grows, or before a task out of memory is evicted.
+const REPORTS_AT_LIMIT: u16 = 3;
+
+/// Lowest processor limit of a throttled task, as a part of its reservation: 1/4.
+const FLOOR_PARTS: u32 = 4;
+
+/// Slowdown of requests that a slowed server may show, in thousandths.
+const SLOWED_LIMIT_PERMILLE: u32 = 4_000;
+
+/// Weight of one report in the smoothed slowdown of requests: 1/4.
+const SEEN_SHIFT: u32 = 2;
+
+impl Scheduler {
+    /// Takes in a lagging report of a server.
+    ///
+    /// The tasks that it lists are taken as those that ran when it was written; a task started since keeps its whole
+    /// reservation.
+    pub fn report(
+        &mut self,
+        now: MonoMs,
+        server: ServerKey,
+        usage: &[TaskUsage],
+        request_slowdown_permille: u32,
+    ) {
+        let Some(at) = self.server_at(server) else {
+            return;
+        };
+        self.interference.age(now);
+        self.sweep_sizes(now);
+        self.learn(at, usage, request_slowdown_permille);
+        for one in usage {
+            if let Some(task) = self.running_at(one.task) {
+                self.observe(now, at, task, one.used);
+            }
+        }
+        let found = &mut self.servers[at as usize];
+        found.use_by_kind.clear();
+        for position in 0..found.tasks.len() {
+            let task = found.tasks[position];
+            if let Some(task) = &self.tasks[task as usize] {
+                found.add_use(task.kind, task.held.used.millicores);
+            }
+        }
+        found.predict(&self.interference);
+        if request_slowdown_permille > 0 {
+            found.see(request_slowdown_permille, self.goals.limit);
+        }
+        let cell = found.cell;
+        self.cells[cell as usize].index_free(&mut self.servers, at);
+        self.cells[cell as usize].mark_slowed(&mut self.servers, at, &self.goals);
+        self.wake(cell);
+    }
+
+    /// Chooses what gives `need` back to latency-critical requests on a server.
+    ///
+    /// To be called with no need after each report too: it then returns the measures that the report made due, against
+    /// tasks that outgrew their reservation or slow requests, and takes back throttling that is no longer needed.
+    pub fn relieve(&mut self, now: MonoMs, server: ServerKey, need: Resources) -> Vec<Relief> {
+        let Some(at) = self.server_at(server) else {
+            return Vec::new();
+        };
+        let mut relief = Vec::new();
+        self.withhold(now, at, need);
+        self.evict_for_room(now, at, &mut relief);
+        self.relieve_outgrown(now, at, &mut relief);
+        self.relieve_requests(now, at, &mut relief);
+        let cell = self.servers[at as usize].cell;
+        self.cells[cell as usize].index_free(&mut self.servers, at);
+        relief
+    }
+
+    fn learn(&mut self, at: u32, usage: &[TaskUsage], request_slowdown_permille: u32) {
+        let server = &self.servers[at as usize];
+        let mut kinds: Vec<(KindKey, u32, u64, u32)> = Vec::new();
+        for one in usage {
+            let Some(task) = self.running_at(one.task) else {
+                // The kind of an ended task is unknown, so the sample has no complete cause.
+                return;
+            };
+            let Some(task) = &self.tasks[task as usize] else {
+                return;
+            };
+            let found = kinds.iter_mut().find(|known| known.0 == task.kind);
+            let slowdown = u64::from(one.slowdown_permille);
+            match found {
+                Some(known) => {
+                    known.1 = known.1.saturating_add(one.used.millicores);
+                    known.2 += slowdown;
+                    known.3 += 1;
+                }
+                None => kinds.push((task.kind, one.used.millicores, slowdown, 1)),
+            }
+        }
+        let mut loads: Vec<(KindKey, f32)> = Vec::with_capacity(kinds.len());
+        for &(kind, millicores, ..) in &kinds {
+            loads.push((kind, server.share(millicores)));
+        }
+        self.interference
+            .learn(KindKey::REQUESTS, &loads, request_slowdown_permille);
+        for (position, &(kind, _, slowdowns, count)) in kinds.iter().enumerate() {
+            let mean = u32::try_from(slowdowns / u64::from(count)).unwrap_or(u32::MAX);
+            let whole = loads[position].1;
+            #[expect(clippy::cast_precision_loss, reason = "tasks on one server")]
+            let own = whole / count as f32;
+            loads[position].1 = whole - own;
+            self.interference.learn(kind, &loads, mean);
+            loads[position].1 = whole;
+        }
+    }
+
+    /// Lets the reservation of a task follow its observed use, and charges the time since the last report.
+    fn observe(&mut self, now: MonoMs, at: u32, task: u32, used: Resources) {
+        let server = &mut self.servers[at as usize];
+        let Some(task) = &mut self.tasks[task as usize] else {
+            return;
+        };
+        if task.server != at {
+            return;
+        }
+        if now > task.paid_until {
+            let late_ms = now.since(task.paid_until).0;
+            self.accounts
+                .charge(task.client, cost(task.held.reserved, late_ms));
+            task.paid_until = now;
+        }
+        task.held.used = used;
+        let limited = task.held.at_processor_limit() || task.held.at_memory_limit();
+        task.at_limit = if limited { task.at_limit + 1 } else { 0 };
+        let settled = now.since(task.limited).0 >= SETTLE_MS;
+        let mut wanted = task.held.reserved.greater(used);
+        if settled {
+            let kept = task.declared.millicores.max(task.held.limit_millicores);
+            wanted.millicores = kept.max(used.millicores);
+        }
+        let old = task.held.reserved;
+        let room = server.free().saturating_add(old);
+        let reserved = wanted.lesser(room.greater(old));
+        server.reserved = server.reserved.saturating_sub(old).saturating_add(reserved);
+        task.held.reserved = reserved;
+        let team = self.accounts.team_of(task.client);
+        let _ = self.accounts.sub_use(team, u64::from(old.millicores));
+        self.accounts.add_use(team, u64::from(reserved.millicores));
+        if !used.fits_in(task.declared) {
+            let entry = self.sizes.entry(task.id.job).or_insert((used, now));
+            *entry = (entry.0.greater(used), now);
+        }
+    }
+
+    fn withhold(&mut self, now: MonoMs, at: u32, need: Resources) {
+        let server = &mut self.servers[at as usize];
+        if server.withheld_until <= now {
+            server.withheld = Resources::default();
+        }
+        if !need.is_none() {
+            server.withheld = server.withheld.greater(need).lesser(server.size);
+            server.withheld_until = now + DurationMs(WITHHELD_MS);
+        }
+    }
+
+    /// Evicts for the room that is withheld or reserved beyond the size of the server.
+    fn evict_for_room(&mut self, now: MonoMs, at: u32, relief: &mut Vec<Relief>) {
+        let server = &self.servers[at as usize];
+        let taken = server.reserved.saturating_add(server.withheld);
+        let mut missing = taken.saturating_sub(server.size);
+        let mut candidates = Vec::new();
+        for &task in &server.tasks {
+            let Some(task) = &self.tasks[task as usize] else {
+                continue;
+            };
+            if being_evicted(now, task) {
+                missing = missing.saturating_sub(task.held.reserved);
+            } else {
+                candidates.push(candidate(now, task, 0.0));
+            }
+        }
+        for chosen in eviction::choose(now, &self.history, &candidates, missing) {
+            self.evict(now, chosen, relief);
+        }
+    }
+
+    fn evict(&mut self, now: MonoMs, chosen: Candidate, relief: &mut Vec<Relief>) {
+        let Some(at) = self.running_at(chosen.task) else {
+            return;
+        };
+        if let Some(task) = &mut self.tasks[at as usize] {
+            task.evicting = Some(now);
+            self.history.evicted(now, chosen.task);
+            relief.push(Relief::Evict { task: chosen.task });
+        }
+    }
+
+    /// Grows reservations that hold tasks back, within the room of the server, and takes back growth that was not
+    /// used. A task out of memory for which there is no room is evicted, and starts larger elsewhere.
+    fn relieve_outgrown(&mut self, now: MonoMs, at: u32, relief: &mut Vec<Relief>) {
+        let mut outgrown = Vec::new();
+        let server = &mut self.servers[at as usize];
+        for &task in &server.tasks {
+            let Some(task) = &mut self.tasks[task as usize] else {
+                continue;
+            };
+            if being_evicted(now, task) {
+                continue;
+            }
+            let held = &mut task.held;
+            if held.used.millicores > held.reserved.millicores {
+                held.limit_millicores = held.reserved.millicores;
+                task.limited = now;
+                relief.push(throttle(task));
+                continue;
+            }
+            let settled = now.since(task.limited).0 >= SETTLE_MS;
+            let grown = held.limit_millicores > task.declared.millicores;
+            if grown && settled && held.used.millicores < held.limit_millicores / 2 {
+                let fitting = held.used.millicores + held.used.millicores / 4;
+                held.limit_millicores = task.declared.millicores.max(fitting);
+                task.limited = now;
+                task.sated = true;
+                relief.push(throttle(task));
+                continue;
+            }
+            let beyond = held.used.memory_mib > held.reserved.memory_mib;
+            if task.at_limit < REPORTS_AT_LIMIT && !beyond {
+                continue;
+            }
+            task.at_limit = 0;
+            if held.at_memory_limit() {
+                outgrown.push(candidate(now, task, 0.0));
+                continue;
+            }
+            let held = &mut task.held;
+            let whole = held.limit_millicores == held.reserved.millicores;
+            if held.at_processor_limit() && whole && !task.sated {
+                let free = server
+                    .size
+                    .saturating_sub(server.reserved.saturating_add(server.withheld));
+                let more = held.reserved.millicores.min(free.millicores);
+                if more == 0 {
+                    continue;
+                }
+                held.reserved.millicores += more;
+                held.limit_millicores = held.reserved.millicores;
+                server.reserved.millicores += more;
+                let team = self.accounts.team_of(task.client);
+                self.accounts.add_use(team, u64::from(more));
+                task.limited = now;
+                relief.push(throttle(task));
+            }
+        }
+        for chosen in outgrown {
+            let double = chosen.frees.memory_mib.saturating_mul(2);
+            let entry = self
+                .sizes
+                .entry(chosen.task.job)
+                .or_insert((chosen.frees, now));
+            entry.0.memory_mib = entry.0.memory_mib.max(double);
+            entry.1 = now;
+            self.evict(now, chosen, relief);
+        }
+    }
+
+    /// Throttles, and at last evicts, the tasks that slow requests most; takes throttling back when it is quiet.
+    fn relieve_requests(&mut self, now: MonoMs, at: u32, relief: &mut Vec<Relief>) {
+        let goals = self.goals;
+        let server = &mut self.servers[at as usize];
+        if now.since(server.acted).0 < ACT_EVERY_MS {
+            return;
+        }
+        if server.pressure.take_below(REPORTS_BELOW) {
+            server.acted = now;
+            self.restore_one(now, at, relief);
+            return;
+        }
+        if !server.pressure.take_above(REPORTS_ABOVE) {
+            return;
+        }
+        server.acted = now;
+        let mut candidates = Vec::new();
+        for &task in &self.servers[at as usize].tasks {
+            let Some(task) = &self.tasks[task as usize] else {
+                continue;
+            };
+            if !being_evicted(now, task) {
+                candidates.push((self.harm(at, task), task.id));
+            }
+        }
+        candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for &(harm, id) in &candidates {
+            if harm < goals.limit / 8.0 {
+                break;
+            }
+            let Some(position) = self.running_at(id) else {
+                continue;
+            };
+            let Some(task) = &mut self.tasks[position as usize] else {
+                continue;
+            };
+            let floor = task.held.reserved.millicores / FLOOR_PARTS;
+            if task.held.limit_millicores / 2 >= floor.max(1) && !at_risk(now, task) {
+                task.held.limit_millicores /= 2;
+                task.limited = now;
+                relief.push(throttle(task));
+                return;
+            }
+        }
+        self.evict_noisy(now, &candidates, relief);
+    }
+
+    /// Evicts the task with the most harm for the work lost, if requests weigh more than evictions.
+    fn evict_noisy(&mut self, now: MonoMs, candidates: &[(f32, TaskId)], relief: &mut Vec<Relief>) {
+        if self.goals.eviction > self.goals.latency {
+            return;
+        }
+        let mut best: Option<(f32, Candidate)> = None;
+        for &(harm, id) in candidates {
+            let Some(task) = self.running_at(id) else {
+                continue;
+            };
+            let Some(task) = &self.tasks[task as usize] else {
+                continue;
+            };
+            let one = candidate(now, task, harm);
+            if one.at_risk || self.history.spared(now, id) > 0 || harm < self.goals.limit / 8.0 {
+                continue;
+            }
+            #[expect(clippy::cast_precision_loss, reason = "a ratio for comparison")]
+            let worth = harm / eviction::lost_work(&one).max(1) as f32;
+            if best.is_none_or(|(most, _)| worth > most) {
+                best = Some((worth, one));
+            }
+        }
+        if let Some((_, chosen)) = best {
+            self.evict(now, chosen, relief);
+        }
+    }
+
+    /// Doubles the lowest processor limit of the throttled tasks.
+    fn restore_one(&mut self, now: MonoMs, at: u32, relief: &mut Vec<Relief>) {
+        let mut lowest: Option<(u32, u32)> = None;
+        for &position in &self.servers[at as usize].tasks {
+            let Some(task) = &self.tasks[position as usize] else {
+                continue;
+            };
+            let limit = task.held.limit_millicores;
+            if limit < task.held.reserved.millicores
+                && lowest.is_none_or(|(least, _)| limit < least)
+            {
+                lowest = Some((limit, position));
+            }
+        }
+        let Some((limit, position)) = lowest else {
+            return;
+        };
+        if let Some(task) = &mut self.tasks[position as usize] {
+            task.held.limit_millicores = limit.saturating_mul(2).min(task.held.reserved.millicores);
+            task.limited = now;
+            relief.push(throttle(task));
+        }
+    }
+
+    /// How much a task adds to the slowdown of requests on its server.
+    fn harm(&self, at: u32, task: &Task) -> f32 {
+        let server = &self.servers[at as usize];
+        let found = server.use_by_kind.iter().find(|one| one.0 == task.kind);
+        let load = found.map_or(0.0, |one| server.share(one.1));
+        let own = server.share(task.held.used.millicores).min(load);
+        self.interference
+            .growth(KindKey::REQUESTS, task.kind, load - own, own)
+    }
+}
+
+impl crate::cells::Server {
+    fn see(&mut self, permille: u32, limit: f32) {
+        if self.seen_permille == 0 {
+            self.seen_permille = permille;
+        } else {
+            let kept = self.seen_permille - (self.seen_permille >> SEEN_SHIFT);
+            self.seen_permille = kept + (permille >> SEEN_SHIFT);
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the limit is between 0 and 1"
+        )]
+        let limit_permille = (limit * 1_000.0) as u32;
+        let high = if self.slowed {
+            SLOWED_LIMIT_PERMILLE
+        } else {
+            1_000 + limit_permille + limit_permille / 4
+        };
+        let low = if self.slowed {
+            SLOWED_LIMIT_PERMILLE / 2
+        } else {
+            1_000 + limit_permille * 3 / 4
+        };
+        self.pressure.observe(self.seen_permille, low, high);
+    }
+}
+
+fn throttle(task: &Task) -> Relief {
+    Relief::Throttle {
+        task: task.id,
+        millicores: task.held.limit_millicores,
+    }
+}
+
+fn being_evicted(now: MonoMs, task: &Task) -> bool {
+    task.evicting
+        .is_some_and(|since| now.since(since).0 < EVICTION_MS)
+}
+
+fn candidate(now: MonoMs, task: &Task, harm: f32) -> Candidate {
+    Candidate {
+        task: task.id,
+        frees: task.held.reserved,
+        harm,
+        since_checkpoint: now.since(task.checkpointed),
+        at_risk: at_risk(now, task),
+    }
+}
+
+/// Whether a delay of half its run time would let a task miss its finish-by time.
+fn at_risk(now: MonoMs, task: &Task) -> bool {
+    let Some(finish_by) = task.finish_by else {
+        return false;
+    };
+    let expected_end = task.started + DurationMs(task.run_ms + task.run_ms / 2);
+    expected_end.max(now) >= finish_by
+}
--- /dev/null
+++ b/crates/core/src/running.rs
@@ -0,0 +1,160 @@
+//! Running tasks: what they hold and what their clients are charged.
+
+use crate::capacity::{Reservation, Resources};
+use crate::cells::Waiting;
+use crate::fairness::ClientKey;
+use crate::ids::{ServerKey, TaskId};
+use crate::interference::KindKey;
+use crate::placement::{Place, Placement, Scheduler, TaskRequest, index_u32};
+use crate::time::{DurationMs, MonoMs};
+
+/// Run time charged to a client when a task starts; later time is charged as reports arrive, so that a wrong
+/// declaration of the run time distorts the shares by this much at most.
+const PREPAID_MS: u64 = 30_000;
+
+/// A running task.
+pub(crate) struct Task {
+    pub(crate) id: TaskId,
+    pub(crate) client: ClientKey,
+    pub(crate) kind: KindKey,
+    pub(crate) server: u32,
+    pub(crate) declared: Resources,
+    pub(crate) held: Reservation,
+    pub(crate) started: MonoMs,
+    pub(crate) checkpointed: MonoMs,
+    pub(crate) paid_until: MonoMs,
+    pub(crate) finish_by: Option<MonoMs>,
+    pub(crate) run_ms: u64,
+    /// When the processor limit was last changed.
+    pub(crate) limited: MonoMs,
+    /// Reports in a row that showed the task at its processor or memory limit.
+    pub(crate) at_limit: u16,
+    /// Grown before without using the room; not grown again.
+    pub(crate) sated: bool,
+    /// An eviction is under way.
+    pub(crate) evicting: Option<MonoMs>,
+}
+
+impl Scheduler {
+    /// Records that a task already runs on a server, as found by a new owner.
+    pub fn adopt(&mut self, now: MonoMs, request: &TaskRequest, server: ServerKey) {
+        self.remove(now, request.task);
+        let Some(at) = self.server_at(server) else {
+            return;
+        };
+        let client = self.accounts.hold(&request.team, &request.client);
+        let waiting = Waiting {
+            task: request.task,
+            kind: self.interference.kind(&request.kind),
+            declared: request.size,
+            run_ms: request.run_ms,
+            finish_by: request.finish_by,
+            submitted: now,
+        };
+        self.start(now, &waiting, client, at, request.size);
+    }
+
+    /// Records that a running task has a checkpoint from now, so that less work is lost by its eviction.
+    pub fn checkpointed(&mut self, now: MonoMs, task: TaskId) {
+        if let Some(Place::Running(at)) = self.index.get(&task)
+            && let Some(found) = &mut self.tasks[*at as usize]
+        {
+            found.checkpointed = now;
+        }
+    }
+
+    /// Reserves the size of a task on a server and charges its client.
+    pub(crate) fn start(
+        &mut self,
+        now: MonoMs,
+        waiting: &Waiting,
+        client: ClientKey,
+        server: u32,
+        size: Resources,
+    ) -> Placement {
+        let prepaid_ms = waiting.run_ms.min(PREPAID_MS);
+        self.accounts.charge(client, cost(size, prepaid_ms));
+        let team = self.accounts.team_of(client);
+        self.accounts.add_use(team, u64::from(size.millicores));
+        let task = Task {
+            id: waiting.task,
+            client,
+            kind: waiting.kind,
+            server,
+            declared: waiting.declared,
+            held: Reservation::of(size),
+            started: now,
+            checkpointed: now,
+            paid_until: now + DurationMs(prepaid_ms),
+            finish_by: waiting.finish_by,
+            run_ms: waiting.run_ms,
+            limited: now,
+            at_limit: 0,
+            sated: false,
+            evicting: None,
+        };
+        let at = if let Some(at) = self.vacant.pop() {
+            self.tasks[at as usize] = Some(task);
+            at
+        } else {
+            self.tasks.push(Some(task));
+            index_u32(self.tasks.len() - 1)
+        };
+        self.index.insert(waiting.task, Place::Running(at));
+        let found = &mut self.servers[server as usize];
+        found.add(at, waiting.kind, size);
+        found.predict(&self.interference);
+        let key = found.key;
+        let cell = &mut self.cells[found.cell as usize];
+        cell.index_free(&mut self.servers, server);
+        cell.mark_slowed(&mut self.servers, server, &self.goals);
+        Placement {
+            task: waiting.task,
+            server: key,
+            reserved: size,
+        }
+    }
+
+    /// Frees what a running task had reserved.
+    pub(crate) fn end(&mut self, now: MonoMs, at: u32) {
+        let Some(task) = self.tasks[at as usize].take() else {
+            return;
+        };
+        self.vacant.push(at);
+        if now > task.paid_until {
+            let late_ms = now.since(task.paid_until).0;
+            self.accounts
+                .charge(task.client, cost(task.held.reserved, late_ms));
+        } else {
+            let unused_ms = task.paid_until.since(now).0;
+            self.accounts
+                .refund(task.client, cost(task.held.reserved, unused_ms));
+        }
+        let team = self.accounts.team_of(task.client);
+        let millicores = u64::from(task.held.reserved.millicores);
+        let back_within = self.accounts.sub_use(team, millicores);
+        self.accounts.release(task.client);
+        if task.evicting.is_none() {
+            self.history.forget(task.id);
+        }
+        let server = &mut self.servers[task.server as usize];
+        server.take_off(at, task.kind, &task.held);
+        server.predict(&self.interference);
+        let cell_at = server.cell;
+        let cell = &mut self.cells[cell_at as usize];
+        cell.index_free(&mut self.servers, task.server);
+        cell.mark_slowed(&mut self.servers, task.server, &self.goals);
+        self.wake(cell_at);
+        if back_within {
+            for cell in &mut self.cells {
+                cell.normal.promote(&self.accounts, team);
+                cell.urgent.promote(&self.accounts, team);
+            }
+        }
+    }
+}
+
+/// Cost of a reservation over a time, in core-milliseconds.
+pub(crate) fn cost(reserved: Resources, time_ms: u64) -> u64 {
+    u64::from(reserved.millicores).saturating_mul(time_ms) / 1_000
+}
--- /dev/null
+++ b/crates/core/tests/policy.rs
@@ -0,0 +1,366 @@
+//! Behaviour of the batch scheduler.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use primrosestack_core::placement::{
+    CellKey, Objective, Placement, Relief, Scheduler, TaskRequest, TaskUsage,
+};
+use primrosestack_core::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+const SEED: u64 = 11;
+
+const LATENCY_FIRST: Objective = Objective {
+    latency_permille: 700,
+    throughput_permille: 200,
+    eviction_permille: 100,
+};
+
+fn size(millicores: u32, memory_mib: u32) -> Resources {
+    Resources {
+        millicores,
+        memory_mib,
+        accelerators: 0,
+    }
+}
+
+fn id(job: u64, index: u32) -> TaskId {
+    TaskId {
+        job: JobId(job),
+        index,
+    }
+}
+
+fn request(task: TaskId, client: &str, kind: &str, size: Resources) -> TaskRequest {
+    TaskRequest {
+        task,
+        team: format!("team-{client}").into(),
+        client: client.into(),
+        kind: kind.into(),
+        size,
+        run_ms: 60_000,
+        finish_by: None,
+        cell: CellKey(0),
+    }
+}
+
+fn scheduler(servers: u32, size: Resources) -> Scheduler {
+    let mut scheduler = Scheduler::open(LATENCY_FIRST, SEED);
+    for key in 0..servers {
+        scheduler.put_server(ServerKey(key), CellKey(0), size);
+        scheduler.set_open(ServerKey(key), true);
+    }
+    scheduler
+}
+
+fn usage(task: TaskId, used: Resources, slowdown_permille: u32) -> TaskUsage {
+    TaskUsage {
+        task,
+        used,
+        slowdown_permille,
+    }
+}
+
+fn place_all(scheduler: &mut Scheduler, now: MonoMs) -> Vec<Placement> {
+    std::iter::from_fn(|| scheduler.next(now)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), ..ProptestConfig::default() })]
+
+    /// Guards against an overfilled server, a task that runs twice and room that is never freed, in any order of calls.
+    #[test]
+    fn no_order_of_calls_overfills_a_server(
+        steps in prop::collection::vec((0_u8..8, 0_u32..24, 1_u32..9_000, 1_u32..9_000), 1..250)
+    ) {
+        let whole = size(8_000, 8_000);
+        let mut scheduler = scheduler(3, whole);
+        let mut running: BTreeMap<TaskId, Placement> = BTreeMap::new();
+        let mut pending: BTreeSet<TaskId> = BTreeSet::new();
+        for (now, (step, index, millicores, memory)) in (0_u64..).zip(steps) {
+            let now = MonoMs(now * 700);
+            let task = id(u64::from(index % 3), index);
+            match step {
+                0 | 1 => {
+                    let client = format!("c{}", index % 4);
+                    let mut wanted = request(task, &client, "k", size(millicores, memory));
+                    wanted.finish_by = (index % 2 == 0).then_some(MonoMs(100_000));
+                    scheduler.submit(now, wanted);
+                    if !running.contains_key(&task) {
+                        pending.insert(task);
+                    }
+                }
+                2 => {
+                    scheduler.remove(now, task);
+                    running.remove(&task);
+                    pending.remove(&task);
+                }
+                3 => {
+                    let server = ServerKey(index % 3);
+                    let on_server = running.values().filter(|one| one.server == server);
+                    let seen: Vec<_> = on_server
+                        .map(|one| usage(one.task, size(millicores, memory), 1_000 + millicores))
+                        .collect();
+                    scheduler.report(now, server, &seen, 1_000 + memory);
+                }
+                4 => {
+                    let server = ServerKey(index % 3);
+                    let need = size(millicores * (index % 2), memory * (index % 2));
+                    for relief in scheduler.relieve(now, server, need) {
+                        if let Relief::Evict { task } = relief {
+                            prop_assert!(running.remove(&task).is_some());
+                            scheduler.remove(now, task);
+                        }
+                    }
+                }
+                5 => scheduler.set_open(ServerKey(index % 3), index % 5 > 0),
+                _ => {
+                    for placement in place_all(&mut scheduler, now) {
+                        prop_assert!(pending.remove(&placement.task));
+                        prop_assert!(running.insert(placement.task, placement).is_none());
+                    }
+                }
+            }
+            for key in 0..3 {
+                let (reserved, limit) = scheduler.reserved(ServerKey(key)).unwrap();
+                prop_assert!(reserved.fits_in(limit), "{reserved:?} reserved");
+                let declared = running.values().filter(|one| one.server == ServerKey(key));
+                let declared = declared.fold(Resources::default(), |sum, one| sum.saturating_add(one.reserved));
+                // Growth is given back, so a reservation can be below that at the start, but never below the declaration.
+                prop_assert!(reserved.is_none() == declared.is_none());
+            }
+        }
+        for task in running.keys().chain(&pending) {
+            scheduler.remove(MonoMs(1_000_000), *task);
+        }
+        for key in 0..3 {
+            prop_assert!(scheduler.reserved(ServerKey(key)).unwrap().0.is_none());
+        }
+    }
+}
+
+/// Guards against one client with 100 times the tasks getting more than its share, alone or among many teams.
+#[test_case(3; "three teams")]
+#[test_case(970; "all teams")]
+fn a_greedy_client_gets_its_share(teams: u32) {
+    let mut scheduler = scheduler(8, size(10_000, 10_000));
+    let mut running: Vec<(u64, TaskId, u32)> = Vec::new();
+    let mut served = vec![0_u32; teams as usize];
+    for team in 0..teams {
+        let count = if team == 0 { 20_000 } else { 200 };
+        for index in 0..count {
+            let wanted = request(
+                id(u64::from(team), index),
+                &format!("c{team}"),
+                "k",
+                size(1_000, 100),
+            );
+            scheduler.submit(MonoMs(0), wanted);
+        }
+    }
+    for step in 0..(u64::from(teams) / 8).max(7) {
+        let now = MonoMs(step * 1_000);
+        running.retain(|&(end, task, _)| {
+            if end <= now.0 {
+                scheduler.remove(now, task);
+            }
+            end > now.0
+        });
+        for placement in place_all(&mut scheduler, now) {
+            let team = u32::try_from(placement.task.job.0).unwrap();
+            served[team as usize] += 1;
+            // Declared as 60 s, ends after 1 s.
+            running.push((now.0 + 1_000, placement.task, team));
+        }
+    }
+    let most = served.iter().max().unwrap();
+    let least = served.iter().min().unwrap();
+    let allowed = (least / 10).max(3);
+    assert!(most - least <= allowed, "between {least} and {most}");
+}
+
+/// Guards against estimates that follow noise, miss the pair that does harm, or never let go.
+#[test]
+fn interference_converges_and_ages_out() {
+    let mut scheduler = scheduler(8, size(16_000, 16_000));
+    let mut state = SEED;
+    let mut deviation = |spread: i64| {
+        state = stable(state);
+        i64::try_from(state % 1_000).unwrap() * spread / 500 - spread
+    };
+    let kinds = ["calm", "noisy"];
+    let mut placed = Vec::new();
+    for server in 0..8_u32 {
+        for part in 0..4 {
+            let kind = kinds[usize::from(part < server % 5)];
+            let task = id(u64::from(server), part);
+            scheduler.adopt(
+                MonoMs(0),
+                &request(task, "a", kind, size(4_000, 4_000)),
+                ServerKey(server),
+            );
+            placed.push((task, server));
+        }
+    }
+    for round in 0..60 {
+        for server in 0..8_u32 {
+            let load = i64::from(server % 5);
+            let slowdown = u32::try_from(1_000 + load * 200 + deviation(150)).unwrap();
+            let seen: Vec<_> = placed
+                .iter()
+                .filter(|one| one.1 == server)
+                .map(|one| usage(one.0, size(4_000, 4_000), 1_000))
+                .collect();
+            scheduler.report(MonoMs(round * 1_000), ServerKey(server), &seen, slowdown);
+        }
+    }
+    let calm = scheduler.request_slowdown_permille(ServerKey(0));
+    let noisy = scheduler.request_slowdown_permille(ServerKey(4));
+    assert!((950..1_100).contains(&calm), "{calm}");
+    assert!((1_650..1_950).contains(&noisy), "{noisy}");
+    let later = MonoMs(8 * 3_600_000);
+    scheduler.report(later, ServerKey(7), &[], 0);
+    scheduler.report(later, ServerKey(4), &[], 0);
+    let aged = scheduler.expected_request_slowdown_permille(ServerKey(4));
+    assert!((1_050..1_200).contains(&aged), "{aged}");
+}
+
+fn stable(state: u64) -> u64 {
+    primrosestack_core::ids::stable_hash(&state.to_le_bytes(), SEED)
+}
+
+/// Guards against the same task being evicted again while others can make room.
+#[test]
+fn no_task_is_evicted_twice_while_others_run() {
+    let mut scheduler = scheduler(1, size(8_000, 8_000));
+    for index in 0..8 {
+        scheduler.submit(
+            MonoMs(0),
+            request(id(1, index), "a", "k", size(1_000, 1_000)),
+        );
+    }
+    place_all(&mut scheduler, MonoMs(0));
+    let mut evicted = BTreeSet::new();
+    for round in 1..8 {
+        let now = MonoMs(round * 40_000);
+        let relief = scheduler.relieve(now, ServerKey(0), size(1_000, 1_000));
+        assert_eq!(relief.len(), 1);
+        for one in relief {
+            let Relief::Evict { task } = one else {
+                panic!("room needs an eviction");
+            };
+            assert!(evicted.insert(task), "{task:?} evicted again");
+            scheduler.remove(now, task);
+            scheduler.submit(now, request(task, "a", "k", size(1_000, 1_000)));
+        }
+        let later = now + DurationMs(35_000);
+        scheduler.relieve(later, ServerKey(0), Resources::default());
+        place_all(&mut scheduler, later);
+    }
+}
+
+/// Guards against evicting more, or more valuable, tasks than the room asked for takes.
+#[test]
+fn eviction_picks_the_least_lost_work() {
+    let mut scheduler = scheduler(1, size(8_000, 8_000));
+    for (index, started) in [(0, 0), (1, 50_000), (2, 90_000), (3, 90_000)] {
+        let wanted = request(id(1, index), "a", "k", size(2_000, 2_000));
+        scheduler.submit(MonoMs(started), wanted);
+        place_all(&mut scheduler, MonoMs(started));
+    }
+    scheduler.checkpointed(MonoMs(99_000), id(1, 0));
+    let relief = scheduler.relieve(MonoMs(100_000), ServerKey(0), size(2_000, 1_000));
+    assert_eq!(relief, [Relief::Evict { task: id(1, 0) }]);
+    let repeated = scheduler.relieve(MonoMs(101_000), ServerKey(0), size(2_000, 1_000));
+    assert!(repeated.is_empty(), "{repeated:?}");
+}
+
+/// Guards against batch with a finish-by time waiting behind other work, also when it needs a whole server.
+#[test_case(size(1_000, 1_000); "small")]
+#[test_case(size(8_000, 8_000); "as large as a server")]
+fn batch_with_a_finish_by_time_runs(wanted: Resources) {
+    let mut scheduler = scheduler(2, size(8_000, 8_000));
+    let mut next_index = 0;
+    let mut running: Vec<(u64, TaskId)> = Vec::new();
+    let due = id(9, 0);
+    for step in 0..400_u64 {
+        let now = MonoMs(step * 1_000);
+        while next_index < u32::try_from(step).unwrap() * 2 + 40 {
+            let one = request(id(1, next_index), "busy", "k", size(1_000, 1_000));
+            scheduler.submit(now, one);
+            next_index += 1;
+        }
+        if step == 20 {
+            let mut one = request(due, "late", "k", wanted);
+            one.finish_by = Some(MonoMs(400_000));
+            scheduler.submit(now, one);
+        }
+        running.retain(|&(end, task)| {
+            if end <= now.0 {
+                scheduler.remove(now, task);
+            }
+            end > now.0
+        });
+        for placement in place_all(&mut scheduler, now) {
+            if placement.task == due {
+                return;
+            }
+            let length = 15_000 + stable(u64::from(placement.task.index)) % 5_000;
+            running.push((now.0 + length, placement.task));
+        }
+    }
+    panic!("the task with a finish-by time never started");
+}
+
+/// Guards against a task that outgrew its reservation staying held back, or overfilling its host.
+#[test]
+fn an_outgrown_task_grows_into_free_room_only() {
+    let mut scheduler = scheduler(1, size(8_000, 8_000));
+    scheduler.submit(MonoMs(0), request(id(1, 0), "a", "k", size(1_000, 1_000)));
+    scheduler.submit(MonoMs(0), request(id(2, 0), "a", "k", size(5_000, 1_000)));
+    place_all(&mut scheduler, MonoMs(0));
+    let mut limit = 1_000;
+    for round in 1..30 {
+        let now = MonoMs(round * 2_000);
+        let seen = [
+            usage(id(1, 0), size(limit, 500), 1_000),
+            usage(id(2, 0), size(2_000, 500), 1_000),
+        ];
+        scheduler.report(now, ServerKey(0), &seen, 1_000);
+        for relief in scheduler.relieve(now, ServerKey(0), Resources::default()) {
+            let Relief::Throttle { task, millicores } = relief else {
+                panic!("nothing has to be evicted");
+            };
+            assert_eq!(task, id(1, 0));
+            limit = millicores;
+        }
+        let (reserved, whole) = scheduler.reserved(ServerKey(0)).unwrap();
+        assert!(reserved.fits_in(whole));
+    }
+    assert_eq!(limit, 3_000);
+}
+
+/// Guards against a task that is out of memory being started again with the same reservation.
+#[test]
+fn a_task_out_of_memory_starts_larger_again() {
+    let mut scheduler = scheduler(1, size(8_000, 8_000));
+    scheduler.submit(MonoMs(0), request(id(1, 0), "a", "k", size(1_000, 1_000)));
+    place_all(&mut scheduler, MonoMs(0));
+    let mut relief = Vec::new();
+    for round in 1..4 {
+        let now = MonoMs(round * 2_000);
+        let seen = [usage(id(1, 0), size(300, 1_000), 1_000)];
+        scheduler.report(now, ServerKey(0), &seen, 1_000);
+        relief = scheduler.relieve(now, ServerKey(0), Resources::default());
+    }
+    assert_eq!(relief, [Relief::Evict { task: id(1, 0) }]);
+    scheduler.remove(MonoMs(7_000), id(1, 0));
+    scheduler.submit(
+        MonoMs(7_000),
+        request(id(1, 0), "a", "k", size(1_000, 1_000)),
+    );
+    let placed = place_all(&mut scheduler, MonoMs(7_000));
+    assert_eq!(placed[0].reserved, size(1_000, 2_000));
+}
