--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod admission;
 pub mod budget;
 pub mod capacity;
-mod cells;
+mod choice;
 pub mod dispatch;
 pub mod documents;
 pub mod event;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::capacity::Resources;
-use crate::cells::{Cell, Goals, Server, Waiting};
+use crate::choice::{Cell, Goals, Server, Waiting};
 use crate::eviction::History;
 use crate::fairness::{Accounts, ClientKey};
 use crate::ids::{JobId, ServerKey, TaskId};
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -394,7 +394,7 @@
     }
 }
 
-impl crate::cells::Server {
+impl crate::choice::Server {
     fn see(&mut self, permille: u32, limit: f32) {
         if self.seen_permille == 0 {
             self.seen_permille = permille;
--- a/crates/core/src/running.rs
+++ b/crates/core/src/running.rs
@@ -1,7 +1,7 @@
 //! Running tasks: what they hold and what their clients are charged.
 
 use crate::capacity::{Reservation, Resources};
-use crate::cells::Waiting;
+use crate::choice::Waiting;
 use crate::fairness::ClientKey;
 use crate::ids::{ServerKey, TaskId};
 use crate::interference::KindKey;
