--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod allotment;
 pub mod budget;
 pub mod capacity;
+mod choice;
 pub mod digest;
 pub mod dispatch;
 pub mod documents;
@@ -23,7 +24,9 @@
 pub mod placement;
 pub mod prelude;
 pub mod queue;
+mod relief;
 pub mod retry;
+mod running;
 pub mod shard;
 mod slots;
 pub mod tasks;
