--- /dev/null
+++ b/src/peertls.rs
@@ -0,0 +1,49 @@
+//! TLS on links between entry hosts, with certificates on both sides.
+
+use std::io;
+
+use tokio::net::TcpStream;
+use tokio_rustls::{TlsAcceptor, TlsConnector};
+
+use crate::peer::{PeerSecurity, Securing, Stream};
+use crate::settings::TlsSettings;
+use crate::tls::{ClientCertificates, ClientTls, ServerTls, TlsError, server_name};
+
+/// Key material of links.
+pub struct PeerTls {
+    server: ServerTls,
+    client: ClientTls,
+}
+
+impl PeerTls {
+    /// Reads the key material.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TlsError`] if a file cannot be read.
+    pub fn open(files: &TlsSettings) -> Result<Self, TlsError> {
+        Ok(Self {
+            server: ServerTls::open(files, ClientCertificates::Required)?,
+            client: ClientTls::open(files)?,
+        })
+    }
+}
+
+impl PeerSecurity for PeerTls {
+    fn accept(&self, stream: TcpStream) -> Securing<'_> {
+        let acceptor = TlsAcceptor::from(self.server.config());
+        Box::pin(async move {
+            let secured = acceptor.accept(stream).await?;
+            Ok(Box::new(secured) as Box<dyn Stream>)
+        })
+    }
+
+    fn connect<'a>(&'a self, stream: TcpStream, name: &'a str) -> Securing<'a> {
+        let connector = TlsConnector::from(self.client.config());
+        Box::pin(async move {
+            let name = server_name(name).ok_or(io::ErrorKind::InvalidInput)?;
+            let secured = connector.connect(name, stream).await?;
+            Ok(Box::new(secured) as Box<dyn Stream>)
+        })
+    }
+}
