--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,1 +1,135 @@
-//! Token bucket and back-off for calls to the store.
+//! Token bucket and back-off for store calls.
+
+use crate::ids::stable_hash;
+use crate::time::{DurationMs, MonoMs};
+
+/// Shortest back-off after a failed store call, in milliseconds.
+pub const BACKOFF_MIN_MS: u64 = 100;
+
+/// Longest back-off after a failed store call, in milliseconds.
+pub const BACKOFF_MAX_MS: u64 = 10_000;
+
+/// A token bucket that holds at most the tokens of one second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bucket {
+    rate_per_s: u32,
+    milli_tokens: u64,
+    filled: MonoMs,
+}
+
+impl Bucket {
+    /// Opens a full bucket.
+    #[must_use]
+    pub fn open(rate_per_s: u32, now: MonoMs) -> Self {
+        Self {
+            rate_per_s,
+            milli_tokens: u64::from(rate_per_s) * 1_000,
+            filled: now,
+        }
+    }
+
+    /// Takes one token if there is one.
+    pub fn take(&mut self, now: MonoMs) -> bool {
+        let limit = u64::from(self.rate_per_s) * 1_000;
+        let added = now.since(self.filled).0 * u64::from(self.rate_per_s);
+        self.milli_tokens = limit.min(self.milli_tokens.saturating_add(added));
+        self.filled = self.filled.max(now);
+        if self.milli_tokens < 1_000 {
+            return false;
+        }
+        self.milli_tokens -= 1_000;
+        true
+    }
+}
+
+/// Exponential back-off with jitter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    failures: u32,
+    until: MonoMs,
+    seed: u64,
+}
+
+impl Backoff {
+    /// Opens a back-off that does not wait; `seed` spreads the waits of different processes.
+    #[must_use]
+    pub fn open(seed: u64) -> Self {
+        Self {
+            failures: 0,
+            until: MonoMs(0),
+            seed,
+        }
+    }
+
+    /// Records a failed call: the next one waits between half and all of a delay that doubles each time.
+    pub fn fail(&mut self, now: MonoMs) {
+        let delay_ms = BACKOFF_MAX_MS.min(BACKOFF_MIN_MS << self.failures.min(16));
+        let draw = stable_hash(&self.failures.to_le_bytes(), self.seed ^ now.0);
+        let jitter_ms = draw % (delay_ms / 2 + 1);
+        self.until = now + DurationMs(delay_ms - jitter_ms);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Records a call that was answered.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        self.until = MonoMs(0);
+    }
+
+    /// Whether a call may be made.
+    #[must_use]
+    pub fn is_ready(&self, now: MonoMs) -> bool {
+        now >= self.until
+    }
+
+    /// Number of failed calls since the last one that was answered.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
+
+/// What one shard may ask of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreBudget {
+    writes: Bucket,
+    reads: Bucket,
+    backoff: Backoff,
+}
+
+impl StoreBudget {
+    /// Opens a budget with full buckets.
+    #[must_use]
+    pub fn open(writes_per_s: u32, reads_per_s: u32, seed: u64, now: MonoMs) -> Self {
+        Self {
+            writes: Bucket::open(writes_per_s, now),
+            reads: Bucket::open(reads_per_s, now),
+            backoff: Backoff::open(seed),
+        }
+    }
+
+    /// Whether a write may be sent now; takes a token.
+    pub fn take_write(&mut self, now: MonoMs) -> bool {
+        self.backoff.is_ready(now) && self.writes.take(now)
+    }
+
+    /// Whether a read may be sent now; takes a token.
+    pub fn take_read(&mut self, now: MonoMs) -> bool {
+        self.backoff.is_ready(now) && self.reads.take(now)
+    }
+
+    /// Takes in the outcome of a call.
+    pub fn outcome(&mut self, now: MonoMs, answered: bool) {
+        if answered {
+            self.backoff.succeed();
+            return;
+        }
+        self.backoff.fail(now);
+    }
+
+    /// Whether the last call failed.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.backoff.failures() > 0
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,439 @@
+//! Starting, evicting and stopping attempts, and what happens to a task when its attempt is over.
+
+use crate::lease::LEASE_MS;
+use crate::ownership::Role;
+use crate::placement::{Placement, Relief, TaskRequest};
+use crate::prelude::*;
+use crate::shard::{Call, Shard};
+use crate::tasks::{Eviction, JobState, Phase, evicted_entry};
+
+/// Most starts that one event causes; it bounds the time and the actions of one call.
+const STARTS_MAX: usize = 512;
+
+/// Share of its processor time that a task keeps when it is throttled because it cannot be evicted, as a divisor.
+const THROTTLE_DIVISOR: u32 = 4;
+
+impl Shard {
+    /// Periodic work on tasks.
+    pub(crate) fn tick_tasks(&mut self) {
+        self.tick_commit();
+        self.pump_snapshot();
+        self.ledger.expire(self.now);
+        self.save_on_lost_authority();
+        self.retry_due();
+        self.rebind();
+        self.place();
+    }
+
+    fn retry_due(&mut self) {
+        while let Some(&(due, task)) = self.retries.first() {
+            if self.now < due {
+                return;
+            }
+            self.retries.pop_first();
+            let is_held = self
+                .ledger
+                .task(task)
+                .is_some_and(|task| task.phase == Phase::Held);
+            if is_held {
+                self.requeue(task);
+            }
+        }
+    }
+
+    /// Asks for checkpoints when authority is lost: the leases are about to lapse, and the tasks will resume from what
+    /// is saved now.
+    fn save_on_lost_authority(&mut self) {
+        let holds = self.own.authority.holds(self.now);
+        let is_lost = self.own.had_authority && !holds;
+        self.own.had_authority = holds;
+        if !is_lost {
+            return;
+        }
+        self.log("authority_lost", None, &self.host.name.clone());
+        for key in self.fleet.keys() {
+            let attempts = self.fleet.get(key).map(|server| server.attempts.clone());
+            for (attempt, task) in attempts.unwrap_or_default() {
+                let call = Call::Checkpoint(key, task, attempt);
+                self.command(call, key, ServerCommand::Checkpoint { attempt });
+            }
+        }
+    }
+
+    /// Starts pending tasks as long as the scheduler finds room.
+    pub(crate) fn place(&mut self) {
+        let may_start = self.role == Role::Owner
+            && self.own.heir.is_none()
+            && self.own.authority.holds(self.now);
+        if !may_start {
+            return;
+        }
+        for _ in 0..STARTS_MAX {
+            let Some(placement) = self.scheduler.next(self.now) else {
+                return;
+            };
+            self.start(placement);
+        }
+    }
+
+    fn start(&mut self, placement: Placement) {
+        let Placement {
+            task: id,
+            server: key,
+            reserved,
+        } = placement;
+        let is_pending = self
+            .ledger
+            .task(id)
+            .is_some_and(|task| task.phase == Phase::Pending);
+        let stamp = self.fleet.get(key).map(|server| server.stamp);
+        let (true, Some(stamp)) = (is_pending, stamp) else {
+            self.scheduler.remove(self.now, id);
+            return;
+        };
+        self.last_counter += 1;
+        let attempt = Attempt {
+            term: self.own.term,
+            counter: self.last_counter,
+        };
+        let mut resume = None;
+        let mut cell = None;
+        if let Some(task) = self.ledger.task_mut(id) {
+            task.phase = Phase::Starting;
+            task.server = Some(key);
+            task.attempt = attempt;
+            task.start_stamp = stamp;
+            task.confirmed_op = OpId(0);
+            resume = task.resume.as_ref().map(|resume| resume.checkpoint.clone());
+            cell = Some(task.cell);
+        }
+        if let Some(cell) = cell.and_then(|cell| self.cells.get_mut(&cell)) {
+            cell.pending.remove(&id);
+        }
+        let now = self.now;
+        if let Some(server) = self.fleet.get_mut(key) {
+            server.add_attempt(attempt, id);
+            server.health.started(now);
+        }
+        self.update_open(key);
+        let Some(spec) = self.ledger.jobs.get(&id.job).map(|job| job.spec.clone()) else {
+            return;
+        };
+        let command = ServerCommand::Start {
+            stamp,
+            lease_ms: LEASE_MS,
+            task: id,
+            attempt,
+            kind: spec.kind.clone(),
+            size: reserved,
+            run_ms: spec.run_ms,
+            resume,
+        };
+        self.command(Call::Start(key, id, attempt), key, command);
+    }
+
+    pub(crate) fn start_answered(
+        &mut self,
+        key: ServerKey,
+        id: TaskId,
+        attempt: Attempt,
+        reply: &ServerReply,
+    ) {
+        match reply {
+            ServerReply::Done => self.start_confirmed(id, attempt),
+            ServerReply::Refused => self.start_refused(key, id, attempt, true),
+            // The attempt may run; reports or the end of its lease will tell.
+            _ => self.ask_report(key),
+        }
+    }
+
+    fn start_confirmed(&mut self, id: TaskId, attempt: Attempt) {
+        let last_op = OpId(self.last_op);
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        if task.attempt != attempt || task.phase != Phase::Starting {
+            return;
+        }
+        task.phase = Phase::Running;
+        task.confirmed_op = last_op;
+    }
+
+    /// The server certainly did not start an attempt.
+    pub(crate) fn start_refused(
+        &mut self,
+        key: ServerKey,
+        id: TaskId,
+        attempt: Attempt,
+        blames_server: bool,
+    ) {
+        let phase = self.ledger.task(id).filter(|task| task.attempt == attempt);
+        let phase = phase.map(|task| task.phase);
+        if !matches!(phase, Some(Phase::Starting | Phase::Stopping)) {
+            return;
+        }
+        if !blames_server || phase == Some(Phase::Stopping) {
+            self.requeue(id);
+            return;
+        }
+        let retry = self.start_failed(key, id.job, false);
+        self.hold_until(id, retry);
+    }
+
+    /// Takes a task off its server and out of the scheduler.
+    pub(crate) fn detach(&mut self, id: TaskId) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        if task.phase == Phase::Ended {
+            return;
+        }
+        let server = task.server.take();
+        let attempt = task.attempt;
+        let is_parked = task.phase == Phase::Parked;
+        self.scheduler.remove(self.now, id);
+        if let Some(server) = server.and_then(|key| self.fleet.get_mut(key)) {
+            server.drop_attempt(attempt, id);
+        }
+        if !is_parked {
+            self.leave_cell(id);
+        }
+    }
+
+    /// Puts a task whose attempt is certainly over back to the pending ones, or into its final state.
+    pub(crate) fn requeue(&mut self, id: TaskId) {
+        self.detach(id);
+        match self.ledger.jobs.get(&id.job).map(|job| job.state) {
+            None | Some(JobState::Ended) => {}
+            Some(JobState::Cancelled) => self.ledger.finish(id, self.now),
+            Some(JobState::Parked(_)) => {
+                if let Some(task) = self.ledger.task_mut(id) {
+                    task.phase = Phase::Parked;
+                }
+            }
+            Some(JobState::Active) => {
+                self.enter_cell(id);
+                self.queue(id);
+            }
+        }
+    }
+
+    /// Holds a task whose attempt is over until a later time.
+    pub(crate) fn hold_until(&mut self, id: TaskId, due: MonoMs) {
+        if !self.is_active(id.job) {
+            self.requeue(id);
+            return;
+        }
+        self.detach(id);
+        self.enter_cell(id);
+        if let Some(task) = self.ledger.task_mut(id) {
+            task.phase = Phase::Held;
+        }
+        self.retries.insert((due, id));
+    }
+
+    fn enter_cell(&mut self, id: TaskId) {
+        let size = self.size_of(id).unwrap_or_default();
+        let Some(key) = self.ledger.task(id).map(|task| task.cell) else {
+            return;
+        };
+        let cell = self.cells.entry(key).or_default();
+        cell.demand_millicores += u64::from(size.millicores);
+    }
+
+    /// Queues a task of a job that was just accepted.
+    pub(crate) fn queue_new(&mut self, id: TaskId) {
+        if self.is_active(id.job) {
+            self.queue(id);
+        }
+    }
+
+    /// Gives a task to the scheduler, or holds it while its cell is not resolved.
+    fn queue(&mut self, id: TaskId) {
+        let Some(request) = self.request(id) else {
+            return;
+        };
+        let cell = self.cells.entry(request.cell).or_default();
+        let phase = if cell.resolved {
+            cell.pending.insert(id);
+            Phase::Pending
+        } else {
+            cell.held.push(id);
+            Phase::Held
+        };
+        if let Some(task) = self.ledger.task_mut(id) {
+            task.phase = phase;
+        }
+        if phase == Phase::Pending {
+            self.scheduler.submit(self.now, request);
+        }
+    }
+
+    /// What the scheduler needs to know of a task.
+    pub(crate) fn request(&self, id: TaskId) -> Option<TaskRequest> {
+        let job = self.ledger.jobs.get(&id.job)?;
+        let task = job.tasks.get(id.index as usize)?;
+        let spec = &job.spec;
+        let finish_by = match (spec.finish_by_unix_ms, self.unix_offset_ms) {
+            (0, _) | (_, None) => None,
+            (unix_ms, Some(offset_ms)) => Some(MonoMs(unix_ms.saturating_sub(offset_ms))),
+        };
+        Some(TaskRequest {
+            task: id,
+            team: spec.team.clone(),
+            client: spec.client.clone(),
+            kind: spec.kind.clone(),
+            size: spec.size,
+            run_ms: spec.run_ms,
+            finish_by,
+            cell: task.cell,
+        })
+    }
+
+    /// Latency-critical requests need room on a server.
+    pub(crate) fn pressure(&mut self, name: &str, need: Resources) {
+        if self.role != Role::Owner {
+            return;
+        }
+        let Some(key) = self.fleet.key(name) else {
+            return;
+        };
+        for relief in self.scheduler.relieve(self.now, key, need) {
+            match relief {
+                Relief::Throttle { task, millicores } => self.throttle(task, millicores),
+                Relief::Evict { task } if !self.budget.is_down() => self.evict(task),
+                Relief::Evict { task } => {
+                    // Without the store the checkpoint could not be recorded.
+                    let size = self.size_of(task).unwrap_or_default();
+                    self.throttle(task, size.millicores / THROTTLE_DIVISOR);
+                }
+            }
+        }
+    }
+
+    fn throttle(&mut self, id: TaskId, millicores: u32) {
+        let Some(task) = self.ledger.task(id) else {
+            return;
+        };
+        let (Some(key), attempt) = (task.server, task.attempt) else {
+            return;
+        };
+        let command = ServerCommand::Throttle {
+            attempt,
+            millicores,
+        };
+        self.command(Call::Throttle(key), key, command);
+    }
+
+    /// Begins to evict a running task: checkpoint, record, stop.
+    pub(crate) fn evict(&mut self, id: TaskId) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        let (Some(key), Phase::Running) = (task.server, task.phase) else {
+            return;
+        };
+        task.phase = Phase::Evicting(Eviction::Checkpoint);
+        let attempt = task.attempt;
+        self.ask_checkpoint(key, id, attempt);
+    }
+
+    pub(crate) fn ask_checkpoint(&mut self, key: ServerKey, id: TaskId, attempt: Attempt) {
+        let call = Call::Checkpoint(key, id, attempt);
+        self.command(call, key, ServerCommand::Checkpoint { attempt });
+    }
+
+    pub(crate) fn checkpoint_answered(&mut self, id: TaskId, attempt: Attempt, reply: ServerReply) {
+        let ServerReply::Checkpointed { checkpoint } = reply else {
+            return;
+        };
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        let is_asked = task.phase == Phase::Evicting(Eviction::Checkpoint);
+        if !is_asked || task.attempt != attempt {
+            return;
+        }
+        task.phase = Phase::Evicting(Eviction::Record);
+        self.append(evicted_entry(id, attempt, &checkpoint));
+    }
+
+    /// An `Evicted` record is committed.
+    pub(crate) fn evicted(&mut self, id: TaskId) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        match task.phase {
+            Phase::Evicting(Eviction::Record) => {
+                task.phase = Phase::Evicting(Eviction::Stop);
+                if let Some(key) = task.server {
+                    let attempt = task.attempt;
+                    self.stop_attempt(key, attempt);
+                }
+            }
+            Phase::Evicting(Eviction::Stopped) => self.requeue(id),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn stop_attempt(&mut self, key: ServerKey, attempt: Attempt) {
+        self.command(Call::Stop(key), key, ServerCommand::Stop { attempt });
+    }
+
+    /// A `Bound` record is committed.
+    pub(crate) fn bound(&mut self, id: TaskId) {
+        let is_waiting = self
+            .ledger
+            .task(id)
+            .is_some_and(|task| task.phase == Phase::Held && task.server.is_none());
+        if !is_waiting {
+            return;
+        }
+        if self.is_active(id.job) {
+            self.queue(id);
+            return;
+        }
+        self.requeue(id);
+    }
+
+    /// The cancellation of a task's job is committed.
+    pub(crate) fn cancel_task(&mut self, id: TaskId) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        match task.phase {
+            Phase::Ended | Phase::Ending => {}
+            Phase::Held if task.server.is_none() && task.attempt == Attempt::default() => {
+                self.cancel_held(id);
+            }
+            Phase::Held | Phase::Pending | Phase::Parked | Phase::Evicting(Eviction::Stopped) => {
+                self.requeue(id);
+            }
+            Phase::Starting | Phase::Running | Phase::Evicting(_) | Phase::Stopping => {
+                task.phase = Phase::Stopping;
+                let attempt = task.attempt;
+                if let Some(key) = task.server {
+                    self.stop_attempt(key, attempt);
+                }
+            }
+        }
+    }
+
+    /// A held task of a cell that is not resolved may be running somewhere; its state is settled with the cell.
+    fn cancel_held(&mut self, id: TaskId) {
+        let cell = self.ledger.task(id).map(|task| task.cell);
+        let cell = cell.and_then(|cell| self.cells.get(&cell));
+        if cell.is_none_or(|cell| cell.resolved) {
+            self.requeue(id);
+        }
+    }
+
+    /// A server is leaving: its tasks resume elsewhere from a checkpoint.
+    pub(crate) fn leave(&mut self, key: ServerKey) {
+        self.cell_sizes_changed();
+        let attempts = self.fleet.get(key).map(|server| server.attempts.clone());
+        for (_, task) in attempts.unwrap_or_default() {
+            self.evict(task);
+        }
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -325,7 +325,33 @@
         /// The successor shuts down and will never take over this term.
         forever: bool,
     },
-    /// Another entry host of the failure domain is suspected, or is heard again.
+    /// A host took over a higher term, or was appointed by an orderly handover.
+    TermSeen {
+        /// The owner of the term.
+        owner: HostId,
+        /// The term.
+        term: u64,
+    },
+    /// The owner of a higher term asks this host to release a term of which it is the designated successor.
+    ReleaseAsked {
+        /// The asking owner.
+        owner: HostId,
+        /// The term to release.
+        term: u64,
+    },
+    /// The designated successor of an earlier term gives no more promises for it and renews nothing at its rank 1.
+    Released {
+        /// The successor.
+        from: HostId,
+        /// The released term.
+        term: u64,
+    },
+    /// Time of day, from which deadlines of jobs are converted. Leases never use it.
+    WallClock {
+        /// Milliseconds since the Unix epoch.
+        unix_ms: u64,
+    },
+    /// Another entry host of the failure domain is heard for the first time, is suspected, or is heard again.
     Suspicion {
         /// The host.
         host: HostId,
@@ -409,6 +435,29 @@
         /// This host shuts down and will never take over this term.
         forever: bool,
     },
+    /// Tells another entry host of a term; delivered there as `Event::TermSeen`.
+    TellTerm {
+        /// The host.
+        to: HostId,
+        /// The term.
+        term: u64,
+        /// Owner of the term.
+        owner: HostId,
+    },
+    /// Asks the designated successor of an earlier term to release it; delivered there as `Event::ReleaseAsked`.
+    AskRelease {
+        /// The successor.
+        to: HostId,
+        /// The term to release.
+        term: u64,
+    },
+    /// Answers an owner; delivered there as `Event::Released`.
+    Release {
+        /// The owner.
+        to: HostId,
+        /// The released term.
+        term: u64,
+    },
     /// Something happened that belongs in the log.
     Log(Notice),
 }
--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,265 @@
+//! Servers that fail everything, and jobs that can never run.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::journal::{Entry, ParkReason, Parked};
+use crate::prelude::*;
+use crate::shard::Shard;
+use crate::tasks::{JobState, Phase};
+
+/// Starts that are looked at to quarantine a server.
+const RECENT_STARTS: usize = 5;
+
+/// Different jobs that must be among the failures to quarantine a server.
+const BLAMING_JOBS: usize = 3;
+
+/// Servers on which a job must have failed to be parked.
+const BLAMED_SERVERS: usize = 3;
+
+/// Failures in a row after which a job is parked wherever they happened. A shard with one or two servers can never
+/// show failures on three.
+const FAILURES_MAX: u32 = 20;
+
+/// Time between two probes of a quarantined server, in milliseconds.
+pub const PROBE_MS: u64 = 30_000;
+
+/// Shortest wait before a failed task is tried again, in milliseconds; it doubles up to 64 times as much.
+const RETRY_MIN_MS: u64 = 500;
+
+/// Failures of the starts of one server.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Job and success of the latest starts, newest last.
+    recent: VecDeque<(JobId, bool)>,
+    /// When the next probe may start, if the server is quarantined.
+    probe_at: Option<MonoMs>,
+    /// When the running probe was started.
+    probed: Option<MonoMs>,
+}
+
+impl Health {
+    /// Whether a task may be started: always, unless quarantined and no probe is due.
+    #[must_use]
+    pub fn allows_start(&self, now: MonoMs) -> bool {
+        self.probe_at.is_none_or(|at| now >= at)
+    }
+
+    /// Whether the server is quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self) -> bool {
+        self.probe_at.is_some()
+    }
+
+    /// A task is started; on a quarantined server it is the probe.
+    pub fn started(&mut self, now: MonoMs) {
+        if self.probe_at.is_some() {
+            self.probe_at = Some(now + DurationMs(PROBE_MS));
+            self.probed = Some(now);
+        }
+    }
+
+    /// Whether the last probe has run for `least_ms` without failing.
+    #[must_use]
+    pub fn has_probe_run(&self, now: MonoMs, least_ms: u64) -> bool {
+        let started = self.probed.filter(|_| self.probe_at.is_some());
+        started.is_some_and(|started| now >= started + DurationMs(least_ms))
+    }
+
+    fn note(&mut self, job: JobId, success: bool) {
+        if self.recent.len() == RECENT_STARTS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((job, success));
+    }
+
+    /// Jobs of the latest starts if all of them failed.
+    fn failing_jobs(&self) -> BTreeSet<JobId> {
+        let has_success = self.recent.iter().any(|(_, success)| *success);
+        if has_success || self.recent.len() < RECENT_STARTS {
+            return BTreeSet::new();
+        }
+        self.recent.iter().map(|(job, _)| *job).collect()
+    }
+
+    /// Jobs that failed since the latest success.
+    fn failed_since_success(&self) -> impl Iterator<Item = JobId> {
+        let failures = self.recent.iter().rev().take_while(|(_, success)| !success);
+        failures.map(|(job, _)| *job)
+    }
+}
+
+/// Failures of one job since its last success.
+#[derive(Clone, Debug, Default)]
+pub struct JobFailures {
+    servers: BTreeSet<ServerKey>,
+    count: u32,
+}
+
+impl JobFailures {
+    fn fails_elsewhere(&self, server: ServerKey) -> bool {
+        self.servers.iter().any(|other| *other != server)
+    }
+}
+
+fn fails_elsewhere(failures: &BTreeMap<JobId, JobFailures>, job: JobId, server: ServerKey) -> bool {
+    let failures = failures.get(&job);
+    failures.is_some_and(|failures| failures.fails_elsewhere(server))
+}
+
+impl Shard {
+    /// A start on a server succeeded: the server is not faulty, and the job can run.
+    pub(crate) fn start_succeeded(&mut self, key: ServerKey, job: JobId) {
+        self.failures.remove(&job);
+        if let Some(server) = self.fleet.get_mut(key) {
+            server.health.note(job, true);
+            server.health.probe_at = None;
+            server.health.probed = None;
+        }
+    }
+
+    /// A start on a server failed; returns when the task is tried again.
+    pub(crate) fn start_failed(&mut self, key: ServerKey, job: JobId, blames_job: bool) -> MonoMs {
+        if blames_job {
+            let failures = self.failures.entry(job).or_default();
+            failures.servers.insert(key);
+            failures.count = failures.count.saturating_add(1);
+        }
+        if let Some(server) = self.fleet.get_mut(key) {
+            server.health.note(job, false);
+            server.health.probed = None;
+        }
+        self.consider_quarantine(key);
+        self.consider_parking(job);
+        let failures = self.failures.get(&job).map_or(0, |failures| failures.count);
+        self.now + DurationMs(RETRY_MIN_MS << failures.min(6))
+    }
+
+    fn consider_quarantine(&mut self, key: ServerKey) {
+        let Some(server) = self.fleet.get(key) else {
+            return;
+        };
+        let jobs = server.health.failing_jobs();
+        let blaming = jobs
+            .iter()
+            .filter(|job| !fails_elsewhere(&self.failures, **job, key));
+        let is_faulty = blaming.count() >= BLAMING_JOBS;
+        let was_quarantined = server.health.is_quarantined();
+        let name = server.name.clone();
+        if !is_faulty && !was_quarantined {
+            return;
+        }
+        let probe_at = self.now + DurationMs(PROBE_MS);
+        if let Some(server) = self.fleet.get_mut(key) {
+            server.health.probe_at = Some(probe_at);
+        }
+        self.update_open(key);
+        if was_quarantined {
+            return;
+        }
+        // These jobs failed because of the server, so the failures do not count against them.
+        for job in jobs {
+            if let Some(failures) = self.failures.get_mut(&job) {
+                failures.servers.remove(&key);
+            }
+        }
+        self.log("server_quarantined", None, &name);
+    }
+
+    fn consider_parking(&mut self, job: JobId) {
+        let Some(failures) = self.failures.get(&job) else {
+            return;
+        };
+        let blamed = failures
+            .servers
+            .iter()
+            .filter(|key| self.runs_others_well(**key, job));
+        let is_faulty = blamed.count() >= BLAMED_SERVERS || failures.count >= FAILURES_MAX;
+        if is_faulty {
+            self.park(job, ParkReason::FailsEverywhere);
+        }
+    }
+
+    /// Whether a server is not itself suspected: since its last success no job failed there that fails only there.
+    fn runs_others_well(&self, key: ServerKey, job: JobId) -> bool {
+        let Some(server) = self.fleet.get(key) else {
+            return false;
+        };
+        if server.health.is_quarantined() {
+            return false;
+        }
+        let mut others = server
+            .health
+            .failed_since_success()
+            .filter(|other| *other != job);
+        others.all(|other| fails_elsewhere(&self.failures, other, key))
+    }
+
+    pub(crate) fn park(&mut self, job: JobId, reason: ParkReason) {
+        if !self.is_active(job) {
+            return;
+        }
+        self.failures.remove(&job);
+        self.append(Entry::Parked(Parked {
+            job: job.0,
+            reason: reason.into(),
+        }));
+    }
+
+    /// Applies a committed change of a job's parking.
+    pub(crate) fn parking_changed(&mut self, parked: Parked) {
+        let job = JobId(parked.job);
+        let is_active = self.is_active(job);
+        let Some(count) = self.ledger.jobs.get(&job).map(|job| job.tasks.len()) else {
+            return;
+        };
+        let from = if is_active {
+            Phase::Parked
+        } else {
+            Phase::Pending
+        };
+        for index in 0..u32::try_from(count).unwrap_or(u32::MAX) {
+            let id = TaskId { job, index };
+            let phase = self.ledger.task(id).map(|task| task.phase);
+            if phase == Some(from) {
+                self.requeue(id);
+            }
+        }
+    }
+
+    /// Parks active jobs that no server can hold any more.
+    pub(crate) fn park_too_large(&mut self) {
+        if self.fleet.iter().next().is_none() {
+            return;
+        }
+        let active = self
+            .ledger
+            .jobs
+            .values()
+            .filter(|job| job.state == JobState::Active);
+        let too_large = active.filter(|job| !self.can_ever_hold(job.spec.size));
+        let jobs: Vec<JobId> = too_large.map(|job| job.spec.id).collect();
+        for job in jobs {
+            self.park(job, ParkReason::TooLarge);
+        }
+    }
+
+    /// Makes jobs pending again that a new or larger server can hold.
+    pub(crate) fn unpark_fitting(&mut self) {
+        let state = JobState::Parked(ParkReason::TooLarge);
+        let parked = self.ledger.jobs.values().filter(|job| job.state == state);
+        let fitting = parked.filter(|job| self.can_ever_hold(job.spec.size));
+        let jobs: Vec<JobId> = fitting.map(|job| job.spec.id).collect();
+        for job in jobs {
+            self.append(Entry::Parked(Parked {
+                job: job.0,
+                reason: ParkReason::Unparked.into(),
+            }));
+        }
+    }
+
+    pub(crate) fn can_ever_hold(&self, size: Resources) -> bool {
+        self.fleet
+            .iter()
+            .any(|(_, server)| size.fits_in(server.size))
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,216 @@
+//! Requests of callers: submission, cancellation and idempotency keys.
+
+use std::sync::Arc;
+
+use crate::journal::{
+    ANSWER_MAX_BYTES, Accepted, Cancelled, Entry, JOB_MAX_TASKS, KeyEntry, RECORD_MAX_BYTES,
+};
+use crate::ownership::Role;
+use crate::prelude::*;
+use crate::shard::Shard;
+use crate::tasks::JobState;
+
+/// Most jobs that one call cancels. Their record takes 160 KB, which fits in one commit.
+const CANCELLED_MAX: usize = 20_000;
+
+/// Most records that may wait for a commit; more callers are refused.
+const WAITING_MAX: usize = 20_000;
+
+impl Shard {
+    /// Why a caller's record cannot be taken now, if it cannot.
+    fn refusal(&self) -> Option<NotRun> {
+        if self.shutting_down {
+            return Some(NotRun::ShuttingDown);
+        }
+        if self.role != Role::Owner || self.own.heir.is_some() {
+            return Some(NotRun::NotOwner);
+        }
+        if self.budget.is_down() {
+            return Some(NotRun::StoreUnavailable);
+        }
+        if self.own.waiting.len() >= WAITING_MAX {
+            return Some(NotRun::Overloaded);
+        }
+        None
+    }
+
+    pub(crate) fn submit(&mut self, token: Token, spec: &JobSpec) {
+        if let Some(reason) = self.refusal() {
+            self.reply(token, TokenReply::NotRun(reason));
+            return;
+        }
+        let id = spec.id;
+        if self.ledger.jobs.contains_key(&id) {
+            let reply = TokenReply::Accepted {
+                job: id,
+                new: false,
+            };
+            self.reply(token, reply);
+            return;
+        }
+        if let Some(others) = self.accepting.get_mut(&id) {
+            others.push(token);
+            return;
+        }
+        if !self.can_ever_hold(spec.size) || spec.tasks > JOB_MAX_TASKS {
+            self.reply(token, TokenReply::NotRun(NotRun::TooLarge));
+            return;
+        }
+        let cells = self.choose_cells(spec);
+        if cells.is_empty() && spec.tasks > 0 {
+            // A server that is large enough is listed but not journaled yet.
+            self.reply(token, TokenReply::NotRun(NotRun::Overloaded));
+            return;
+        }
+        let accepted = Accepted::of(spec, cells);
+        if prost::Message::encoded_len(&accepted) > RECORD_MAX_BYTES {
+            self.reply(token, TokenReply::NotRun(NotRun::TooLarge));
+            return;
+        }
+        self.accepting.insert(id, Vec::new());
+        let reply = TokenReply::Accepted { job: id, new: true };
+        self.append_for(Entry::Accepted(accepted), token, reply);
+    }
+
+    pub(crate) fn cancel(&mut self, token: Token, jobs: &[JobId]) {
+        if let Some(reason) = self.refusal() {
+            self.reply(token, TokenReply::NotRun(reason));
+            return;
+        }
+        if jobs.len() > CANCELLED_MAX {
+            self.reply(token, TokenReply::NotRun(NotRun::Overloaded));
+            return;
+        }
+        let mut known = Vec::new();
+        let mut fresh = Vec::new();
+        for &id in jobs {
+            let state = self.ledger.jobs.get(&id).map(|job| job.state);
+            let is_waiting = self.accepting.contains_key(&id);
+            if state.is_none() && !is_waiting {
+                continue;
+            }
+            known.push(id);
+            if !matches!(state, Some(JobState::Cancelled | JobState::Ended)) {
+                fresh.push(id.0);
+            }
+        }
+        let reply = TokenReply::Cancelled(known);
+        if fresh.is_empty() {
+            self.reply(token, reply);
+            return;
+        }
+        // One record, so that the whole wave is committed or none of it.
+        let jobs = fresh;
+        self.append_for(Entry::Cancelled(Cancelled { jobs }), token, reply);
+    }
+
+    pub(crate) fn claim_key(&mut self, token: Token, key: RequestKey) {
+        if let Some(known) = self.ledger.keys.reply(key) {
+            self.reply(token, TokenReply::Key(known));
+            return;
+        }
+        if let Some(reason) = self.refusal() {
+            self.reply(token, TokenReply::NotRun(reason));
+            return;
+        }
+        if !self.claiming.insert(key) {
+            self.reply(token, TokenReply::Key(KeyReply::Unknown));
+            return;
+        }
+        let entry = Entry::Claimed(KeyEntry::of(key, Vec::new()));
+        self.append_for(entry, token, TokenReply::Key(KeyReply::Fresh));
+    }
+
+    pub(crate) fn answer_key(&mut self, key: RequestKey, answer: &Arc<[u8]>) {
+        if self.role != Role::Owner || answer.len() > ANSWER_MAX_BYTES {
+            return;
+        }
+        if self.own.waiting.len() >= WAITING_MAX {
+            return;
+        }
+        self.append(Entry::Answered(KeyEntry::of(key, answer.to_vec())));
+    }
+
+    /// A record is not in the journal, or it cannot be told whether it is; waiting repeats get the same reply.
+    pub(crate) fn forget_uncommitted(&mut self, entry: &Entry, reply: &TokenReply) {
+        match entry {
+            Entry::Accepted(accepted) => {
+                let others = self.accepting.remove(&JobId(accepted.job));
+                for token in others.unwrap_or_default() {
+                    self.reply(token, reply.clone());
+                }
+            }
+            Entry::Claimed(key) => {
+                self.claiming.remove(&key.key());
+            }
+            _ => {}
+        }
+    }
+
+    /// Work on tasks that has to be done while their server and cell are still known.
+    pub(crate) fn before_apply(&mut self, entry: &Entry) {
+        let Entry::Ended(ended) = entry else {
+            return;
+        };
+        let first = TaskId::from(ended.first);
+        for offset in 0..ended.tasks {
+            let index = first.index.saturating_add(offset);
+            let ending = self.ledger.task(TaskId { index, ..first });
+            let over = ending.and_then(|task| Some((task.server?, task.attempt)));
+            if let Some((server, attempt)) = over {
+                self.acknowledge(server, attempt);
+            }
+            self.detach(TaskId { index, ..first });
+        }
+    }
+
+    /// Acts on a committed record.
+    pub(crate) fn after_apply(&mut self, entry: &Entry) {
+        match entry {
+            Entry::Accepted(accepted) => self.accepted(accepted),
+            Entry::Bound(bound) => self.bound(bound.task.into()),
+            Entry::Evicted(evicted) => self.evicted(evicted.task.into()),
+            Entry::Cancelled(cancelled) => {
+                for &job in &cancelled.jobs {
+                    self.cancelled(JobId(job));
+                }
+            }
+            Entry::Parked(parked) => self.parking_changed(*parked),
+            Entry::Claimed(key) => {
+                self.claiming.remove(&key.key());
+            }
+            Entry::ServerAdded(server) => self.server_journaled(&server.name),
+            Entry::Ended(_) | Entry::Answered(_) | Entry::ServerGone(_) => {}
+        }
+    }
+
+    fn accepted(&mut self, accepted: &Accepted) {
+        let job = JobId(accepted.job);
+        let size = self.ledger.jobs.get(&job).map(|job| job.spec.size);
+        let demand = u64::from(size.unwrap_or_default().millicores);
+        for run in &accepted.cells {
+            let cell = self
+                .cells
+                .entry(crate::placement::CellKey(run.cell))
+                .or_default();
+            cell.demand_millicores += demand * u64::from(run.tasks);
+        }
+        for index in 0..accepted.tasks {
+            self.queue_new(TaskId { job, index });
+        }
+        let others = self.accepting.remove(&job).unwrap_or_default();
+        for token in others {
+            self.reply(token, TokenReply::Accepted { job, new: false });
+        }
+    }
+
+    fn cancelled(&mut self, job: JobId) {
+        self.failures.remove(&job);
+        let Some(count) = self.ledger.jobs.get(&job).map(|job| job.tasks.len()) else {
+            return;
+        };
+        for index in 0..u32::try_from(count).unwrap_or(u32::MAX) {
+            self.cancel_task(TaskId { job, index });
+        }
+    }
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -1,1 +1,128 @@
-//! Lease arithmetic on echoed stamps.
+//! Lease arithmetic on echoed stamps, and the authority of an owner over tasks (design page, 3.1 and 3.2).
+
+use crate::time::{DurationMs, MonoMs};
+
+/// Length of a task lease, in milliseconds on the clock of the backend server.
+pub const LEASE_MS: u64 = 10_000;
+
+/// Validity of a store confirmation, in milliseconds from the moment its call was sent.
+pub const CONFIRM_MS: u64 = 6_000;
+
+/// Validity of a successor's promise, in milliseconds from the moment the heartbeat was sent.
+pub const PROMISE_MS: u64 = 1_500;
+
+/// When every lease that echoes a stamp received at `received` has certainly ended.
+#[must_use]
+pub fn lease_ended(received: MonoMs, drift_ppm: u64) -> MonoMs {
+    received + DurationMs(LEASE_MS).with_drift(drift_ppm)
+}
+
+/// When every lease that the owner of the previous term granted on a store confirmation has certainly ended, for
+/// a swap of the head answered at `answered`.
+#[must_use]
+pub fn takeover_ended(answered: MonoMs, drift_ppm: u64) -> MonoMs {
+    let confirmation_ended = answered + DurationMs(CONFIRM_MS).with_drift(drift_ppm);
+    lease_ended(confirmation_ended, drift_ppm)
+}
+
+/// When every lease granted on a promise, or at rank 1, of a released term has certainly ended, for a release that
+/// arrived at `arrived`.
+#[must_use]
+pub fn release_ended(arrived: MonoMs, drift_ppm: u64) -> MonoMs {
+    let promise_ended = arrived + DurationMs(PROMISE_MS).with_drift(drift_ppm);
+    lease_ended(promise_ended, drift_ppm)
+}
+
+/// The owner's side: what entitles it to renew leases and to start tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Authority {
+    confirmed: Option<MonoMs>,
+    promised: Option<MonoMs>,
+    forever: bool,
+}
+
+impl Authority {
+    /// Takes in a read or commit that showed the owner's own term; `sent` is when that call was sent.
+    pub fn confirm(&mut self, sent: MonoMs) {
+        self.confirmed = self.confirmed.max(Some(sent));
+    }
+
+    /// Takes in a promise of the designated successor; `sent` is when the heartbeat that it answers was sent.
+    pub fn promise(&mut self, sent: MonoMs, forever: bool) {
+        self.promised = self.promised.max(Some(sent));
+        self.forever |= forever;
+    }
+
+    /// Drops the promise, because the term that it was given for may have ended.
+    pub fn drop_promise(&mut self) {
+        self.promised = None;
+        self.forever = false;
+    }
+
+    /// Whether a store confirmation is valid.
+    #[must_use]
+    pub fn is_confirmed(&self, now: MonoMs) -> bool {
+        let sent = self.confirmed;
+        sent.is_some_and(|sent| now < sent + DurationMs(CONFIRM_MS))
+    }
+
+    /// Whether a promise is valid. It proves that the successor has used rank 1 of the term at no time up to now,
+    /// since a holder of rank 1 gives no promise.
+    #[must_use]
+    pub fn is_promised(&self, now: MonoMs) -> bool {
+        let sent = self.promised;
+        self.forever || sent.is_some_and(|sent| now < sent + DurationMs(PROMISE_MS))
+    }
+
+    /// Whether the successor will never take over this term.
+    #[must_use]
+    pub fn is_promised_forever(&self) -> bool {
+        self.forever
+    }
+
+    /// Whether the owner may renew leases and start tasks.
+    #[must_use]
+    pub fn holds(&self, now: MonoMs) -> bool {
+        self.is_confirmed(now) || self.is_promised(now)
+    }
+}
+
+/// The successor's side: the term that it promised not to take over, and until when.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Grant {
+    term: u64,
+    until: MonoMs,
+    forever: bool,
+}
+
+impl Grant {
+    /// Promises not to take over `term` for `PROMISE_MS` from now. The owner's clock may run slower than this one,
+    /// so the drift is added on this side.
+    pub fn give(&mut self, now: MonoMs, term: u64, drift_ppm: u64) {
+        let until = now + DurationMs(PROMISE_MS).with_drift(drift_ppm);
+        let forever = self.forever && self.term == term;
+        *self = Self {
+            term,
+            until,
+            forever,
+        };
+    }
+
+    /// Promises never to take over `term`.
+    pub fn give_forever(&mut self, term: u64) {
+        self.term = term;
+        self.forever = true;
+    }
+
+    /// Whether a promise forbids to take over `term` now.
+    #[must_use]
+    pub fn binds(&self, now: MonoMs, term: u64) -> bool {
+        self.term == term && (self.forever || now < self.until)
+    }
+
+    /// When the promise for `term` lapses, if one binds.
+    #[must_use]
+    pub fn lapses(&self, term: u64) -> Option<MonoMs> {
+        (self.term == term && !self.forever).then_some(self.until)
+    }
+}
--- /dev/null
+++ b/crates/core/src/recovery.rs
@@ -0,0 +1,181 @@
+//! Recovery of a new owner: snapshot and tail first, then the claims of the servers.
+
+use crate::journal::{JournalError, read_entries};
+use crate::ownership::Role;
+use crate::prelude::*;
+use crate::servers::{Journaled, Standing};
+use crate::shard::{Call, Shard};
+use crate::snapshot::verify;
+use crate::tasks::{JobState, Ledger, Phase};
+
+/// Time after which an unreadable journal is read again, in milliseconds.
+const RETRY_MS: u64 = 2_000;
+
+/// Chunks read so far.
+#[derive(Clone, Debug, Default)]
+pub struct Recovery {
+    bytes: Vec<u8>,
+    read: u32,
+    is_sent: bool,
+    retry_at: MonoMs,
+}
+
+/// Builds the durable state from a snapshot and a tail.
+///
+/// # Errors
+///
+/// Returns [`JournalError`] if a record cannot be decoded.
+pub fn rebuild(snapshot: &[u8], tail: &[u8], now: MonoMs) -> Result<Ledger, JournalError> {
+    let mut ledger = Ledger::default();
+    for bytes in [snapshot, tail] {
+        for entry in read_entries(bytes)? {
+            ledger.apply(&entry, now);
+        }
+    }
+    Ok(ledger)
+}
+
+impl Shard {
+    pub(crate) fn begin_recovery(&mut self) {
+        self.recovery = Recovery::default();
+        self.pump_recovery();
+    }
+
+    /// Reads the next chunk, or finishes when all are read.
+    pub(crate) fn pump_recovery(&mut self) {
+        if self.role != Role::Recovering
+            || self.recovery.is_sent
+            || self.now < self.recovery.retry_at
+        {
+            return;
+        }
+        let next = self
+            .own
+            .snapshot
+            .filter(|reference| self.recovery.read < reference.chunks);
+        let Some(reference) = next else {
+            self.finish_recovery();
+            return;
+        };
+        if !self.budget.take_read(self.now) {
+            return;
+        }
+        self.recovery.is_sent = true;
+        let key = self.chunk_key(&reference, self.recovery.read);
+        self.call_store(Call::ReadChunk, StoreCall::Read { key });
+    }
+
+    pub(crate) fn chunk_read(&mut self, reply: StoreReply) {
+        self.recovery.is_sent = false;
+        if let StoreReply::Value { value, .. } = reply {
+            self.recovery.bytes.extend_from_slice(&value);
+            self.recovery.read += 1;
+        }
+        self.pump_recovery();
+    }
+
+    fn finish_recovery(&mut self) {
+        let bytes = std::mem::take(&mut self.recovery.bytes);
+        let checked = match &self.own.snapshot {
+            Some(reference) => verify(reference, &bytes),
+            None => Ok(()),
+        };
+        let rebuilt = checked.and_then(|()| rebuild(&bytes, &self.own.tail, self.now));
+        if let Ok(ledger) = rebuilt {
+            self.open_ledger(ledger);
+            return;
+        }
+
+        // The chunks may belong to a snapshot that a later owner replaced; they are read again, and the
+        // periodic read of the head tells whether this host still owns the shard.
+        self.recovery = Recovery {
+            retry_at: self.now + DurationMs(RETRY_MS),
+            ..Recovery::default()
+        };
+        self.log("journal_unreadable", None, &self.name.clone());
+    }
+
+    fn open_ledger(&mut self, ledger: Ledger) {
+        self.ledger = ledger;
+        self.role = Role::Owner;
+        for (name, journaled) in self.ledger.servers.clone() {
+            let rack = self.ledger.racks.get(&journaled.cell).cloned();
+            let key = self.fleet.key_or_add(&name, &rack.unwrap_or_default());
+            if let Some(server) = self.fleet.get_mut(key) {
+                server.journaled = Journaled::Yes;
+                server.cell = journaled.cell;
+                server.standing = Standing::Member;
+                if server.size == Resources::default() {
+                    server.size = journaled.size;
+                }
+            }
+            self.register_server(key);
+        }
+        self.hold_tasks();
+        for key in self.fleet.keys() {
+            self.journal_server(key);
+        }
+        self.resolve_cells();
+        self.log("recovered", None, &self.host.name.clone());
+        self.tick_servers();
+    }
+
+    /// Holds every task that is not final until the servers of its cell have answered or their leases have lapsed.
+    fn hold_tasks(&mut self) {
+        let mut held = Vec::new();
+        for (id, task) in self.ledger.open_tasks() {
+            let size = self.ledger.jobs.get(&id.job).map(|job| job.spec.size);
+            held.push((id, task.cell, size.unwrap_or_default()));
+        }
+        for (id, cell, size) in held {
+            let cell = self.cells.entry(cell).or_default();
+            cell.demand_millicores += u64::from(size.millicores);
+            cell.resolved = false;
+            cell.held.push(id);
+        }
+    }
+
+    fn resolve_cells(&mut self) {
+        let cells: Vec<_> = self.cells.keys().copied().collect();
+        for cell in cells {
+            self.resolve_cell(cell);
+        }
+    }
+
+    /// Lets the held tasks of a cell start once every server of the cell has answered this owner or its leases have
+    /// certainly lapsed.
+    pub(crate) fn resolve_cell(&mut self, key: crate::placement::CellKey) {
+        let is_open = self.cells.get(&key).is_some_and(|cell| !cell.resolved);
+        if !is_open {
+            return;
+        }
+        let is_resolved = self.fleet.iter().all(|(_, server)| {
+            let is_member = server.cell == key && server.journaled == Journaled::Yes;
+            !is_member || server.heard.is_some() || server.lapsed
+        });
+        if !is_resolved {
+            return;
+        }
+        let Some(cell) = self.cells.get_mut(&key) else {
+            return;
+        };
+        cell.resolved = true;
+        let held = std::mem::take(&mut cell.held);
+        for task in held {
+            let is_held = self
+                .ledger
+                .task(task)
+                .is_some_and(|task| task.phase == Phase::Held && task.server.is_none());
+            if is_held {
+                self.requeue(task);
+            }
+        }
+        self.place();
+    }
+
+    /// Whether a job's tasks may still be started.
+    pub(crate) fn is_active(&self, job: JobId) -> bool {
+        let job = self.ledger.jobs.get(&job);
+        job.is_some_and(|job| job.state == JobState::Active)
+    }
+}
--- /dev/null
+++ b/crates/core/src/reports.rs
@@ -0,0 +1,314 @@
+//! Reports of backend servers, reconciled with what the owner knows.
+
+use crate::health::PROBE_MS;
+use crate::lease::LEASE_MS;
+use crate::ownership::Role;
+use crate::placement::TaskUsage;
+use crate::prelude::*;
+use crate::shard::Shard;
+use crate::tasks::{Eviction, JobState, Phase, ended_entry, evicted_entry};
+
+/// Where and when a report was written.
+#[derive(Clone, Copy)]
+struct Origin {
+    server: ServerKey,
+    op: OpId,
+    stamp: Stamp,
+    rebooted: bool,
+}
+
+impl Shard {
+    /// Takes in a report. Only the answer to the latest call counts, so reports cannot overtake each other.
+    pub(crate) fn report(&mut self, key: ServerKey, op: OpId, epoch: Epoch, report: Report) {
+        let now = self.now;
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if server.report_op != Some(op) || server.is_gone() {
+            return;
+        }
+        let rebooted = server.heard.is_some() && server.boot_id != report.boot_id;
+        let was_claim = server.acked != Some(epoch);
+        server.report_op = None;
+        server.boot_id = report.boot_id;
+        server.stamp = report.stamp;
+        server.heard = Some(now);
+        server.acked = Some(epoch);
+        server.lapsed = false;
+        let cell = server.cell;
+        if self.role == Role::Owner {
+            let origin = Origin {
+                server: key,
+                op,
+                stamp: report.stamp,
+                rebooted,
+            };
+            self.reconcile(origin, report);
+            self.update_open(key);
+            self.resolve_cell(cell);
+            self.place();
+        } else {
+            server.attempts = report
+                .tasks
+                .iter()
+                .filter(|listed| listed.state == TaskState::Running)
+                .map(|listed| (listed.attempt, listed.task))
+                .collect();
+            server.attempts.sort_unstable();
+        }
+        if was_claim {
+            // The leases of the tasks found are running out.
+            self.ask_report(key);
+        }
+    }
+
+    fn reconcile(&mut self, origin: Origin, report: Report) {
+        let mut listed: Vec<Attempt> = report.tasks.iter().map(|task| task.attempt).collect();
+        listed.sort_unstable();
+        let known = self
+            .fleet
+            .get(origin.server)
+            .map(|server| server.attempts.clone());
+        for (attempt, task) in known.unwrap_or_default() {
+            if listed.binary_search(&attempt).is_err() {
+                self.missing(origin, task, attempt);
+            }
+        }
+        let mut usage = Vec::with_capacity(report.tasks.len());
+        for listed in report.tasks {
+            if listed.state == TaskState::Running {
+                usage.push(TaskUsage {
+                    task: listed.task,
+                    used: listed.used,
+                    slowdown_permille: listed.slowdown_permille,
+                });
+            }
+            self.listed_attempt(origin, listed);
+        }
+        let slowdown = report.request_slowdown_permille;
+        self.scheduler
+            .report(self.now, origin.server, &usage, slowdown);
+    }
+
+    /// An attempt that should be on a server is not in its report.
+    fn missing(&mut self, origin: Origin, id: TaskId, attempt: Attempt) {
+        let Some(task) = self.ledger.task(id).filter(|task| task.attempt == attempt) else {
+            if let Some(server) = self.fleet.get_mut(origin.server) {
+                server.drop_attempt(attempt, id);
+            }
+            return;
+        };
+        let was_known = task.phase != Phase::Starting && task.confirmed_op != OpId(0);
+        // Before that the start may still be on its way; a start is refused once its lease would have ended.
+        let cannot_start = origin.stamp.0 > task.start_stamp.0 + LEASE_MS;
+        let is_gone =
+            origin.rebooted || cannot_start || (was_known && origin.op > task.confirmed_op);
+        if is_gone {
+            self.attempt_gone(id, attempt);
+        }
+    }
+
+    /// An attempt is certainly not running any more, and its server will say nothing more of it.
+    pub(crate) fn attempt_gone(&mut self, id: TaskId, attempt: Attempt) {
+        let Some(task) = self
+            .ledger
+            .task_mut(id)
+            .filter(|task| task.attempt == attempt)
+        else {
+            return;
+        };
+        match task.phase {
+            Phase::Starting
+            | Phase::Running
+            | Phase::Stopping
+            | Phase::Evicting(Eviction::Checkpoint | Eviction::Stop) => self.requeue(id),
+            Phase::Evicting(Eviction::Record) => {
+                task.phase = Phase::Evicting(Eviction::Stopped);
+                self.free_server(id);
+            }
+            _ => {}
+        }
+    }
+
+    fn listed_attempt(&mut self, origin: Origin, listed: TaskReport) {
+        let Some(task) = self.ledger.task(listed.task) else {
+            self.settle_stray(origin.server, &listed);
+            return;
+        };
+        let is_current = task.server == Some(origin.server) && task.attempt == listed.attempt;
+        let is_newer = listed.attempt > task.attempt;
+        let is_over = matches!(task.phase, Phase::Ended | Phase::Ending);
+        // The attempt ended before its lease was taken as lapsed.
+        let ended_unseen = task.server.is_none()
+            && task.attempt == listed.attempt
+            && listed.state == TaskState::Succeeded;
+        if is_current {
+            self.current_attempt(origin, listed);
+        } else if !is_over && (is_newer || ended_unseen) {
+            self.adopt(origin, &listed);
+            self.current_attempt(origin, listed);
+        } else {
+            self.settle_stray(origin.server, &listed);
+        }
+    }
+
+    /// An attempt that is not the current one of a task: it is stopped, or forgotten if it has ended.
+    fn settle_stray(&mut self, key: ServerKey, listed: &TaskReport) {
+        if listed.state == TaskState::Running {
+            self.log_stray(key, listed.task);
+            self.stop_attempt(key, listed.attempt);
+            return;
+        }
+        self.acknowledge(key, listed.attempt);
+    }
+
+    fn log_stray(&mut self, key: ServerKey, task: TaskId) {
+        let name = self.fleet.get(key).map(|server| server.name.clone());
+        self.log("stray_attempt", Some(task), &name.unwrap_or_default());
+    }
+
+    pub(crate) fn acknowledge(&mut self, key: ServerKey, attempt: Attempt) {
+        if let Some(server) = self.fleet.get_mut(key)
+            && !server.acks.contains(&attempt)
+        {
+            server.acks.push(attempt);
+        }
+    }
+
+    /// Takes over an attempt that an earlier owner started.
+    fn adopt(&mut self, origin: Origin, listed: &TaskReport) {
+        let id = listed.task;
+        let earlier = self.ledger.task(id).map(|task| (task.server, task.attempt));
+        if let Some((Some(server), attempt)) = earlier {
+            self.stop_attempt(server, attempt);
+        }
+        let job_state = self.ledger.jobs.get(&id.job).map(|job| job.state);
+        self.free_server(id);
+        let cell = self.ledger.task(id).map(|task| task.cell);
+        if let Some(cell) = cell.and_then(|cell| self.cells.get_mut(&cell)) {
+            cell.pending.remove(&id);
+        }
+        if let Some(task) = self.ledger.task_mut(id) {
+            task.server = Some(origin.server);
+            task.attempt = listed.attempt;
+            task.start_stamp = Stamp(0);
+            task.confirmed_op = origin.op;
+            task.phase = if job_state == Some(JobState::Cancelled) {
+                Phase::Stopping
+            } else {
+                Phase::Running
+            };
+        }
+        if let Some(server) = self.fleet.get_mut(origin.server) {
+            server.add_attempt(listed.attempt, id);
+        }
+        if let Some(request) = self.request(id) {
+            self.scheduler.adopt(self.now, &request, origin.server);
+        }
+    }
+
+    /// Frees what a task had reserved and takes its attempt off the server's list; the task stays in its cell.
+    fn free_server(&mut self, id: TaskId) {
+        self.scheduler.remove(self.now, id);
+        let Some(task) = self.ledger.task(id) else {
+            return;
+        };
+        let attempt = task.attempt;
+        if let Some(server) = task.server.and_then(|key| self.fleet.get_mut(key)) {
+            server.drop_attempt(attempt, id);
+        }
+    }
+
+    fn current_attempt(&mut self, origin: Origin, listed: TaskReport) {
+        let id = listed.task;
+        match listed.state {
+            TaskState::Running => self.still_running(origin, id),
+            TaskState::Succeeded => self.succeeded(origin.server, id),
+            TaskState::Failed { .. } => self.failed(origin.server, id),
+            TaskState::Stopped => self.stopped(origin.server, id, listed),
+        }
+    }
+
+    fn still_running(&mut self, origin: Origin, id: TaskId) {
+        let now = self.now;
+        let store_is_up = !self.budget.is_down();
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        let attempt = task.attempt;
+        match task.phase {
+            Phase::Starting => {
+                task.phase = Phase::Running;
+                task.confirmed_op = origin.op;
+            }
+            Phase::Stopping | Phase::Evicting(Eviction::Stop) => {
+                self.stop_attempt(origin.server, attempt);
+            }
+            Phase::Evicting(Eviction::Checkpoint) if store_is_up => {
+                self.ask_checkpoint(origin.server, id, attempt);
+            }
+            _ => {}
+        }
+        let server = self.fleet.get(origin.server);
+        let is_cured = server.is_some_and(|server| server.health.has_probe_run(now, PROBE_MS));
+        if is_cured {
+            self.start_succeeded(origin.server, id.job);
+        }
+    }
+
+    fn succeeded(&mut self, key: ServerKey, id: TaskId) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        match task.phase {
+            Phase::Ending => return,
+            Phase::Stopping => {
+                let attempt = task.attempt;
+                self.acknowledge(key, attempt);
+                self.requeue(id);
+                return;
+            }
+            _ => task.phase = Phase::Ending,
+        }
+        self.free_server(id);
+        self.start_succeeded(key, id.job);
+        self.append(ended_entry(id.job, id.index, 1));
+    }
+
+    fn failed(&mut self, key: ServerKey, id: TaskId) {
+        let Some(task) = self.ledger.task(id) else {
+            return;
+        };
+        let (attempt, phase) = (task.attempt, task.phase);
+        self.acknowledge(key, attempt);
+        if phase == Phase::Stopping {
+            self.requeue(id);
+            return;
+        }
+        let retry = self.start_failed(key, id.job, true);
+        self.hold_until(id, retry);
+    }
+
+    /// An attempt was stopped, on command or because its lease lapsed while nobody renewed it.
+    fn stopped(&mut self, key: ServerKey, id: TaskId, listed: TaskReport) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        match (task.phase, listed.checkpoint) {
+            (Phase::Evicting(Eviction::Stopped) | Phase::Ending, _) => {}
+            (Phase::Evicting(Eviction::Record), _) => {
+                task.phase = Phase::Evicting(Eviction::Stopped);
+                self.free_server(id);
+            }
+            (Phase::Evicting(Eviction::Stop) | Phase::Stopping, _) | (_, None) => {
+                self.acknowledge(key, listed.attempt);
+                self.requeue(id);
+            }
+            (_, Some(checkpoint)) => {
+                task.phase = Phase::Evicting(Eviction::Stopped);
+                self.free_server(id);
+                self.append(evicted_entry(id, listed.attempt, &checkpoint));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/servers.rs
@@ -0,0 +1,435 @@
+//! The backend servers of a shard as this host knows them, and the calls that renew leases.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::health::Health;
+use crate::lease::{LEASE_MS, lease_ended, release_ended};
+use crate::ownership::Role;
+use crate::placement::CellKey;
+use crate::prelude::*;
+use crate::shard::{Call, Outstanding, Shard};
+
+/// Time between two renewals at one server, in milliseconds. At 22 tasks a report is about 5 KB of JSON, so 2 s keeps
+/// a server's control traffic under 5 KB/s and allows four lost renewals before a lease lapses.
+pub const RENEW_MS: u64 = 2_000;
+
+/// Time without a report after which a server gets no new work, in milliseconds.
+pub const SILENT_MS: u64 = 3_000;
+
+/// Time after a refused claim or a lost report before the next try, in milliseconds.
+const RETRY_MS: u64 = 500;
+
+/// Whether the journal names a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Journaled {
+    /// It does not.
+    #[default]
+    No,
+    /// The record is being committed.
+    Waiting,
+    /// It does; tasks may be placed on it.
+    Yes,
+}
+
+/// Whether a server stays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Standing {
+    /// It stays.
+    #[default]
+    Member,
+    /// The host list says that it is leaving.
+    Leaving,
+    /// It left, or was declared gone.
+    Gone,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    /// Name.
+    pub name: SmolStr,
+    /// Rack.
+    pub rack: SmolStr,
+    /// Cell, once the journal names the server.
+    pub cell: CellKey,
+    /// What it can hold for batch.
+    pub size: Resources,
+    /// Whether it stays.
+    pub standing: Standing,
+    /// Whether the journal names it.
+    pub journaled: Journaled,
+    /// Epoch under which it last answered this host, in the present role.
+    pub acked: Option<Epoch>,
+    /// Highest epoch for which it refused a command of this host.
+    pub fenced: Option<Epoch>,
+    /// Latest stamp.
+    pub stamp: Stamp,
+    /// Boot that wrote the latest stamp.
+    pub boot_id: u64,
+    /// When the latest report arrived.
+    pub heard: Option<MonoMs>,
+    /// Outstanding call for a report.
+    pub report_op: Option<OpId>,
+    /// When the next report is due.
+    pub next_report: MonoMs,
+    /// Attempts that may run there, sorted.
+    pub attempts: Vec<(Attempt, TaskId)>,
+    /// Ended attempts that the server may forget.
+    pub acks: Vec<Attempt>,
+    /// Whether its leases have certainly lapsed since the latest report.
+    pub lapsed: bool,
+    /// Failures of starts.
+    pub health: Health,
+    /// Whether the scheduler may place tasks there.
+    pub open: bool,
+}
+
+impl Server {
+    /// Whether no report has arrived for `SILENT_MS`.
+    #[must_use]
+    pub fn is_silent(&self, now: MonoMs) -> bool {
+        let heard = self.heard;
+        heard.is_none_or(|heard| now >= heard + DurationMs(SILENT_MS))
+    }
+
+    /// Whether the server is leaving but not gone.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.standing == Standing::Leaving
+    }
+
+    /// Whether the server left or was declared gone.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.standing == Standing::Gone
+    }
+
+    pub(crate) fn add_attempt(&mut self, attempt: Attempt, task: TaskId) {
+        if let Err(at) = self.attempts.binary_search(&(attempt, task)) {
+            self.attempts.insert(at, (attempt, task));
+        }
+    }
+
+    pub(crate) fn drop_attempt(&mut self, attempt: Attempt, task: TaskId) {
+        if let Ok(at) = self.attempts.binary_search(&(attempt, task)) {
+            self.attempts.remove(at);
+        }
+    }
+}
+
+/// Arena of servers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    servers: Vec<Server>,
+    names: BTreeMap<SmolStr, ServerKey>,
+}
+
+impl Fleet {
+    /// The server of a key.
+    #[must_use]
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key.0 as usize)
+    }
+
+    /// The server of a key.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(key.0 as usize)
+    }
+
+    /// The key of a name.
+    #[must_use]
+    pub fn key(&self, name: &str) -> Option<ServerKey> {
+        self.names.get(name).copied()
+    }
+
+    /// The key of a name; adds the server if it is new.
+    pub fn key_or_add(&mut self, name: &SmolStr, rack: &SmolStr) -> ServerKey {
+        if let Some(key) = self.key(name) {
+            return key;
+        }
+        let key = ServerKey(u32::try_from(self.servers.len()).unwrap_or(u32::MAX));
+        self.servers.push(Server {
+            name: name.clone(),
+            rack: rack.clone(),
+            ..Server::default()
+        });
+        self.names.insert(name.clone(), key);
+        key
+    }
+
+    /// All servers that are not gone, with their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        let keys = (0..).map(ServerKey);
+        keys.zip(&self.servers)
+            .filter(|(_, server)| !server.is_gone())
+    }
+
+    /// Keys of all servers that are not gone.
+    #[must_use]
+    pub fn keys(&self) -> Vec<ServerKey> {
+        self.iter().map(|(key, _)| key).collect()
+    }
+
+    /// Forgets what an earlier role learned of the servers.
+    pub fn reset(&mut self) {
+        for server in &mut self.servers {
+            *server = Server {
+                name: std::mem::take(&mut server.name),
+                rack: std::mem::take(&mut server.rack),
+                size: server.size,
+                standing: server.standing,
+                ..Server::default()
+            };
+        }
+    }
+}
+
+impl Shard {
+    /// Takes in what the host list says of a server.
+    pub(crate) fn listed(
+        &mut self,
+        name: &SmolStr,
+        rack: &SmolStr,
+        size: Resources,
+        leaving: bool,
+    ) {
+        let key = self.fleet.key_or_add(name, rack);
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if server.is_gone() && leaving {
+            return;
+        }
+        let resized = server.size != size;
+        server.size = size;
+        server.standing = if leaving {
+            Standing::Leaving
+        } else {
+            Standing::Member
+        };
+        let journaled = server.journaled == Journaled::Yes;
+        let cell = server.cell;
+        if self.role != Role::Owner {
+            return;
+        }
+        if journaled && resized {
+            self.scheduler.put_server(key, cell, size);
+            self.cell_sizes_changed();
+            self.unpark_fitting();
+            self.park_too_large();
+        }
+        if leaving {
+            self.leave(key);
+        }
+        self.journal_server(key);
+        self.update_open(key);
+    }
+
+    /// Asks for a report from every server that is due, and finds leases that have lapsed.
+    pub(crate) fn tick_servers(&mut self) {
+        if self.command_epoch().is_none() {
+            return;
+        }
+        for key in self.fleet.keys() {
+            let Some(server) = self.fleet.get(key) else {
+                continue;
+            };
+            if server.report_op.is_none() && self.now >= server.next_report {
+                self.ask_report(key);
+            }
+            if self.role == Role::Owner {
+                self.check_lapse(key);
+                self.update_open(key);
+            }
+        }
+    }
+
+    /// Sends a claim or a renewal, unless one is outstanding.
+    pub(crate) fn ask_report(&mut self, key: ServerKey) {
+        let Some(epoch) = self.command_epoch() else {
+            return;
+        };
+        let may_renew = epoch.rank == 1 || self.own.authority.holds(self.now);
+        let next_report = self.now + DurationMs(RENEW_MS);
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if server.report_op.is_some() || server.is_gone() || server.fenced >= Some(epoch) {
+            return;
+        }
+        server.next_report = next_report;
+        let command = if server.acked == Some(epoch) {
+            let attempts = server.attempts.iter().map(|(attempt, _)| *attempt);
+            ServerCommand::Renew {
+                stamp: server.stamp,
+                lease_ms: LEASE_MS,
+                attempts: if may_renew {
+                    attempts.collect()
+                } else {
+                    Vec::new()
+                },
+                acknowledged: std::mem::take(&mut server.acks),
+            }
+        } else {
+            ServerCommand::Claim
+        };
+        server.report_op = Some(OpId(self.last_op + 1));
+        self.command(Call::Report(key), key, command);
+    }
+
+    /// A call for a report ended without one.
+    pub(crate) fn no_report(&mut self, key: ServerKey, op: OpId) {
+        let retry = self.now + DurationMs(RETRY_MS);
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if server.report_op != Some(op) {
+            return;
+        }
+        server.report_op = None;
+        server.next_report = server.next_report.min(retry);
+    }
+
+    /// A server refused an epoch. Its tasks count as running there until it answers again.
+    pub(crate) fn fenced(&mut self, outstanding: &Outstanding, highest: Epoch) {
+        let Some(key) = outstanding.call.server() else {
+            return;
+        };
+        let retry = self.now + DurationMs(RETRY_MS);
+        if let Some(server) = self.fleet.get_mut(key) {
+            if matches!(outstanding.call, Call::Report(_)) {
+                server.report_op = None;
+                server.next_report = retry;
+            }
+            server.acked = None;
+            server.fenced = server.fenced.max(Some(highest));
+        }
+        if let Call::Start(_, task, attempt) = outstanding.call {
+            self.start_refused(key, task, attempt, false);
+        }
+        self.fenced_by(highest);
+        if self.role == Role::Owner {
+            self.update_open(key);
+        }
+    }
+
+    /// When the leases of a server that does not answer have certainly ended, if that is known.
+    pub(crate) fn lapse_at(&self, server: &Server) -> Option<MonoMs> {
+        let drift_ppm = self.config.clock_drift_ppm;
+        let acked_term = server.acked.map_or(0, |epoch| epoch.term);
+        let mut at = match server.heard {
+            Some(heard) => lease_ended(heard, drift_ppm),
+            None => self.own.wait_until,
+        };
+        for entry in &self.own.unreleased {
+            if entry.term >= acked_term {
+                at = at.max(release_ended(entry.released?, drift_ppm));
+            }
+        }
+        Some(at)
+    }
+
+    /// Whether the designated successor has certainly not renewed leases at rank 1 of the present term.
+    pub(crate) fn excludes_rank_1(&self) -> bool {
+        let authority = &self.own.authority;
+        match &self.own.successor {
+            Some(_) => authority.is_promised(self.now),
+            None => authority.holds(self.now),
+        }
+    }
+
+    fn check_lapse(&mut self, key: ServerKey) {
+        let Some(server) = self.fleet.get(key) else {
+            return;
+        };
+        if server.lapsed || !server.is_silent(self.now) || !self.excludes_rank_1() {
+            return;
+        }
+        if self.lapse_at(server).is_none_or(|at| self.now < at) {
+            return;
+        }
+        self.lapse(key);
+    }
+
+    /// Treats a server as running nothing.
+    pub(crate) fn lapse(&mut self, key: ServerKey) {
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        server.lapsed = true;
+        server.acked = None;
+        let name = server.name.clone();
+        let cell = server.cell;
+        let attempts = std::mem::take(&mut server.attempts);
+        self.update_open(key);
+        self.log("server_lapsed", None, &name);
+        for (attempt, task) in attempts {
+            self.attempt_gone(task, attempt);
+        }
+        self.resolve_cell(cell);
+        self.retire(key);
+    }
+
+    /// Tells the scheduler whether tasks may be placed on a server.
+    pub(crate) fn update_open(&mut self, key: ServerKey) {
+        let epoch = self.command_epoch();
+        let owner = self.role == Role::Owner;
+        let now = self.now;
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let open = owner
+            && server.journaled == Journaled::Yes
+            && server.standing == Standing::Member
+            && !server.lapsed
+            && server.acked.is_some()
+            && server.acked == epoch
+            && !server.is_silent(now)
+            && server.health.allows_start(now);
+        if server.open != open {
+            server.open = open;
+            self.scheduler.set_open(key, open);
+        }
+    }
+
+    /// An operator declares that nothing runs on a server.
+    pub(crate) fn declared_gone(&mut self, name: &SmolStr) {
+        let Some(key) = self.fleet.key(name) else {
+            return;
+        };
+        if self.role == Role::Owner {
+            self.lapse(key);
+        }
+        self.forget_server(key);
+    }
+
+    /// Forgets a leaving server once its leases have lapsed or it is empty and silent.
+    fn retire(&mut self, key: ServerKey) {
+        let Some(server) = self.fleet.get(key) else {
+            return;
+        };
+        if server.is_leaving() && server.lapsed {
+            self.forget_server(key);
+        }
+    }
+
+    fn forget_server(&mut self, key: ServerKey) {
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        server.standing = Standing::Gone;
+        let was_journaled = server.journaled == Journaled::Yes;
+        let (name, cell) = (server.name.clone(), server.cell);
+        server.journaled = Journaled::No;
+        if self.role != Role::Owner || !was_journaled {
+            return;
+        }
+        self.scheduler.set_open(key, false);
+        self.scheduler.put_server(key, cell, Resources::default());
+        self.append(crate::journal::Entry::ServerGone(name.to_string()));
+        self.cell_sizes_changed();
+        self.park_too_large();
+    }
+}
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -1,9 +1,28 @@
 //! One shard: events in, actions out.
 
-use smol_str::SmolStr;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::placement::Objective;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::budget::StoreBudget;
+use crate::cells::Cell;
+use crate::event::Notice;
+use crate::health::JobFailures;
+use crate::ownership::{Duty, Own, Peers, Role, Seen};
+use crate::placement::{CellKey, Objective, Scheduler};
 use crate::prelude::*;
+use crate::recovery::Recovery;
+use crate::servers::Fleet;
+use crate::tasks::{Ledger, Retries};
+
+/// Store writes a second that one shard may use unless set otherwise.
+pub const DEFAULT_WRITES_PER_S: u32 = 20;
+
+/// Store reads a second that one shard may use unless set otherwise.
+pub const DEFAULT_READS_PER_S: u32 = 50;
+
+/// Time after which a call without an answer counts as lost, in milliseconds. An answer that arrives later is ignored.
+pub const CALL_TIMEOUT_MS: u64 = 3_000;
 
 /// What a shard is told at its start.
 #[derive(Clone, Debug)]
@@ -22,22 +41,282 @@
     pub clock_drift_ppm: u64,
 }
 
+/// What an outstanding call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Call {
+    ReadHead,
+    Takeover,
+    Commit,
+    WriteChunk,
+    ReadChunk,
+    DeleteChunk,
+    Report(ServerKey),
+    Start(ServerKey, TaskId, Attempt),
+    Checkpoint(ServerKey, TaskId, Attempt),
+    Stop(ServerKey),
+    Throttle(ServerKey),
+}
+
+impl Call {
+    /// The server that is called.
+    pub(crate) fn server(self) -> Option<ServerKey> {
+        match self {
+            Self::Report(key)
+            | Self::Start(key, ..)
+            | Self::Checkpoint(key, ..)
+            | Self::Stop(key)
+            | Self::Throttle(key) => Some(key),
+            _ => None,
+        }
+    }
+}
+
+/// A call without an answer so far.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outstanding {
+    pub call: Call,
+    pub sent: MonoMs,
+    pub epoch: Epoch,
+}
+
 /// The state of one shard at one entry host of its failure domain, whether or not that host owns it.
 pub struct Shard {
-    _config: ShardConfig,
-    _host: HostId,
+    pub(crate) config: ShardConfig,
+    pub(crate) host: HostId,
+    /// `<failure domain>/<number>`, the subject of rendezvous hashing.
+    pub(crate) name: SmolStr,
+    pub(crate) now: MonoMs,
+    pub(crate) opened: MonoMs,
+    pub(crate) unix_offset_ms: Option<u64>,
+    pub(crate) out: Vec<Action>,
+    pub(crate) last_op: u64,
+    pub(crate) ops: BTreeMap<OpId, Outstanding>,
+    pub(crate) budget: StoreBudget,
+    pub(crate) peers: Peers,
+    pub(crate) role: Role,
+    pub(crate) duty: Duty,
+    pub(crate) seen: Option<Seen>,
+    pub(crate) own: Own,
+    pub(crate) recovery: Recovery,
+    pub(crate) ledger: Ledger,
+    pub(crate) fleet: Fleet,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) cells: BTreeMap<CellKey, Cell>,
+    pub(crate) quotas: BTreeMap<SmolStr, u32>,
+    pub(crate) retries: Retries,
+    pub(crate) failures: BTreeMap<JobId, JobFailures>,
+    pub(crate) accepting: BTreeMap<JobId, Vec<Token>>,
+    pub(crate) claiming: BTreeSet<RequestKey>,
+    pub(crate) last_counter: u64,
+    pub(crate) shutting_down: bool,
 }
 
 impl Shard {
     /// Opens the shard without knowledge of its owner.
     #[must_use]
-    pub fn new(config: ShardConfig, host: HostId, _now: MonoMs) -> Self {
+    pub fn new(config: ShardConfig, host: HostId, now: MonoMs) -> Self {
+        let name = format_smolstr!("{}/{}", config.failure_domain, config.number);
+        let seed = config.seed ^ host.incarnation;
         Self {
-            _config: config,
-            _host: host,
+            budget: StoreBudget::open(DEFAULT_WRITES_PER_S, DEFAULT_READS_PER_S, seed, now),
+            scheduler: Scheduler::open(config.objective, config.seed),
+            config,
+            host,
+            name,
+            now,
+            opened: now,
+            unix_offset_ms: None,
+            out: Vec::new(),
+            last_op: 0,
+            ops: BTreeMap::new(),
+            peers: Peers::default(),
+            role: Role::Observer,
+            duty: Duty::default(),
+            seen: None,
+            own: Own::default(),
+            recovery: Recovery::default(),
+            ledger: Ledger::default(),
+            fleet: Fleet::default(),
+            cells: BTreeMap::new(),
+            quotas: BTreeMap::new(),
+            retries: Retries::new(),
+            failures: BTreeMap::new(),
+            accepting: BTreeMap::new(),
+            claiming: BTreeSet::new(),
+            last_counter: 0,
+            shutting_down: false,
         }
     }
 
+    /// Sets the share of the store's rates that this shard may use.
+    pub fn set_store_rates(&mut self, writes_per_s: u32, reads_per_s: u32) {
+        let seed = self.config.seed ^ self.host.incarnation;
+        self.budget = StoreBudget::open(writes_per_s, reads_per_s, seed, self.now);
+    }
+
+    /// Sets the quota of a team, the weight of its share.
+    pub fn set_quota(&mut self, team: &str, weight: u32) {
+        self.quotas.insert(team.into(), weight);
+        self.scheduler.set_quota(team, weight);
+    }
+
     /// Takes one event and appends the actions that it asks for.
-    pub fn handle(&mut self, _now: MonoMs, _event: Event, _actions: &mut Vec<Action>) {}
+    pub fn handle(&mut self, now: MonoMs, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        std::mem::swap(&mut self.out, actions);
+        self.dispatch(event);
+        self.pump_commit();
+        std::mem::swap(&mut self.out, actions);
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Submit { token, job } => self.submit(token, &job),
+            Event::Cancel { token, jobs } => self.cancel(token, &jobs),
+            Event::ClaimKey { token, key } => self.claim_key(token, key),
+            Event::AnswerKey { key, answer } => self.answer_key(key, &answer),
+            Event::Store { op, reply } => self.store_reply(op, reply),
+            Event::Server { op, reply } => self.server_reply(op, reply),
+            Event::PromiseAsked { owner, term, sent } => self.promise_asked(&owner, term, sent),
+            Event::Promised {
+                from,
+                term,
+                sent,
+                forever,
+            } => self.promised(&from, term, sent, forever),
+            Event::TermSeen { owner, term } => self.term_seen(&owner, term),
+            Event::ReleaseAsked { owner, term } => self.release_asked(&owner, term),
+            Event::Released { from, term } => self.released(&from, term),
+            Event::WallClock { unix_ms } => {
+                self.unix_offset_ms = unix_ms.checked_sub(self.now.0);
+            }
+            Event::Suspicion { host, suspected } => self.suspicion(&host, suspected),
+            Event::Listed {
+                server,
+                rack,
+                size,
+                leaving,
+            } => self.listed(&server, &rack, size, leaving),
+            Event::DeclaredGone { server } => self.declared_gone(&server),
+            Event::Pressure { server, need } => self.pressure(&server, need),
+            Event::Shutdown => self.shut_down(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.expire_calls();
+        self.tick_ownership();
+        self.tick_servers();
+        if self.role == Role::Owner {
+            self.tick_tasks();
+        }
+    }
+
+    /// Treats calls that were sent too long ago as lost. Calls are numbered in the order of sending.
+    fn expire_calls(&mut self) {
+        while let Some((&op, outstanding)) = self.ops.first_key_value() {
+            if self.now < outstanding.sent + DurationMs(CALL_TIMEOUT_MS) {
+                return;
+            }
+            match outstanding.call.server() {
+                Some(_) => self.server_reply(op, ServerReply::Lost),
+                None => self.store_reply(op, StoreReply::Lost),
+            }
+        }
+    }
+
+    fn store_reply(&mut self, op: OpId, reply: StoreReply) {
+        let Some(outstanding) = self.ops.remove(&op) else {
+            return;
+        };
+        let answered = !matches!(reply, StoreReply::Unavailable | StoreReply::Lost);
+        self.budget.outcome(self.now, answered);
+        let sent = outstanding.sent;
+        match outstanding.call {
+            Call::ReadHead => self.head_read(sent, &reply),
+            Call::Takeover => self.takeover_answered(sent, &reply),
+            Call::Commit => self.commit_answered(sent, &reply),
+            Call::WriteChunk => self.chunk_written(&reply),
+            Call::ReadChunk => self.chunk_read(reply),
+            Call::DeleteChunk => self.chunk_deleted(answered),
+            _ => {}
+        }
+    }
+
+    fn server_reply(&mut self, op: OpId, reply: ServerReply) {
+        let Some(outstanding) = self.ops.remove(&op) else {
+            return;
+        };
+        if let ServerReply::Fenced { highest } = reply {
+            self.fenced(&outstanding, highest);
+            return;
+        }
+        match outstanding.call {
+            Call::Report(server) => match reply {
+                ServerReply::Report(report) => {
+                    self.report(server, op, outstanding.epoch, report);
+                }
+                _ => self.no_report(server, op),
+            },
+            Call::Start(server, task, attempt) => {
+                self.start_answered(server, task, attempt, &reply);
+            }
+            Call::Checkpoint(_, task, attempt) => self.checkpoint_answered(task, attempt, reply),
+            Call::Stop(server) => self.ask_report(server),
+            _ => {}
+        }
+    }
+
+    /// Key of the head.
+    pub(crate) fn head_key(&self) -> SmolStr {
+        format_smolstr!("shard/{}/head", self.name)
+    }
+
+    pub(crate) fn call_store(&mut self, call: Call, store: StoreCall) -> OpId {
+        let op = self.open_call(call, Epoch::default());
+        self.out.push(Action::Store { op, call: store });
+        op
+    }
+
+    pub(crate) fn open_call(&mut self, call: Call, epoch: Epoch) -> OpId {
+        self.last_op += 1;
+        let op = OpId(self.last_op);
+        let sent = self.now;
+        self.ops.insert(op, Outstanding { call, sent, epoch });
+        op
+    }
+
+    /// Sends a command under the current epoch; does nothing for a host that may command no server.
+    pub(crate) fn command(&mut self, call: Call, server: ServerKey, command: ServerCommand) {
+        let Some(epoch) = self.command_epoch() else {
+            return;
+        };
+        let Some(name) = self.fleet.get(server).map(|server| server.name.clone()) else {
+            return;
+        };
+        let op = self.open_call(call, epoch);
+        self.out.push(Action::Command {
+            op,
+            server,
+            name,
+            epoch,
+            command,
+        });
+    }
+
+    pub(crate) fn reply(&mut self, token: Token, reply: TokenReply) {
+        self.out.push(Action::Reply { token, reply });
+    }
+
+    pub(crate) fn log(&mut self, event: &'static str, task: Option<TaskId>, subject: &SmolStr) {
+        let term = self.own.term;
+        let subject = subject.clone();
+        self.out.push(Action::Log(Notice {
+            event,
+            term,
+            task,
+            subject,
+        }));
+    }
 }
--- /dev/null
+++ b/crates/core/src/snapshot.rs
@@ -0,0 +1,162 @@
+//! Snapshots: the durable state in chunks under the store's value limit, written beside the commits.
+
+use std::sync::Arc;
+
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::ids::stable_hash;
+use crate::journal::{CHUNK_MAX_BYTES, JournalError, SnapshotRef, write_entry};
+use crate::prelude::*;
+use crate::shard::{Call, Shard};
+
+/// A snapshot whose chunks are being written.
+#[derive(Clone, Debug)]
+pub struct SnapshotWrite {
+    reference: SnapshotRef,
+    /// Size of the tail that the snapshot includes, in bytes.
+    cut: usize,
+    bytes: Arc<[u8]>,
+    written: u32,
+    is_sent: bool,
+}
+
+impl SnapshotWrite {
+    /// Whether all chunks are written.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.written == self.reference.chunks
+    }
+
+    /// The reference and the part of the tail that it replaces, once all chunks are written.
+    #[must_use]
+    pub fn done(&self) -> Option<(SnapshotRef, usize)> {
+        self.is_done().then_some((self.reference, self.cut))
+    }
+
+    fn chunk(&self) -> Arc<[u8]> {
+        let start = self.written as usize * CHUNK_MAX_BYTES;
+        let end = (start + CHUNK_MAX_BYTES).min(self.bytes.len());
+        self.bytes[start..end].into()
+    }
+}
+
+/// The reference to a snapshot of these bytes.
+#[must_use]
+pub fn reference(term: u64, sequence: u64, bytes: &[u8]) -> SnapshotRef {
+    let chunks = bytes.len().div_ceil(CHUNK_MAX_BYTES);
+    SnapshotRef {
+        term,
+        sequence,
+        chunks: u32::try_from(chunks).unwrap_or(u32::MAX),
+        bytes: bytes.len() as u64,
+        hash: stable_hash(bytes, 0),
+    }
+}
+
+/// Checks that the bytes read are those that the head refers to.
+///
+/// # Errors
+///
+/// Returns [`JournalError::Snapshot`] if size or hash differ.
+pub fn verify(reference: &SnapshotRef, bytes: &[u8]) -> Result<(), JournalError> {
+    let is_equal = reference.bytes == bytes.len() as u64 && reference.hash == stable_hash(bytes, 0);
+    if is_equal {
+        return Ok(());
+    }
+    Err(JournalError::Snapshot {
+        expected_bytes: reference.bytes,
+        actual_bytes: bytes.len() as u64,
+    })
+}
+
+impl Shard {
+    /// Key of a chunk.
+    pub(crate) fn chunk_key(&self, reference: &SnapshotRef, chunk: u32) -> SmolStr {
+        let (term, sequence) = (reference.term, reference.sequence);
+        format_smolstr!("shard/{}/snap/{term}-{sequence}/{chunk}", self.name)
+    }
+
+    /// Encodes the committed state, which the present tail and snapshot describe exactly.
+    pub(crate) fn begin_snapshot(&mut self) {
+        let mut bytes = Vec::new();
+        for entry in self.ledger.entries() {
+            write_entry(entry, &mut bytes);
+        }
+        self.own.writing = Some(SnapshotWrite {
+            reference: reference(self.own.term, self.own.sequence, &bytes),
+            cut: self.own.tail.len(),
+            bytes: bytes.into(),
+            written: 0,
+            is_sent: false,
+        });
+        self.pump_snapshot();
+    }
+
+    /// Writes the next chunk or deletes the next old one, if the budget allows it.
+    pub(crate) fn pump_snapshot(&mut self) {
+        let Some(writing) = &mut self.own.writing else {
+            self.pump_garbage();
+            return;
+        };
+        if writing.is_done() || writing.is_sent || !self.budget.take_write(self.now) {
+            return;
+        }
+        writing.is_sent = true;
+        let value = writing.chunk();
+        let (reference, chunk) = (writing.reference, writing.written);
+        let key = self.chunk_key(&reference, chunk);
+        let expected = Revision(0);
+        self.call_store(
+            Call::WriteChunk,
+            StoreCall::Swap {
+                key,
+                expected,
+                value,
+            },
+        );
+    }
+
+    pub(crate) fn chunk_written(&mut self, reply: &StoreReply) {
+        let Some(writing) = &mut self.own.writing else {
+            return;
+        };
+        writing.is_sent = false;
+        // No other write uses this key, so a conflict means that an earlier copy of the same bytes took effect.
+        if matches!(reply, StoreReply::Written { .. } | StoreReply::Conflict) {
+            writing.written += 1;
+        }
+        self.pump_snapshot();
+    }
+
+    /// The head refers to a new snapshot; the chunks of the older one are garbage.
+    pub(crate) fn snapshot_committed(&mut self, snapshot: Option<SnapshotRef>) {
+        let old = std::mem::replace(&mut self.own.snapshot, snapshot);
+        self.own.writing = None;
+        let Some(old) = old else {
+            return;
+        };
+        for chunk in 0..old.chunks {
+            let key = self.chunk_key(&old, chunk);
+            self.own.garbage.push(key);
+        }
+        self.pump_garbage();
+    }
+
+    fn pump_garbage(&mut self) {
+        let Some(key) = self.own.garbage.last().cloned() else {
+            return;
+        };
+        let is_deleting = self.ops.values().any(|op| op.call == Call::DeleteChunk);
+        if is_deleting || !self.budget.take_write(self.now) {
+            return;
+        }
+        self.call_store(Call::DeleteChunk, StoreCall::Delete { key });
+    }
+
+    pub(crate) fn chunk_deleted(&mut self, answered: bool) {
+        if answered {
+            self.own.garbage.pop();
+        }
+        self.pump_snapshot();
+    }
+}
--- /dev/null
+++ b/crates/core/src/takeover.rs
@@ -0,0 +1,424 @@
+//! Who may command the backend servers of a shard: acquiring, taking over, and acting at rank 1.
+
+use smol_str::SmolStr;
+
+use crate::ids::rendezvous;
+use crate::journal::{Head, HostEntry, UnreleasedEntry};
+use crate::lease::takeover_ended;
+use crate::ownership::{CONFIRM_READ_MS, Own, Role, Seen, TakeoverAttempt, Unreleased};
+use crate::placement::Scheduler;
+use crate::prelude::*;
+use crate::recovery::Recovery;
+use crate::shard::{Call, Shard};
+use crate::tasks::Ledger;
+
+/// Time between two reads of the head by the designated successor, in milliseconds.
+const SUCCESSOR_READ_MS: u64 = 10_000;
+
+/// Time between two reads of the head by another host, in milliseconds.
+const OBSERVER_READ_MS: u64 = 60_000;
+
+/// Time after the start at which a host that was never heard counts as suspected, in milliseconds.
+const UNHEARD_MS: u64 = 3_000;
+
+/// Time for which owner and successor must both be suspected before another host takes over, in milliseconds.
+const OTHER_TAKEOVER_MS: u64 = 1_500;
+
+/// Time for which a living successor may fail to take over before another host does, in milliseconds.
+const STUCK_SUCCESSOR_MS: u64 = 10_000;
+
+/// Time for which a takeover must have failed at the store before rank 1 is used, in milliseconds.
+const RANK_1_AFTER_MS: u64 = 500;
+
+impl Shard {
+    pub(crate) fn suspicion(&mut self, host: &HostId, suspected: bool) {
+        self.peers.note(host, suspected, self.now);
+        if host.name == self.host.name {
+            return;
+        }
+        self.tick_ownership();
+    }
+
+    /// Since when a host is suspected. An incarnation that was replaced counts as suspected since then.
+    pub(crate) fn suspected_since(&self, host: &HostId) -> Option<MonoMs> {
+        if host.name == self.host.name {
+            return (host.incarnation != self.host.incarnation).then_some(self.opened);
+        }
+        let Some(peer) = self.peers.known.get(&host.name) else {
+            let deadline = self.opened + DurationMs(UNHEARD_MS);
+            return (self.now >= deadline).then_some(deadline);
+        };
+        let is_gone = peer.suspected || peer.incarnation != host.incarnation;
+        is_gone.then_some(peer.since)
+    }
+
+    fn is_name_suspected(&self, name: &SmolStr) -> bool {
+        match self.peers.known.get(name) {
+            Some(peer) => peer.suspected,
+            None => self.now >= self.opened + DurationMs(UNHEARD_MS),
+        }
+    }
+
+    /// Whether this host comes first among the hosts that are not suspected.
+    fn is_first(&self) -> bool {
+        let hosts = self.config.hosts.iter();
+        let candidates =
+            hosts.filter(|&name| *name == self.host.name || !self.is_name_suspected(name));
+        rendezvous(&self.name, candidates.map(SmolStr::as_str)) == Some(self.host.name.as_str())
+    }
+
+    /// A living host that could succeed this one.
+    pub(crate) fn choose_successor(&self) -> Option<HostId> {
+        self.choose_successor_of(&self.host.name, true)
+    }
+
+    /// A living host that could succeed `owner`.
+    pub(crate) fn choose_successor_of(&self, owner: &str, without_self: bool) -> Option<HostId> {
+        let mut candidates: Vec<HostId> = self.peers.heard().collect();
+        candidates.retain(|host| host.name != self.host.name && host.name != owner);
+        candidates.retain(|host| self.config.hosts.contains(&host.name));
+        if !without_self {
+            candidates.push(self.host.clone());
+        }
+        let name = rendezvous(&self.name, candidates.iter().map(|host| host.name.as_str()))?;
+        candidates.iter().find(|host| host.name == name).cloned()
+    }
+
+    /// Periodic work of every role.
+    pub(crate) fn tick_ownership(&mut self) {
+        match self.role {
+            Role::Observer => self.tick_observer(),
+            Role::Recovering | Role::Owner => self.tick_owner(),
+            Role::Stopped => {}
+        }
+    }
+
+    fn tick_observer(&mut self) {
+        let wants = self.wants_takeover();
+        if !wants {
+            self.duty.wants_since = None;
+        } else if self.duty.wants_since.is_none() {
+            self.duty.wants_since = Some(self.now);
+            self.duty.next_read = self.now;
+        }
+        if wants || self.now >= self.duty.next_read {
+            self.read_head();
+        }
+        self.consider_rank_1();
+    }
+
+    /// Reads the head unless a read is outstanding or the budget forbids it.
+    pub(crate) fn read_head(&mut self) {
+        let takeover_sent = self.ops.values().any(|op| op.call == Call::Takeover);
+        if self.duty.reading || takeover_sent || !self.budget.take_read(self.now) {
+            return;
+        }
+        self.duty.reading = true;
+        let key = self.head_key();
+        self.call_store(Call::ReadHead, StoreCall::Read { key });
+    }
+
+    fn wants_takeover(&self) -> bool {
+        let Some(seen) = &self.seen else {
+            return false;
+        };
+        let Some(since) = self.suspected_since(&seen.owner) else {
+            return false;
+        };
+        if seen.successor.as_ref() == Some(&self.host) {
+            return !self.duty.grant.binds(self.now, seen.term);
+        }
+        if seen.owner.name == self.host.name {
+            return true;
+        }
+        let successor_since = match &seen.successor {
+            Some(successor) => self.suspected_since(successor),
+            None => Some(since),
+        };
+        match successor_since {
+            Some(both) => {
+                self.is_first() && self.now >= since.max(both) + DurationMs(OTHER_TAKEOVER_MS)
+            }
+            None => self.is_first() && self.now >= since + DurationMs(STUCK_SUCCESSOR_MS),
+        }
+    }
+
+    pub(crate) fn head_read(&mut self, sent: MonoMs, reply: &StoreReply) {
+        self.duty.reading = false;
+        let StoreReply::Value { revision, value } = reply else {
+            return;
+        };
+        if *revision == Revision(0) {
+            self.head_absent();
+            return;
+        }
+        let Ok(head) = Head::read(value) else {
+            self.duty.next_read = self.now + DurationMs(CONFIRM_READ_MS);
+            self.log("head_unreadable", None, &self.name.clone());
+            return;
+        };
+        match self.role {
+            Role::Owner | Role::Recovering => self.own_head_read(sent, *revision, &head),
+            Role::Observer => self.observe(sent, *revision, head),
+            Role::Stopped => {}
+        }
+    }
+
+    /// Acquires a shard that has no head.
+    fn head_absent(&mut self) {
+        self.duty.next_read = self.now + DurationMs(CONFIRM_READ_MS);
+        if self.role != Role::Observer || !self.is_first() {
+            return;
+        }
+        let head = Head {
+            term: 1,
+            owner: Some(HostEntry::from(&self.host)),
+            successor: self.choose_successor().as_ref().map(HostEntry::from),
+            sequence: 1,
+            writer: self.host.incarnation,
+            ..Head::default()
+        };
+        self.send_takeover(Revision(0), head);
+    }
+
+    fn observe(&mut self, sent: MonoMs, revision: Revision, head: Head) {
+        let known_term = self.seen.as_ref().map_or(0, |seen| seen.term);
+        if head.term < known_term {
+            return;
+        }
+        let is_settled = self
+            .duty
+            .attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.expected != revision);
+        if is_settled {
+            self.duty.attempt = None;
+        }
+        self.learn_term(head.term);
+        self.seen = Some(Seen {
+            term: head.term,
+            owner: head.owner_id(),
+            successor: head.successor_id(),
+        });
+        if head.owner_id() == self.host {
+            self.begin_own(sent, revision, head);
+            return;
+        }
+        let is_successor = head.successor_id().as_ref() == Some(&self.host);
+        let wait_ms = if is_successor {
+            SUCCESSOR_READ_MS
+        } else {
+            OBSERVER_READ_MS
+        };
+        self.duty.next_read = self.now + DurationMs(wait_ms);
+        if self.wants_takeover() {
+            self.take_over(revision, head);
+        }
+    }
+
+    /// Releases all terms below `term`.
+    pub(crate) fn learn_term(&mut self, term: u64) {
+        self.duty.released = self.duty.released.max(term.saturating_sub(1));
+        if self.duty.rank_1.is_some_and(|held| held < term) {
+            self.end_rank_1();
+        }
+    }
+
+    fn take_over(&mut self, revision: Revision, mut head: Head) {
+        let term = head.term;
+        // This host adds itself too if it is the successor: should the answer to the swap be lost, it may still act
+        // at rank 1 of the old term while a third host takes over the new one.
+        if let Some(successor) = head.successor.take() {
+            head.unreleased.push(UnreleasedEntry {
+                term,
+                successor: Some(successor),
+            });
+        }
+        head.term += 1;
+        head.sequence += 1;
+        head.owner = Some(HostEntry::from(&self.host));
+        head.successor = self.choose_successor().as_ref().map(HostEntry::from);
+        head.writer = self.host.incarnation;
+        self.send_takeover(revision, head);
+    }
+
+    fn send_takeover(&mut self, expected: Revision, head: Head) {
+        if !self.budget.take_write(self.now) {
+            return;
+        }
+        let value = prost::Message::encode_to_vec(&head).into();
+        let attempt = self.duty.attempt.take();
+        let uncertain = attempt.is_some_and(|attempt| attempt.uncertain);
+        self.duty.attempt = Some(TakeoverAttempt {
+            expected,
+            head: Box::new(head),
+            uncertain,
+        });
+        let key = self.head_key();
+        self.call_store(
+            Call::Takeover,
+            StoreCall::Swap {
+                key,
+                expected,
+                value,
+            },
+        );
+    }
+
+    pub(crate) fn takeover_answered(&mut self, sent: MonoMs, reply: &StoreReply) {
+        if self.role != Role::Observer {
+            return;
+        }
+        let Some(attempt) = &mut self.duty.attempt else {
+            return;
+        };
+        match reply {
+            StoreReply::Written { revision } => {
+                let head = (*attempt.head).clone();
+                self.begin_own(sent, *revision, head);
+                return;
+            }
+            StoreReply::Unavailable if !attempt.uncertain => self.duty.attempt = None,
+            StoreReply::Lost => attempt.uncertain = true,
+            _ => {}
+        }
+        self.duty.next_read = self.now;
+        self.read_head();
+    }
+
+    /// Whether a takeover of `term` was sent and may still take effect.
+    pub(crate) fn may_be_taking(&self, term: u64) -> bool {
+        let attempt = self.duty.attempt.as_ref();
+        attempt.is_some_and(|attempt| attempt.head.term > term)
+    }
+
+    /// Becomes the owner that a stored head names.
+    fn begin_own(&mut self, sent: MonoMs, revision: Revision, head: Head) {
+        let drift_ppm = self.config.clock_drift_ppm;
+        let is_new = head.term == 1;
+        self.end_rank_1();
+        self.reset();
+        self.learn_term(head.term);
+        self.duty.attempt = None;
+        self.duty.wants_since = None;
+        self.role = Role::Recovering;
+        self.seen = Some(Seen {
+            term: head.term,
+            owner: self.host.clone(),
+            successor: head.successor_id(),
+        });
+        let listed = head.unreleased.iter().map(|entry| Unreleased {
+            term: entry.term,
+            successor: entry
+                .successor
+                .as_ref()
+                .map(HostId::from)
+                .unwrap_or_default(),
+            released: None,
+        });
+        let unreleased: Vec<_> = listed
+            .filter(|entry| entry.successor != self.host)
+            .collect();
+        self.own = Own {
+            purge: unreleased.len() < head.unreleased.len(),
+            term: head.term,
+            revision,
+            sequence: head.sequence,
+            successor: head.successor_id(),
+            unreleased,
+            snapshot: head.snapshot,
+            tail: head.tail,
+            wait_until: if is_new {
+                self.now
+            } else {
+                takeover_ended(self.now, drift_ppm)
+            },
+            since: self.now,
+            confirmed: sent,
+            ..Own::default()
+        };
+        self.own.authority.confirm(sent);
+        self.log("term_begun", None, &self.host.name.clone());
+        self.tell_term(&self.host.clone());
+        self.begin_recovery();
+        self.tick_ownership();
+    }
+
+    /// Tells every living host of the present term and its owner.
+    pub(crate) fn tell_term(&mut self, owner: &HostId) {
+        let term = self.own.term;
+        for to in self.peers.heard() {
+            if to.name == self.host.name {
+                continue;
+            }
+            self.out.push(Action::TellTerm {
+                to,
+                term,
+                owner: owner.clone(),
+            });
+        }
+    }
+
+    /// Forgets everything that belongs to a role that has ended.
+    pub(crate) fn reset(&mut self) {
+        self.ops.clear();
+        self.duty.reading = false;
+        self.ledger = Ledger::default();
+        self.recovery = Recovery::default();
+        self.fleet.reset();
+        self.scheduler = Scheduler::open(self.config.objective, self.config.seed);
+        for (team, weight) in &self.quotas {
+            self.scheduler.set_quota(team, *weight);
+        }
+        self.cells.clear();
+        self.retries.clear();
+        self.failures.clear();
+        self.accepting.clear();
+        self.claiming.clear();
+        self.last_counter = 0;
+    }
+
+    fn consider_rank_1(&mut self) {
+        let Some(seen) = &self.seen else {
+            return;
+        };
+        let term = seen.term;
+        let is_due = self
+            .duty
+            .wants_since
+            .is_some_and(|since| self.now >= since + DurationMs(RANK_1_AFTER_MS));
+        let is_entitled = seen.successor.as_ref() == Some(&self.host)
+            && self.duty.released < term
+            && !self.duty.grant.binds(self.now, term);
+        if !is_due || !is_entitled || !self.budget.is_down() || self.duty.rank_1.is_some() {
+            return;
+        }
+        self.duty.rank_1 = Some(term);
+        self.fleet.reset();
+        self.log("rank_1_begun", None, &self.host.name.clone());
+        self.tick_servers();
+    }
+
+    /// Stops commanding servers at rank 1, and releases the term.
+    pub(crate) fn end_rank_1(&mut self) {
+        let Some(term) = self.duty.rank_1.take() else {
+            return;
+        };
+        self.duty.released = self.duty.released.max(term);
+        self.fleet.reset();
+        self.log("rank_1_ended", None, &self.host.name.clone());
+    }
+
+    /// The epoch under which this host may command servers.
+    #[must_use]
+    pub(crate) fn command_epoch(&self) -> Option<Epoch> {
+        match self.role {
+            Role::Owner => Some(Epoch {
+                term: self.own.term,
+                rank: 0,
+            }),
+            Role::Observer => self.duty.rank_1.map(|term| Epoch { term, rank: 1 }),
+            Role::Recovering | Role::Stopped => None,
+        }
+    }
+}
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -1,1 +1,435 @@
-//! Life cycle of a batch task.
+//! Life cycle of tasks, and the durable state of a shard that the journal's records build.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use crate::journal::{Accepted, CellRun, Ended, Entry, Evicted, ParkReason, ServerEntry};
+use crate::keys::Keys;
+use crate::placement::CellKey;
+use crate::prelude::*;
+
+/// How long an ended job and an idempotency key are remembered, in milliseconds.
+pub const RETENTION_MS: u64 = 600_000;
+
+/// Step of an eviction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Eviction {
+    /// The server was asked for a checkpoint; the attempt runs.
+    Checkpoint,
+    /// The `Evicted` record is being committed; the attempt runs.
+    Record,
+    /// The record is committed and the stop is not confirmed.
+    Stop,
+    /// The attempt was stopped, and the `Evicted` record is being committed.
+    Stopped,
+}
+
+/// State of a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Phase {
+    /// Pending, and held back: it may be running on a server that has not answered, or it waits for a record or for
+    /// its next try.
+    Held,
+    /// Pending at the scheduler.
+    #[default]
+    Pending,
+    /// The start was sent; the attempt may run.
+    Starting,
+    /// The server reported the attempt or acknowledged the start.
+    Running,
+    /// Being evicted.
+    Evicting(Eviction),
+    /// Its job is cancelled, and the attempt may still run.
+    Stopping,
+    /// The attempt ended with success, and the record is being committed.
+    Ending,
+    /// Ended with success, or cancelled and not running.
+    Ended,
+    /// Its job is parked.
+    Parked,
+}
+
+/// The committed checkpoint of a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resume {
+    /// Attempt that wrote it.
+    pub attempt: Attempt,
+    /// Handle.
+    pub checkpoint: SmolStr,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// State.
+    pub phase: Phase,
+    /// Cell that it is bound to.
+    pub cell: CellKey,
+    /// Server of the current attempt.
+    pub server: Option<ServerKey>,
+    /// Current or last attempt known here.
+    pub attempt: Attempt,
+    /// Stamp that the start echoed.
+    pub start_stamp: Stamp,
+    /// First call sent after the attempt was known to run.
+    pub confirmed_op: OpId,
+    /// Committed checkpoint.
+    pub resume: Option<Box<Resume>>,
+}
+
+impl Task {
+    /// Whether an attempt may be running or its end is not settled.
+    #[must_use]
+    pub fn is_placed(&self) -> bool {
+        self.server.is_some()
+    }
+}
+
+/// State of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum JobState {
+    /// Has tasks to run.
+    Active,
+    /// Cancelled.
+    Cancelled,
+    /// Parked with a reason.
+    Parked(ParkReason),
+    /// All tasks ended with success.
+    Ended,
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// As accepted.
+    pub spec: Arc<JobSpec>,
+    /// State.
+    pub state: JobState,
+    /// Tasks by position; empty once all have ended.
+    pub tasks: Vec<Task>,
+    /// Number of tasks in no final state.
+    pub open: u32,
+}
+
+/// A server that may run tasks of this shard, as journaled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JournaledServer {
+    /// Cell.
+    pub cell: CellKey,
+    /// Size when it was added.
+    pub size: Resources,
+}
+
+/// The durable state of a shard. Only committed records change it, so a snapshot of it never holds more than the
+/// journal does. The phases of tasks are not durable.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// Jobs.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Idempotency keys.
+    pub keys: Keys,
+    /// Racks of the cells.
+    pub racks: BTreeMap<CellKey, SmolStr>,
+    /// Servers by name.
+    pub servers: BTreeMap<SmolStr, JournaledServer>,
+    finished: VecDeque<(MonoMs, JobId)>,
+}
+
+impl Ledger {
+    /// The task, if its job is known and has not ended.
+    #[must_use]
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        let job = self.jobs.get(&id.job)?;
+        job.tasks.get(id.index as usize)
+    }
+
+    /// The task, if its job is known and has not ended.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(&id.job)?;
+        job.tasks.get_mut(id.index as usize)
+    }
+
+    /// Applies a committed record. Tasks enter as `Held`; the caller decides when they may start.
+    pub fn apply(&mut self, entry: &Entry, now: MonoMs) {
+        match entry {
+            Entry::Accepted(accepted) => self.accept(accepted, now),
+            Entry::Bound(bound) => {
+                if let Some(task) = self.task_mut(bound.task.into()) {
+                    task.cell = CellKey(bound.cell);
+                }
+            }
+            Entry::Evicted(evicted) => self.set_resume(evicted),
+            Entry::Cancelled(cancelled) => {
+                for &job in &cancelled.jobs {
+                    self.set_state(JobId(job), JobState::Cancelled);
+                }
+            }
+            Entry::Ended(ended) => self.end_range(*ended, now),
+            Entry::Parked(parked) => {
+                let state = match parked.reason() {
+                    ParkReason::Unparked => JobState::Active,
+                    reason => JobState::Parked(reason),
+                };
+                self.set_state(JobId(parked.job), state);
+            }
+            Entry::Claimed(key) => self.keys.claim(key.key(), now),
+            Entry::Answered(key) => self
+                .keys
+                .answer(key.key(), key.answer.as_slice().into(), now),
+            Entry::ServerAdded(server) => self.add_server(server),
+            Entry::ServerGone(name) => {
+                self.servers.remove(name.as_str());
+            }
+        }
+    }
+
+    fn accept(&mut self, accepted: &Accepted, now: MonoMs) {
+        let spec = accepted.spec();
+        if self.jobs.contains_key(&spec.id) {
+            return;
+        }
+        let mut tasks = Vec::with_capacity(spec.tasks as usize);
+        for run in &accepted.cells {
+            let task = Task {
+                phase: Phase::Held,
+                cell: CellKey(run.cell),
+                ..Task::default()
+            };
+            tasks.extend((0..run.tasks).map(|_| task.clone()));
+        }
+        let is_empty = tasks.is_empty();
+        if is_empty {
+            self.finished.push_back((now, spec.id));
+        }
+        let job = Job {
+            state: if is_empty {
+                JobState::Ended
+            } else {
+                JobState::Active
+            },
+            open: u32::try_from(tasks.len()).unwrap_or(u32::MAX),
+            tasks,
+            spec: Arc::new(spec),
+        };
+        self.jobs.insert(job.spec.id, job);
+    }
+
+    fn set_resume(&mut self, evicted: &Evicted) {
+        let attempt = Attempt {
+            term: evicted.attempt_term,
+            counter: evicted.attempt_counter,
+        };
+        let Some(task) = self.task_mut(evicted.task.into()) else {
+            return;
+        };
+        let is_newer = task
+            .resume
+            .as_ref()
+            .is_none_or(|old| old.attempt <= attempt);
+        if !is_newer {
+            return;
+        }
+        task.resume = Some(Box::new(Resume {
+            attempt,
+            checkpoint: evicted.checkpoint.as_str().into(),
+        }));
+    }
+
+    fn set_state(&mut self, id: JobId, state: JobState) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let is_final = matches!(job.state, JobState::Cancelled | JobState::Ended);
+        if !is_final {
+            job.state = state;
+        }
+    }
+
+    fn end_range(&mut self, ended: Ended, now: MonoMs) {
+        let first = TaskId::from(ended.first);
+        for offset in 0..ended.tasks {
+            let index = first.index.saturating_add(offset);
+            self.finish(TaskId { index, ..first }, now);
+        }
+    }
+
+    /// Puts a task into its final state. The job is forgotten `RETENTION_MS` after its last task.
+    pub fn finish(&mut self, id: TaskId, now: MonoMs) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(id.index as usize) else {
+            return;
+        };
+        if task.phase == Phase::Ended {
+            return;
+        }
+        task.phase = Phase::Ended;
+        task.server = None;
+        task.resume = None;
+        job.open -= 1;
+        if job.open > 0 {
+            return;
+        }
+        job.tasks = Vec::new();
+        if job.state != JobState::Cancelled {
+            job.state = JobState::Ended;
+        }
+        self.finished.push_back((now, id.job));
+    }
+
+    /// Forgets ended jobs and idempotency keys after their retention.
+    pub fn expire(&mut self, now: MonoMs) {
+        self.keys.expire(now);
+        while let Some(&(ended, job)) = self.finished.front() {
+            if now < ended + DurationMs(RETENTION_MS) {
+                return;
+            }
+            self.finished.pop_front();
+            self.jobs.remove(&job);
+        }
+    }
+
+    fn add_server(&mut self, entry: &ServerEntry) {
+        let cell = CellKey(entry.cell);
+        self.racks.insert(cell, entry.rack.as_str().into());
+        let size = Resources {
+            millicores: entry.millicores,
+            memory_mib: entry.memory_mib,
+            accelerators: entry.accelerators,
+        };
+        let name = entry.name.as_str().into();
+        self.servers.insert(name, JournaledServer { cell, size });
+    }
+
+    /// The records from which [`Ledger::apply`] builds this state again.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for (name, server) in &self.servers {
+            entries.push(self.server_entry(name, server));
+        }
+        for job in self.jobs.values() {
+            job.write(&mut entries);
+        }
+        self.keys.write(&mut entries);
+        entries
+    }
+
+    fn server_entry(&self, name: &SmolStr, server: &JournaledServer) -> Entry {
+        let rack = self.racks.get(&server.cell);
+        Entry::ServerAdded(ServerEntry {
+            name: name.to_string(),
+            rack: rack.map(ToString::to_string).unwrap_or_default(),
+            cell: server.cell.0,
+            millicores: server.size.millicores,
+            memory_mib: server.size.memory_mib,
+            accelerators: server.size.accelerators,
+        })
+    }
+
+    /// Position of a task, for callers that walk all tasks that are not final.
+    pub fn open_tasks(&self) -> impl Iterator<Item = (TaskId, &Task)> {
+        self.jobs.values().flat_map(|job| {
+            let tasks = job.tasks.iter().enumerate();
+            tasks.filter_map(|(at, task)| {
+                let index = u32::try_from(at).ok()?;
+                let id = TaskId {
+                    job: job.spec.id,
+                    index,
+                };
+                (task.phase != Phase::Ended).then_some((id, task))
+            })
+        })
+    }
+}
+
+impl Job {
+    fn write(&self, entries: &mut Vec<Entry>) {
+        let id = self.spec.id;
+        let mut cells: Vec<CellRun> = Vec::new();
+        for task in &self.tasks {
+            match cells.last_mut() {
+                Some(run) if run.cell == task.cell.0 => run.tasks += 1,
+                _ => cells.push(CellRun {
+                    cell: task.cell.0,
+                    tasks: 1,
+                }),
+            }
+        }
+        if self.tasks.is_empty() {
+            cells.push(CellRun {
+                cell: 0,
+                tasks: self.spec.tasks,
+            });
+        }
+        entries.push(Entry::Accepted(Accepted::of(&self.spec, cells)));
+        match self.state {
+            JobState::Cancelled => entries.push(Entry::Cancelled(crate::journal::Cancelled {
+                jobs: vec![id.0],
+            })),
+            JobState::Parked(reason) => entries.push(Entry::Parked(crate::journal::Parked {
+                job: id.0,
+                reason: reason.into(),
+            })),
+            JobState::Active | JobState::Ended => {}
+        }
+        if self.tasks.is_empty() {
+            entries.push(ended_entry(id, 0, self.spec.tasks));
+            return;
+        }
+        self.write_tasks(entries);
+    }
+
+    fn write_tasks(&self, entries: &mut Vec<Entry>) {
+        let id = self.spec.id;
+        let mut run = 0;
+        for (index, task) in (0_u32..).zip(&self.tasks) {
+            if task.phase == Phase::Ended {
+                run += 1;
+                continue;
+            }
+            if run > 0 {
+                entries.push(ended_entry(id, index - run, run));
+                run = 0;
+            }
+            let Some(resume) = &task.resume else {
+                continue;
+            };
+            entries.push(evicted_entry(
+                TaskId { job: id, index },
+                resume.attempt,
+                &resume.checkpoint,
+            ));
+        }
+        if run > 0 {
+            entries.push(ended_entry(id, self.spec.tasks - run, run));
+        }
+    }
+}
+
+/// The record of consecutive tasks that ended with success.
+#[must_use]
+pub fn ended_entry(job: JobId, first: u32, tasks: u32) -> Entry {
+    let first = TaskId { job, index: first };
+    Entry::Ended(Ended {
+        first: first.into(),
+        tasks,
+    })
+}
+
+/// The record of a checkpoint.
+#[must_use]
+pub fn evicted_entry(task: TaskId, attempt: Attempt, checkpoint: &str) -> Entry {
+    Entry::Evicted(Evicted {
+        task: task.into(),
+        attempt_term: attempt.term,
+        attempt_counter: attempt.counter,
+        checkpoint: checkpoint.to_owned(),
+    })
+}
+
+/// Tasks that are to be tried again later, by due time.
+pub type Retries = BTreeSet<(MonoMs, TaskId)>;
