--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,269 @@
+//! Administration API: HTTP in, calls of [`Control`] out.
+
+use std::sync::Arc;
+
+use axum::extract::State;
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+
+use crate::auth::{Auth, Caller, Denied};
+use crate::check;
+use crate::control::{Cancellation, Control, PutDocument, Submission};
+use crate::document::Document;
+use crate::extract::{
+    Allowed, App, Named, Page, Text, bad, checked_name, idempotency_key, if_match,
+};
+use crate::model::{
+    CANCEL_MAX, CancelJobs, DocumentAccepted, DocumentHistory, DocumentPage, HostList, JobName,
+    JobPage, JobView, JobsCancelled, PAGE_MAX, PageQuery, ServerGone, ServerPage, SubmitJob,
+};
+use crate::openapi;
+use crate::problem::{Code, Problem};
+
+type Shared<C> = State<Arc<App<C>>>;
+type Answered<T> = Result<Json<T>, Problem>;
+
+/// The administration API on top of `control`, for callers that `auth` knows.
+pub fn router<C: Control>(control: C, auth: Auth) -> Router {
+    let app = Arc::new(App { control, auth });
+    Router::new()
+        .route("/v1/openapi.json", get(openapi_json))
+        .route("/v1/documents", get(documents::<C>))
+        .route(
+            "/v1/documents/{team}",
+            get(document::<C>).put(put_document::<C>),
+        )
+        .route("/v1/documents/{team}/history", get(document_history::<C>))
+        .route("/v1/jobs", get(jobs::<C>).post(submit::<C>))
+        .route("/v1/jobs/cancel", post(cancel_many::<C>))
+        .route("/v1/jobs/{job}", get(job::<C>).delete(cancel_one::<C>))
+        .route("/v1/hosts", get(hosts::<C>))
+        .route("/v1/servers", get(servers::<C>))
+        .route("/v1/servers/{server}/gone", post(declare_gone::<C>))
+        .fallback(no_path)
+        .method_not_allowed_fallback(no_method)
+        .with_state(app)
+}
+
+async fn no_path() -> Problem {
+    Problem::new(Code::NotFound)
+}
+
+async fn no_method() -> Problem {
+    Problem::new(Code::MethodNotAllowed)
+}
+
+async fn openapi_json() -> Json<serde_json::Value> {
+    Json(openapi::document())
+}
+
+async fn documents<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Page(query): Page,
+) -> Answered<DocumentPage> {
+    let query = scoped(&caller, query)?;
+    Ok(Json(app.control.documents(query).await?))
+}
+
+async fn document<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Named(team): Named,
+) -> Result<Response, Problem> {
+    checked_name("team", &team)?;
+    caller.for_team(&team)?;
+    let view = app.control.document(team).await?;
+    let tag = etag(view.revision);
+    Ok(([(header::ETAG, tag)], Json(view)).into_response())
+}
+
+async fn put_document<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Named(team): Named,
+    headers: HeaderMap,
+    Text(text): Text,
+) -> Result<Response, Problem> {
+    checked_name("team", &team)?;
+    caller.for_team(&team)?;
+    let expected = if_match(&headers)?;
+    let document = Document::read_for(&text, Some(&team))?;
+    let change = PutDocument {
+        document,
+        text,
+        expected,
+        by: caller.client,
+    };
+    let accepted = app.control.put_document(change).await;
+    let accepted = accepted.map_err(|refusal| {
+        let mut problem = Problem::from(refusal);
+        if problem.code == Code::RevisionConflict && expected.is_none() {
+            problem = problem.with_code(Code::RevisionRequired);
+        }
+        problem
+    })?;
+    let tag = etag(accepted.revision);
+    let answer: Json<DocumentAccepted> = Json(accepted);
+    Ok(([(header::ETAG, tag)], answer).into_response())
+}
+
+async fn document_history<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Named(team): Named,
+) -> Answered<DocumentHistory> {
+    checked_name("team", &team)?;
+    caller.for_team(&team)?;
+    Ok(Json(app.control.document_history(team).await?))
+}
+
+async fn jobs<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Page(query): Page,
+) -> Answered<JobPage> {
+    let query = scoped(&caller, query)?;
+    Ok(Json(app.control.jobs(query).await?))
+}
+
+async fn submit<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    headers: HeaderMap,
+    Text(text): Text,
+) -> Result<Response, Problem> {
+    let key = idempotency_key(&headers)?;
+    let job: SubmitJob = check::read(&text, |_, _| {})?;
+    let named = job.team.clone().or_else(|| caller.team.clone());
+    let team = named.ok_or_else(|| bad("team: expected a team, since the token has none"))?;
+    caller.for_team(&team)?;
+    let client = job.client.clone().unwrap_or_else(|| caller.client.clone());
+    // A token counts for one client, so that its bearer cannot take the share of another one.
+    if !caller.is_operator && client != caller.client {
+        return Err(Denied::Forbidden.into());
+    }
+    let submission = Submission {
+        id: JobName::of(&team, key).0,
+        team,
+        client,
+        job,
+    };
+    let accepted = app.control.submit(submission).await?;
+    let status = if accepted.new {
+        StatusCode::CREATED
+    } else {
+        StatusCode::OK
+    };
+    Ok((status, Json(accepted)).into_response())
+}
+
+async fn job<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Named(name): Named,
+) -> Answered<JobView> {
+    let view = app.control.job(job_name(&name)?).await?;
+    // The answer for another team's job is that of a job that does not exist.
+    caller.for_team(&view.team).map_err(|_| no_job(&name))?;
+    Ok(Json(view))
+}
+
+async fn cancel_one<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Named(name): Named,
+) -> Answered<JobsCancelled> {
+    let cancellation = Cancellation {
+        team: caller.scope(),
+        jobs: vec![job_name(&name)?],
+    };
+    let answer = app.control.cancel(cancellation).await?;
+    if !answer.unknown.is_empty() {
+        return Err(no_job(&name));
+    }
+    Ok(Json(answer))
+}
+
+async fn cancel_many<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Text(text): Text,
+) -> Answered<JobsCancelled> {
+    let CancelJobs { mut jobs } = check::read(&text, |cancel: &CancelJobs, sink| {
+        let count = cancel.jobs.len();
+        if count > CANCEL_MAX {
+            sink.add(
+                &["jobs"],
+                format!("{count} jobs"),
+                format!("at most {CANCEL_MAX}"),
+            );
+        }
+    })?;
+    jobs.sort_unstable();
+    jobs.dedup();
+    let cancellation = Cancellation {
+        team: caller.scope(),
+        jobs,
+    };
+    Ok(Json(app.control.cancel(cancellation).await?))
+}
+
+async fn hosts<C: Control>(Allowed(_): Allowed, State(app): Shared<C>) -> Answered<HostList> {
+    Ok(Json(app.control.hosts().await?))
+}
+
+async fn servers<C: Control>(
+    Allowed(_): Allowed,
+    State(app): Shared<C>,
+    Page(query): Page,
+) -> Answered<ServerPage> {
+    checked_limit(&query)?;
+    Ok(Json(app.control.servers(query).await?))
+}
+
+async fn declare_gone<C: Control>(
+    Allowed(caller): Allowed,
+    State(app): Shared<C>,
+    Named(server): Named,
+) -> Answered<ServerGone> {
+    caller.for_operators()?;
+    Ok(Json(app.control.declare_gone(server, caller.client).await?))
+}
+
+/// Limits a list to what the caller may see.
+fn scoped(caller: &Caller, mut query: PageQuery) -> Result<PageQuery, Problem> {
+    checked_limit(&query)?;
+    if let Some(team) = &query.team {
+        caller.for_team(team)?;
+    }
+    if let Some(team) = caller.scope() {
+        query.team = Some(team);
+    }
+    Ok(query)
+}
+
+fn checked_limit(query: &PageQuery) -> Result<(), Problem> {
+    match query.limit {
+        Some(limit) if !(1..=PAGE_MAX).contains(&limit) => {
+            Err(bad(format!("limit: expected 1 to {PAGE_MAX}")))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn job_name(name: &str) -> Result<JobName, Problem> {
+    name.parse().map_err(|_| no_job(name))
+}
+
+fn no_job(name: &str) -> Problem {
+    Problem::new(Code::NotFound).with_detail(format!("job {name:?} does not exist"))
+}
+
+fn etag(revision: u64) -> HeaderValue {
+    let quoted = format!("\"{revision}\"");
+    // Digits in quotes are always a valid header value.
+    HeaderValue::try_from(quoted).unwrap_or_else(|_| HeaderValue::from_static("\"0\""))
+}
--- /dev/null
+++ b/src/auth.rs
@@ -0,0 +1,215 @@
+//! Who may do what: tokens, of which only hashes are kept.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use axum::http::{HeaderMap, header};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+use snafu::Snafu;
+use subtle::ConstantTimeEq;
+
+use crate::check::Faults;
+use crate::reload::{ReadError, Refresher, Reloaded};
+use crate::settings::{TokenSettings, TokensFile};
+
+/// Longest token that is looked at, in bytes.
+const TOKEN_MAX_BYTES: usize = 512;
+
+/// Client name of callers without one.
+const UNNAMED: &str = "unnamed";
+
+/// Why the tokens file cannot be used.
+#[derive(Debug, Snafu)]
+pub enum TokensError {
+    /// The file could not be read.
+    #[snafu(context(false), display("{source}"))]
+    File {
+        /// Cause.
+        source: ReadError,
+    },
+    /// The file is not UTF-8.
+    #[snafu(display("the tokens file is not UTF-8"))]
+    Encoding,
+    /// The file has faults.
+    #[snafu(display("the tokens file has faults: {faults}"))]
+    Faulty {
+        /// All faults.
+        faults: Faults,
+    },
+}
+
+/// Why a caller is not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Denied {
+    /// No token, or one that nobody knows.
+    #[snafu(display("expected a header `Authorization: Bearer TOKEN` with a known token"))]
+    Unauthenticated,
+    /// The bearer may not do this.
+    #[snafu(display("expected a token of the team or of an operator"))]
+    Forbidden,
+}
+
+/// The bearer of a token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// Team whose document and jobs the bearer may change.
+    pub team: Option<SmolStr>,
+    /// Client name under which the bearer's requests are counted.
+    pub client: SmolStr,
+    /// Whether the bearer may change everything.
+    pub is_operator: bool,
+}
+
+impl Caller {
+    /// Whether the bearer may read and change what belongs to `team`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Denied::Forbidden`] if not.
+    pub fn for_team(&self, team: &str) -> Result<(), Denied> {
+        if self.is_operator || self.team.as_deref() == Some(team) {
+            return Ok(());
+        }
+        Err(Denied::Forbidden)
+    }
+
+    /// Whether the bearer is an operator.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Denied::Forbidden`] if not.
+    pub fn for_operators(&self) -> Result<(), Denied> {
+        if self.is_operator {
+            return Ok(());
+        }
+        Err(Denied::Forbidden)
+    }
+
+    /// The team to which the bearer is limited; none for an operator.
+    #[must_use]
+    pub fn scope(&self) -> Option<SmolStr> {
+        if self.is_operator {
+            return None;
+        }
+        self.team.clone()
+    }
+}
+
+struct Entry {
+    sha256: [u8; 32],
+    caller: Caller,
+}
+
+type Table = Vec<Entry>;
+
+/// The tokens that are known now.
+#[derive(Clone)]
+pub struct Auth {
+    tokens: Option<Arc<Reloaded<Table, TokensError>>>,
+    _refresher: Option<Arc<Refresher>>,
+}
+
+impl Auth {
+    /// Lets in every caller as an operator.
+    #[must_use]
+    pub fn open_to_all() -> Self {
+        Self {
+            tokens: None,
+            _refresher: None,
+        }
+    }
+
+    /// Reads the tokens file; inside a tokio runtime, it is read again when it changes.
+    ///
+    /// A faulty change is logged, and the tokens that were valid before it stay valid.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TokensError`] if the file cannot be read or has faults.
+    pub fn open(file: impl AsRef<Path>) -> Result<Self, TokensError> {
+        let files = vec![file.as_ref().to_path_buf()];
+        let tokens = Arc::new(Reloaded::open(files, |contents| read_table(&contents[0]))?);
+        let runtime = tokio::runtime::Handle::try_current();
+        let refresher = runtime.ok().map(|_| Arc::new(tokens.spawn_refresh()));
+        Ok(Self {
+            tokens: Some(tokens),
+            _refresher: refresher,
+        })
+    }
+
+    /// Reads the tokens file at once; true if it changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TokensError`] as [`Auth::open`] does; the tokens that were valid before stay valid.
+    pub fn refresh(&self) -> Result<bool, TokensError> {
+        self.tokens
+            .as_ref()
+            .map_or(Ok(false), |tokens| tokens.refresh())
+    }
+
+    /// The bearer of the token in the header `Authorization`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Denied::Unauthenticated`] if there is no known token.
+    pub fn caller(&self, headers: &HeaderMap) -> Result<Caller, Denied> {
+        let Some(tokens) = &self.tokens else {
+            return Ok(Caller {
+                team: None,
+                client: UNNAMED.into(),
+                is_operator: true,
+            });
+        };
+        let token = bearer(headers).ok_or(Denied::Unauthenticated)?;
+        let sha256: [u8; 32] = Sha256::digest(token).into();
+        let table = tokens.get();
+        let mut found = None;
+        // Every entry is compared, so that the time tells nothing about the place of a match.
+        for entry in table.iter() {
+            if bool::from(entry.sha256.ct_eq(&sha256)) {
+                found = Some(entry);
+            }
+        }
+        let entry = found.ok_or(Denied::Unauthenticated)?;
+        Ok(entry.caller.clone())
+    }
+}
+
+/// SHA-256 of a token as the tokens file holds it.
+#[must_use]
+pub fn token_sha256(token: &str) -> String {
+    format!("{:x}", Sha256::digest(token.as_bytes()))
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(header::AUTHORIZATION)?.as_bytes();
+    let (scheme, token) = value.split_at_checked(7)?;
+    if !scheme.eq_ignore_ascii_case(b"bearer ") || token.is_empty() {
+        return None;
+    }
+    (token.len() <= TOKEN_MAX_BYTES).then_some(token)
+}
+
+fn read_table(content: &[u8]) -> Result<Table, TokensError> {
+    let text = std::str::from_utf8(content).map_err(|_| TokensError::Encoding)?;
+    let file = TokensFile::read(text).map_err(|faults| TokensError::Faulty { faults })?;
+    Ok(file.tokens.iter().map(entry).collect())
+}
+
+fn entry(token: &TokenSettings) -> Entry {
+    let mut sha256 = [0; 32];
+    for (at, byte) in sha256.iter_mut().enumerate() {
+        let digits = token.sha256.get(2 * at..2 * at + 2).unwrap_or_default();
+        // The check of the file permits only hexadecimal digits.
+        *byte = u8::from_str_radix(digits, 16).unwrap_or_default();
+    }
+    let client = token.client.clone().or_else(|| token.team.clone());
+    let caller = Caller {
+        team: token.team.clone(),
+        client: client.unwrap_or_else(|| UNNAMED.into()),
+        is_operator: token.operator,
+    };
+    Entry { sha256, caller }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,397 @@
+//! Client of the administration API.
+
+use axum::body::Body;
+use axum::http::{HeaderValue, Method, Request, StatusCode, Uri, header};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use std::time::Duration;
+
+use crate::extract::IDEMPOTENCY_KEY;
+use crate::model::{
+    CancelJobs, DocumentAccepted, DocumentHistory, DocumentPage, DocumentView, HostList,
+    JobAccepted, JobName, JobPage, JobView, JobsCancelled, PageQuery, ServerGone, ServerPage,
+    SubmitJob,
+};
+use crate::problem::Problem;
+use crate::settings::ClientSettings;
+use crate::stream::{Stream, StreamError};
+use crate::tls::{ClientTls, TlsError, server_name};
+
+/// Time for a connection, in milliseconds.
+const CONNECT_MS: u64 = 5_000;
+
+/// Time for a whole call, in milliseconds: longer than any wait of the server for the store.
+const CALL_MS: u64 = 30_000;
+
+/// Largest answer that is read, in bytes; a page of 1,000 servers has about 500 KiB.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// Why a call failed.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// The address is missing.
+    #[snafu(display("no address: expected --address or PRIMROSESTACK_ADDRESS"))]
+    NoAddress,
+    /// The address is not one.
+    #[snafu(display("address {address:?}: expected http://HOST:PORT or https://HOST:PORT"))]
+    BadAddress {
+        /// What was found.
+        address: String,
+    },
+    /// TLS needs to know the authority.
+    #[snafu(display("no authority: expected --authority or PRIMROSESTACK_AUTHORITY_FILE"))]
+    NoAuthority,
+    /// The authority file cannot be used.
+    #[snafu(display("cannot use the authority file: {source}"))]
+    Tls {
+        /// Cause.
+        source: TlsError,
+    },
+    /// The token cannot be sent.
+    #[snafu(display("token: expected printable ASCII characters"))]
+    BadToken,
+    /// A name that cannot stand in a path or query.
+    #[snafu(display("{name:?}: expected letters, digits, `-`, `_`, `.` and `:`"))]
+    BadName {
+        /// What was found.
+        name: String,
+    },
+    /// No connection, so that nothing was sent.
+    #[snafu(display("not run: {source} ({address})"))]
+    Connect {
+        /// Address.
+        address: String,
+        /// Cause.
+        source: StreamError,
+    },
+    /// The connection failed after the call was sent, perhaps only in part.
+    #[snafu(display("outcome unknown: the connection failed; the call can be repeated safely"))]
+    Broken {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The answer did not arrive in time.
+    #[snafu(display(
+        "outcome unknown: no answer after {CALL_MS} ms; the call can be repeated safely"
+    ))]
+    TooSlow,
+    /// The answer cannot be read.
+    #[snafu(display("status {status}: expected an answer of primrosestack"))]
+    Answer {
+        /// Status.
+        status: StatusCode,
+    },
+    /// The call was refused.
+    #[snafu(display("{}", describe(problem)))]
+    Refused {
+        /// Why.
+        problem: Box<Problem>,
+    },
+}
+
+fn describe(problem: &Problem) -> String {
+    let mut text = problem.title.clone();
+    if let Some(detail) = &problem.detail {
+        text = format!("{text}: {detail}");
+    }
+    if let Some(revision) = problem.current_revision {
+        text = format!("{text}; current revision: {revision}");
+    }
+    text
+}
+
+struct Call {
+    method: Method,
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: String,
+}
+
+impl Call {
+    fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: String::new(),
+        }
+    }
+
+    fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn with_body(mut self, body: impl Into<String>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    fn with_json(self, body: &impl Serialize) -> Self {
+        // The types of the API always serialize.
+        self.with_body(serde_json::to_string(body).unwrap_or_default())
+    }
+}
+
+/// Calls one administration listener; each call has a connection of its own.
+pub struct Client {
+    host: String,
+    port: u16,
+    tls: Option<ClientTls>,
+    token: Option<HeaderValue>,
+}
+
+impl Client {
+    /// Prepares calls; nothing is sent yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the settings cannot be used.
+    pub fn open(settings: ClientSettings) -> Result<Self, ClientError> {
+        let address = settings.address.context(NoAddressSnafu)?;
+        let full = if address.contains("://") {
+            address.clone()
+        } else {
+            format!("http://{address}")
+        };
+        let uri: Option<Uri> = full.parse().ok();
+        let uri = uri.context(BadAddressSnafu { address: &address })?;
+        let host = uri.host().context(BadAddressSnafu { address: &address })?;
+        let port = uri.port_u16();
+        let tls = match uri.scheme_str() {
+            Some("http") => None,
+            Some("https") => {
+                let file = settings.authority_file.context(NoAuthoritySnafu)?;
+                Some(ClientTls::open_authority(file).context(TlsSnafu)?)
+            }
+            _ => return BadAddressSnafu { address }.fail(),
+        };
+        let token = match settings.token {
+            None => None,
+            Some(token) => {
+                let bearer = HeaderValue::try_from(format!("Bearer {token}"));
+                let mut bearer = bearer.ok().context(BadTokenSnafu)?;
+                bearer.set_sensitive(true);
+                Some(bearer)
+            }
+        };
+        Ok(Self {
+            host: host.trim_matches(['[', ']']).to_owned(),
+            port: port.context(BadAddressSnafu { address: &address })?,
+            tls,
+            token,
+        })
+    }
+
+    /// Lists documents.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn documents(&self, query: &PageQuery) -> Result<DocumentPage, ClientError> {
+        self.get(list_path("/v1/documents", query)?).await
+    }
+
+    /// Reads a document.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn document(&self, team: &str) -> Result<DocumentView, ClientError> {
+        self.get(format!("/v1/documents/{}", checked(team)?)).await
+    }
+
+    /// Writes a document in place of revision `expected`, or the first one of a team.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn put_document(
+        &self,
+        team: &str,
+        expected: Option<u64>,
+        text: impl Into<String>,
+    ) -> Result<DocumentAccepted, ClientError> {
+        let path = format!("/v1/documents/{}", checked(team)?);
+        let mut call = Call::new(Method::PUT, path).with_body(text);
+        if let Some(expected) = expected {
+            call = call.with_header("if-match", format!("\"{expected}\""));
+        }
+        self.send(call).await
+    }
+
+    /// Says which revision of a document is in force where.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn document_history(&self, team: &str) -> Result<DocumentHistory, ClientError> {
+        let path = format!("/v1/documents/{}/history", checked(team)?);
+        self.get(path).await
+    }
+
+    /// Submits a job under an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn submit(&self, key: &str, job: &SubmitJob) -> Result<JobAccepted, ClientError> {
+        let call = Call::new(Method::POST, "/v1/jobs")
+            .with_header(IDEMPOTENCY_KEY, key)
+            .with_json(job);
+        self.send(call).await
+    }
+
+    /// Lists jobs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn jobs(&self, query: &PageQuery) -> Result<JobPage, ClientError> {
+        self.get(list_path("/v1/jobs", query)?).await
+    }
+
+    /// Reads a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn job(&self, job: JobName) -> Result<JobView, ClientError> {
+        self.get(format!("/v1/jobs/{job}")).await
+    }
+
+    /// Cancels jobs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn cancel(&self, jobs: Vec<JobName>) -> Result<JobsCancelled, ClientError> {
+        let call = Call::new(Method::POST, "/v1/jobs/cancel").with_json(&CancelJobs { jobs });
+        self.send(call).await
+    }
+
+    /// Lists the entry hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn hosts(&self) -> Result<HostList, ClientError> {
+        self.get("/v1/hosts".to_owned()).await
+    }
+
+    /// Lists backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn servers(&self, query: &PageQuery) -> Result<ServerPage, ClientError> {
+        self.get(list_path("/v1/servers", query)?).await
+    }
+
+    /// Declares that a backend server is gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the call fails or is refused.
+    pub async fn declare_gone(&self, server: &str) -> Result<ServerGone, ClientError> {
+        let path = format!("/v1/servers/{}/gone", checked(server)?);
+        self.send(Call::new(Method::POST, path)).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: String) -> Result<T, ClientError> {
+        self.send(Call::new(Method::GET, path)).await
+    }
+
+    async fn send<T: DeserializeOwned>(&self, call: Call) -> Result<T, ClientError> {
+        let limit = Duration::from_millis(CALL_MS);
+        let answered = tokio::time::timeout(limit, self.exchange(call)).await;
+        let (status, body) = answered.map_err(|_| ClientError::TooSlow)??;
+        if status.is_success() {
+            return serde_json::from_slice(&body)
+                .ok()
+                .context(AnswerSnafu { status });
+        }
+        let problem: Option<Problem> = serde_json::from_slice(&body).ok();
+        let problem = Box::new(problem.context(AnswerSnafu { status })?);
+        RefusedSnafu { problem }.fail()
+    }
+
+    async fn exchange(&self, call: Call) -> Result<(StatusCode, Bytes), ClientError> {
+        let request = self.request(call)?;
+        let address = format!("{}:{}", self.host, self.port);
+        let tls = match &self.tls {
+            None => None,
+            Some(tls) => {
+                let name = server_name(&self.host);
+                let name = name.context(BadAddressSnafu { address: &address })?;
+                Some((tls, name))
+            }
+        };
+        let target = (self.host.as_str(), self.port);
+        let connected = Stream::connect(target, tls, CONNECT_MS).await;
+        let stream = connected.context(ConnectSnafu { address })?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .context(BrokenSnafu)?;
+        let connection = tokio::spawn(connection);
+        let answer = sender.send_request(request).await.context(BrokenSnafu)?;
+        let status = answer.status();
+        let body = Limited::new(Body::new(answer.into_body()), ANSWER_MAX_BYTES);
+        let collected = body.collect().await;
+        connection.abort();
+        let collected = collected.ok().context(AnswerSnafu { status })?;
+        Ok((status, collected.to_bytes()))
+    }
+
+    fn request(&self, call: Call) -> Result<Request<Full<Bytes>>, ClientError> {
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(&call.path)
+            .header(header::HOST, format!("{}:{}", self.host, self.port));
+        if let Some(token) = &self.token {
+            request = request.header(header::AUTHORIZATION, token);
+        }
+        for (name, value) in call.headers {
+            request = request.header(name, value);
+        }
+        let built = request.body(Full::new(Bytes::from(call.body)));
+        built.ok().context(BadNameSnafu { name: call.path })
+    }
+}
+
+/// A name that needs no escaping in a path or query.
+fn checked(name: &str) -> Result<&str, ClientError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    let is_plain = !name.is_empty() && name.bytes().all(allowed) && name != "." && name != "..";
+    ensure!(is_plain, BadNameSnafu { name });
+    Ok(name)
+}
+
+fn list_path(path: &str, query: &PageQuery) -> Result<String, ClientError> {
+    let limit = query.limit.map(|limit| SmolStr::from(limit.to_string()));
+    let fields = [
+        ("team", &query.team),
+        ("failure_domain", &query.failure_domain),
+        ("after", &query.after),
+        ("limit", &limit),
+    ];
+    let mut full = path.to_owned();
+    let mut separator = '?';
+    for (name, value) in fields {
+        let Some(value) = value else {
+            continue;
+        };
+        full.push(separator);
+        full.push_str(name);
+        full.push('=');
+        full.push_str(checked(value)?);
+        separator = '&';
+    }
+    Ok(full)
+}
--- /dev/null
+++ b/src/cmd/error.rs
@@ -0,0 +1,156 @@
+//! Why a subcommand fails, and the exit code that goes with it.
+
+use std::error::Error;
+use std::path::PathBuf;
+
+use snafu::Snafu;
+
+use crate::client::ClientError;
+use crate::problem::Code;
+use crate::settings::SettingsError;
+
+/// Something failed, or its outcome is not known.
+pub const EXIT_FAILURE: u8 = 1;
+
+/// The input has to be changed.
+pub const EXIT_BAD_INPUT: u8 = 2;
+
+/// Nothing was run; the same call may succeed later.
+pub const EXIT_NOT_RUN: u8 = 3;
+
+/// Why a subcommand fails.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum CommandError {
+    /// A part of the program is missing.
+    #[snafu(display("{part}: not built into this branch"))]
+    NotBuilt {
+        /// The part.
+        part: &'static str,
+    },
+    /// Settings cannot be used.
+    #[snafu(context(false), display("{source}"))]
+    Settings {
+        /// Cause.
+        source: SettingsError,
+    },
+    /// A call failed.
+    #[snafu(context(false), display("{source}"))]
+    Client {
+        /// Cause.
+        source: ClientError,
+    },
+    /// A file could not be read.
+    #[snafu(display("cannot read {}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Files have faults.
+    #[snafu(display("{rendered}"))]
+    Faulty {
+        /// One line per fault.
+        rendered: String,
+    },
+    /// The command line lacks something.
+    #[snafu(display("expected {expected}"))]
+    Usage {
+        /// What was expected.
+        expected: &'static str,
+    },
+    /// Some jobs of a cancellation are unknown.
+    #[snafu(display("{count} jobs are unknown"))]
+    UnknownJobs {
+        /// How many.
+        count: usize,
+    },
+    /// A watched job ended with tasks that did not succeed.
+    #[snafu(display("job {job} ended with {count} tasks that did not succeed"))]
+    JobFailed {
+        /// The job.
+        job: String,
+        /// How many.
+        count: u32,
+    },
+    /// The runtime could not be started.
+    #[snafu(display("cannot start the runtime"))]
+    Runtime {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The answer could not be printed.
+    #[snafu(display("cannot write to standard output"))]
+    Output {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+impl CommandError {
+    /// Exit code of the process.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Settings { .. }
+            | Self::Read { .. }
+            | Self::Faulty { .. }
+            | Self::Usage { .. } => EXIT_BAD_INPUT,
+            Self::Client { source } => client_exit_code(source),
+            _ => EXIT_FAILURE,
+        }
+    }
+
+    /// Text for people, with the faults and causes, ending with a newline.
+    #[must_use]
+    pub fn report(&self) -> String {
+        if let Self::Faulty { rendered } = self {
+            return format!("{rendered}\n");
+        }
+        let mut text = format!("Error: {self}");
+        let mut last = self.to_string();
+        let mut cause = self.source();
+        while let Some(error) = cause {
+            let message = error.to_string();
+            // Errors that show their cause in their own text are not printed twice.
+            if !last.contains(&message) {
+                text = format!("{text}: {message}");
+            }
+            last = message;
+            cause = error.source();
+        }
+        if let Self::Client {
+            source: ClientError::Refused { problem },
+        } = self
+        {
+            for fault in &problem.faults {
+                text = format!("{text}\n{fault}");
+            }
+        }
+        text.push('\n');
+        text
+    }
+}
+
+fn client_exit_code(error: &ClientError) -> u8 {
+    match error {
+        ClientError::NoAddress
+        | ClientError::BadAddress { .. }
+        | ClientError::NoAuthority
+        | ClientError::Tls { .. }
+        | ClientError::BadToken
+        | ClientError::BadName { .. } => EXIT_BAD_INPUT,
+        ClientError::Connect { .. } => EXIT_NOT_RUN,
+        ClientError::Broken { .. } | ClientError::TooSlow | ClientError::Answer { .. } => {
+            EXIT_FAILURE
+        }
+        ClientError::Refused { problem } if problem.code.is_not_run() => EXIT_NOT_RUN,
+        ClientError::Refused { problem } => match problem.code {
+            Code::BadRequest | Code::Invalid | Code::BodyTooLarge | Code::TooLarge => {
+                EXIT_BAD_INPUT
+            }
+            _ => EXIT_FAILURE,
+        },
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,101 @@
+//! What the administration API asks of the rest of the program.
+
+use primrosestack_core::ids::JobId;
+use smol_str::SmolStr;
+
+use crate::document::Document;
+use crate::model::{
+    DocumentAccepted, DocumentHistory, DocumentPage, DocumentView, HostList, JobAccepted, JobName,
+    JobPage, JobView, JobsCancelled, PageQuery, ServerGone, ServerPage, SubmitJob,
+};
+use crate::problem::Refusal;
+
+/// A checked document that is to replace the team's present one.
+#[derive(Clone, Debug)]
+pub struct PutDocument {
+    /// The document, whose team is the one in the path.
+    pub document: Document,
+    /// Its text, as it was written.
+    pub text: String,
+    /// Revision that it replaces; none if the team must not have a document yet.
+    pub expected: Option<u64>,
+    /// Client that made the change.
+    pub by: SmolStr,
+}
+
+/// A job to be submitted by a caller who may do so.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The job, from team and idempotency key.
+    pub id: JobId,
+    /// Team that owns it.
+    pub team: SmolStr,
+    /// Client that it is counted for.
+    pub client: SmolStr,
+    /// The job; its fields `team` and `client` are to be ignored.
+    pub job: SubmitJob,
+}
+
+/// Jobs to be cancelled.
+#[derive(Clone, Debug)]
+pub struct Cancellation {
+    /// If set, jobs of other teams are unknown to the caller.
+    pub team: Option<SmolStr>,
+    /// The jobs, each once.
+    pub jobs: Vec<JobName>,
+}
+
+/// What a call answers.
+pub type Answer<T> = Result<T, Refusal>;
+
+/// The calls of the administration API; callers are authenticated and allowed to make them.
+///
+/// Every call answers [`Refusal::NotRun`] only if nothing was recorded, and [`Refusal::Unknown`] if that cannot be
+/// told; each call can then be repeated safely.
+pub trait Control: Send + Sync + 'static {
+    /// Lists documents in order of team.
+    fn documents(&self, query: PageQuery) -> impl Future<Output = Answer<DocumentPage>> + Send;
+
+    /// Reads the document of a team.
+    fn document(&self, team: SmolStr) -> impl Future<Output = Answer<DocumentView>> + Send;
+
+    /// Writes a document; [`Refusal::Conflict`] if the present revision is not the expected one.
+    fn put_document(
+        &self,
+        change: PutDocument,
+    ) -> impl Future<Output = Answer<DocumentAccepted>> + Send;
+
+    /// Says which revision of a document is in force where.
+    fn document_history(
+        &self,
+        team: SmolStr,
+    ) -> impl Future<Output = Answer<DocumentHistory>> + Send;
+
+    /// Submits a job; answers once it is durable.
+    fn submit(&self, submission: Submission) -> impl Future<Output = Answer<JobAccepted>> + Send;
+
+    /// Lists jobs in order of name.
+    fn jobs(&self, query: PageQuery) -> impl Future<Output = Answer<JobPage>> + Send;
+
+    /// Reads a job.
+    fn job(&self, job: JobName) -> impl Future<Output = Answer<JobView>> + Send;
+
+    /// Cancels jobs; answers once the cancellations are durable.
+    fn cancel(
+        &self,
+        cancellation: Cancellation,
+    ) -> impl Future<Output = Answer<JobsCancelled>> + Send;
+
+    /// Lists the entry hosts.
+    fn hosts(&self) -> impl Future<Output = Answer<HostList>> + Send;
+
+    /// Lists backend servers in order of name.
+    fn servers(&self, query: PageQuery) -> impl Future<Output = Answer<ServerPage>> + Send;
+
+    /// Declares that a backend server is gone and that nothing runs there.
+    fn declare_gone(
+        &self,
+        server: SmolStr,
+        by: SmolStr,
+    ) -> impl Future<Output = Answer<ServerGone>> + Send;
+}
--- a/src/document.rs
+++ b/src/document.rs
@@ -213,7 +213,25 @@
     ///
     /// Returns every fault with its line, column and what was expected.
     pub fn read(text: &str) -> Result<Self, Faults> {
-        check::read(text, Self::rules)
+        Self::read_for(text, None)
+    }
+
+    /// Reads and wholly checks a document that has to be that of `team`, if it is given.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its line, column and what was expected.
+    pub fn read_for(text: &str, team: Option<&str>) -> Result<Self, Faults> {
+        check::read(text, |document: &Self, sink| {
+            if let Some(team) = team.filter(|team| document.team != *team) {
+                sink.add(
+                    &["team"],
+                    format!("{:?}", document.team),
+                    format!("{team:?}"),
+                );
+            }
+            document.rules(sink);
+        })
     }
 
     /// The JSON Schema of documents.
--- /dev/null
+++ b/src/extract.rs
@@ -0,0 +1,139 @@
+//! Parts of a request to the administration API; whatever is wrong with them is answered with problem details.
+
+use std::error::Error;
+use std::sync::Arc;
+
+use axum::body::Bytes;
+use axum::extract::{FromRequest, FromRequestParts, Path, Query, Request};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, StatusCode, header};
+use smol_str::SmolStr;
+
+use crate::auth::{Auth, Caller};
+use crate::check::is_name;
+use crate::listen::SlowBody;
+use crate::model::PageQuery;
+use crate::problem::{Code, Problem};
+
+/// Header with the key under which a submission is accepted once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Longest idempotency key in bytes.
+pub const KEY_MAX_BYTES: usize = 256;
+
+/// State of the handlers.
+pub struct App<C> {
+    pub(crate) control: C,
+    pub(crate) auth: Auth,
+}
+
+/// The caller, from the token; it comes before the body, which is not read for strangers.
+pub struct Allowed(pub Caller);
+
+impl<C: Send + Sync + 'static> FromRequestParts<Arc<App<C>>> for Allowed {
+    type Rejection = Problem;
+
+    async fn from_request_parts(parts: &mut Parts, app: &Arc<App<C>>) -> Result<Self, Problem> {
+        Ok(Self(app.auth.caller(&parts.headers)?))
+    }
+}
+
+/// The name in the path.
+pub struct Named(pub SmolStr);
+
+impl<S: Send + Sync> FromRequestParts<S> for Named {
+    type Rejection = Problem;
+
+    async fn from_request_parts(parts: &mut Parts, state: &S) -> Result<Self, Problem> {
+        let path = Path::<SmolStr>::from_request_parts(parts, state).await;
+        let Path(name) = path.map_err(|error| bad(error.body_text()))?;
+        Ok(Self(name))
+    }
+}
+
+/// The query of a list.
+pub struct Page(pub PageQuery);
+
+impl<S: Send + Sync> FromRequestParts<S> for Page {
+    type Rejection = Problem;
+
+    async fn from_request_parts(parts: &mut Parts, state: &S) -> Result<Self, Problem> {
+        let query = Query::<PageQuery>::from_request_parts(parts, state).await;
+        let Query(query) = query.map_err(|error| bad(error.body_text()))?;
+        Ok(Self(query))
+    }
+}
+
+/// The body as text.
+pub struct Text(pub String);
+
+impl<S: Send + Sync> FromRequest<S> for Text {
+    type Rejection = Problem;
+
+    async fn from_request(request: Request, state: &S) -> Result<Self, Problem> {
+        let bytes = match Bytes::from_request(request, state).await {
+            Ok(bytes) => bytes,
+            Err(rejection) if rejection.status() == StatusCode::PAYLOAD_TOO_LARGE => {
+                return Err(Problem::new(Code::BodyTooLarge));
+            }
+            Err(rejection) if is_slow(&rejection) => return Err(Problem::new(Code::BodyTooSlow)),
+            Err(rejection) => return Err(bad(rejection.body_text())),
+        };
+        let text = String::from_utf8(bytes.into());
+        text.map(Self)
+            .map_err(|_| bad("the body is not UTF-8, expected JSON with comments"))
+    }
+}
+
+/// A malformed call.
+pub(crate) fn bad(detail: impl Into<String>) -> Problem {
+    Problem::new(Code::BadRequest).with_detail(detail)
+}
+
+/// The revision in If-Match; none without the header.
+pub(crate) fn if_match(headers: &HeaderMap) -> Result<Option<u64>, Problem> {
+    let Some(value) = headers.get(header::IF_MATCH) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim();
+    let quoted = text
+        .strip_prefix('"')
+        .and_then(|text| text.strip_suffix('"'));
+    match quoted.unwrap_or(text).parse() {
+        Ok(revision) => Ok(Some(revision)),
+        Err(_) => Err(bad("If-Match: expected one revision, such as \"12\"")),
+    }
+}
+
+/// The idempotency key of a submission.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<&str, Problem> {
+    let value = headers.get(IDEMPOTENCY_KEY);
+    let key = value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    if (1..=KEY_MAX_BYTES).contains(&key.len()) {
+        return Ok(key);
+    }
+    let detail = format!("Idempotency-Key: expected 1 to {KEY_MAX_BYTES} printable characters");
+    Err(bad(detail))
+}
+
+/// The name in a path that has to be one.
+pub(crate) fn checked_name(kind: &str, name: &str) -> Result<(), Problem> {
+    if is_name(name) {
+        return Ok(());
+    }
+    let detail = format!("{name:?} cannot name a {kind}");
+    Err(Problem::new(Code::NotFound).with_detail(detail))
+}
+
+fn is_slow(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        if error.is::<SlowBody>() {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
--- /dev/null
+++ b/src/listen.rs
@@ -0,0 +1,312 @@
+//! HTTP listeners, with limits on what a sender may cost.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::http::{HeaderValue, Request, Response, Version, header};
+use axum::response::IntoResponse;
+use bytes::Bytes;
+use http_body_util::Limited;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::Sleep;
+use tower::ServiceExt;
+
+use crate::problem::{Code, Problem};
+use crate::stream::{Idle, Stream};
+use crate::tls::ServerTls;
+
+/// Pause after a failed accept: without file descriptors, accepting fails again at once.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// An address that cannot be listened on.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}"))]
+pub struct ListenError {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A body that did not arrive in time.
+#[derive(Debug, Snafu)]
+#[snafu(display("the body did not arrive within {limit_ms} ms"))]
+pub struct SlowBody {
+    limit_ms: u64,
+}
+
+/// What one sender may cost a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Size of all headers of a request, in bytes.
+    #[schemars(range(min = 8192, max = 1_048_576))]
+    pub header_bytes: u32,
+    /// Number of headers of a request.
+    #[schemars(range(min = 16, max = 1024))]
+    pub headers: u32,
+    /// Time for the TLS handshake, in milliseconds.
+    #[schemars(range(min = 100, max = 60_000))]
+    pub handshake_ms: u64,
+    /// Time for the headers of a request, in milliseconds; also the longest pause between two requests of HTTP/1.
+    #[schemars(range(min = 100, max = 600_000))]
+    pub header_read_ms: u64,
+    /// Time for the body of a request, in milliseconds.
+    #[schemars(range(min = 100, max = 600_000))]
+    pub body_read_ms: u64,
+    /// Size of the body of a request, in bytes.
+    #[schemars(range(min = 1024, max = 1_073_741_824))]
+    pub body_bytes: u32,
+    /// Time without a byte in either direction, in milliseconds; longer than any request may run.
+    #[schemars(range(min = 1_000, max = 3_600_000))]
+    pub idle_ms: u64,
+    /// Number of connections; further ones are closed at once.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub connections: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16_384,
+            headers: 64,
+            handshake_ms: 5_000,
+            header_read_ms: 10_000,
+            body_read_ms: 10_000,
+            body_bytes: 1_048_576,
+            idle_ms: 60_000,
+            connections: 4_096,
+        }
+    }
+}
+
+/// A running listener; dropping it closes the listening socket and lets open connections finish.
+pub struct Listener {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<GracefulShutdown>,
+}
+
+impl Listener {
+    /// Address that it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in flight finish, and closes connections as they become idle.
+    ///
+    /// Returns false if connections were still open after `grace_ms`.
+    pub async fn stop(self, grace_ms: u64) -> bool {
+        drop(self.stop);
+        let Ok(graceful) = self.task.await else {
+            return false;
+        };
+        let grace = Duration::from_millis(grace_ms);
+        let finished = tokio::time::timeout(grace, graceful.shutdown()).await;
+        finished.is_ok()
+    }
+}
+
+/// Listens on `address` and serves `router`, with TLS if there is key material.
+///
+/// # Errors
+///
+/// Returns [`ListenError`] if the address cannot be listened on.
+pub async fn bind(
+    address: SocketAddr,
+    router: Router,
+    tls: Option<Arc<ServerTls>>,
+    limits: Limits,
+) -> Result<Listener, ListenError> {
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.context(ListenSnafu { address })?;
+    let address = listener.local_addr().context(ListenSnafu { address })?;
+    let (stop, stopped) = oneshot::channel();
+    let server = Arc::new(Server {
+        router,
+        tls,
+        limits,
+        connections: Arc::new(Semaphore::new(limits.connections as usize)),
+    });
+    let task = tokio::spawn(accept_all(listener, server, stopped));
+    Ok(Listener {
+        address,
+        stop,
+        task,
+    })
+}
+
+struct Server {
+    router: Router,
+    tls: Option<Arc<ServerTls>>,
+    limits: Limits,
+    connections: Arc<Semaphore>,
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    server: Arc<Server>,
+    mut stopped: oneshot::Receiver<()>,
+) -> GracefulShutdown {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = &mut stopped => return graceful,
+        };
+        let tcp = match accepted {
+            Ok((tcp, _)) => tcp,
+            Err(error) => {
+                log::warn!("event=accept_failed error={error}");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        let Ok(permit) = server.connections.clone().try_acquire_owned() else {
+            log::warn!("event=connection_refused reason=too_many");
+            continue;
+        };
+        let server = server.clone();
+        let watcher = graceful.watcher();
+        tokio::spawn(async move {
+            server.connection(tcp, watcher).await;
+            drop(permit);
+        });
+    }
+}
+
+impl Server {
+    async fn connection(self: Arc<Self>, tcp: TcpStream, watcher: Watcher) {
+        let limits = self.limits;
+        if tcp.set_nodelay(true).is_err() {
+            return;
+        }
+        let accepted = Stream::accept(tcp, self.tls.as_deref(), limits.handshake_ms).await;
+        let stream = match accepted {
+            Ok(stream) => stream,
+            Err(error) => {
+                log::debug!("event=handshake_failed error={error:?}");
+                return;
+            }
+        };
+        let builder = http(limits, stream.is_http2());
+        let io = TokioIo::new(Idle::new(stream, limits.idle_ms));
+        let service = hyper::service::service_fn(move |request| {
+            let server = self.clone();
+            async move { Ok::<_, Infallible>(server.request(request).await) }
+        });
+        let connection = builder.serve_connection(io, service).into_owned();
+        if let Err(error) = watcher.watch(connection).await {
+            log::debug!("event=connection_failed error={error:?}");
+        }
+    }
+
+    async fn request(&self, request: Request<Incoming>) -> Response<Body> {
+        let limits = self.limits;
+        let announced = request.body().size_hint().lower();
+        if announced > u64::from(limits.body_bytes) {
+            return too_large(limits, request.version());
+        }
+        let request = request.map(|body| {
+            let limited = Limited::new(body, limits.body_bytes as usize);
+            Body::new(Timed::new(limited, limits.body_read_ms))
+        });
+        let response = self.router.clone().oneshot(request).await;
+        response.unwrap_or_else(|never| match never {})
+    }
+}
+
+/// Refuses a body from its announced length; the connection is closed, since the body is not read.
+fn too_large(limits: Limits, version: Version) -> Response<Body> {
+    let detail = format!("expected at most {} bytes", limits.body_bytes);
+    let problem = Problem::new(Code::BodyTooLarge).with_detail(detail);
+    let mut response = problem.into_response();
+    if version < Version::HTTP_2 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn http(limits: Limits, is_http2: bool) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_read_ms))
+        .max_headers(limits.headers as usize)
+        // hyper panics below 8,192.
+        .max_buf_size(limits.header_bytes.max(8_192) as usize);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes)
+        .max_concurrent_streams(256);
+    // The protocol is known from the handshake; guessing it would wait for the first bytes without a time limit.
+    if is_http2 {
+        builder.http2_only()
+    } else {
+        builder.http1_only()
+    }
+}
+
+/// A body that must arrive in a given time.
+struct Timed<B> {
+    body: Pin<Box<B>>,
+    limit_ms: u64,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl<B> Timed<B> {
+    fn new(body: B, limit_ms: u64) -> Self {
+        Self {
+            body: Box::pin(body),
+            limit_ms,
+            sleep: Box::pin(tokio::time::sleep(Duration::from_millis(limit_ms))),
+        }
+    }
+}
+
+impl<B> HttpBody for Timed<B>
+where
+    B: HttpBody<Data = Bytes, Error = axum::BoxError>,
+{
+    type Data = Bytes;
+    type Error = axum::BoxError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let this = self.get_mut();
+        let poll = this.body.as_mut().poll_frame(cx);
+        if poll.is_ready() || this.sleep.as_mut().poll(cx).is_pending() {
+            return poll;
+        }
+        let limit_ms = this.limit_ms;
+        Poll::Ready(Some(Err(Box::new(SlowBody { limit_ms }))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    primrosestack::cmd::main()
+}
--- /dev/null
+++ b/src/reload.rs
@@ -0,0 +1,132 @@
+//! Values made from files, made anew when the files change.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+/// How often the files are read again: a change takes effect within about one second.
+pub const REFRESH_MS: u64 = 1_000;
+
+/// A file that could not be read.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot read {}", path.display()))]
+pub struct ReadError {
+    path: PathBuf,
+    source: std::io::Error,
+}
+
+type Build<T, E> = dyn Fn(&[Vec<u8>]) -> Result<T, E> + Send + Sync;
+
+struct Current<T> {
+    value: Arc<T>,
+    /// Digest of the contents that were tried last, whether or not they were good.
+    tried: [u8; 32],
+}
+
+/// A value made from the contents of files.
+///
+/// When the files change to something that is not valid, the last valid value stays.
+pub struct Reloaded<T, E> {
+    files: Vec<PathBuf>,
+    build: Box<Build<T, E>>,
+    current: watch::Sender<Current<T>>,
+}
+
+/// Reads files again from time to time until it is dropped.
+#[derive(Debug)]
+pub struct Refresher(AbortHandle);
+
+impl Drop for Refresher {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl<T, E> Reloaded<T, E>
+where
+    T: Send + Sync + 'static,
+    E: From<ReadError> + std::error::Error + Send + Sync + 'static,
+{
+    /// Reads the files and makes the first value.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a file that cannot be read, or that of `build`.
+    pub fn open(
+        files: Vec<PathBuf>,
+        build: impl Fn(&[Vec<u8>]) -> Result<T, E> + Send + Sync + 'static,
+    ) -> Result<Self, E> {
+        let contents = read_all(&files)?;
+        let value = Arc::new(build(&contents)?);
+        let tried = digest(&contents);
+        Ok(Self {
+            files,
+            build: Box::new(build),
+            current: watch::Sender::new(Current { value, tried }),
+        })
+    }
+
+    /// The latest valid value.
+    #[must_use]
+    pub fn get(&self) -> Arc<T> {
+        self.current.borrow().value.clone()
+    }
+
+    /// Reads the files again; true if there is a new value.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Reloaded::open`]; the last valid value stays, and the same contents are not tried
+    /// again.
+    pub fn refresh(&self) -> Result<bool, E> {
+        let contents = read_all(&self.files)?;
+        let tried = digest(&contents);
+        if self.current.borrow().tried == tried {
+            return Ok(false);
+        }
+        let built = (self.build)(&contents);
+        self.current.send_modify(|current| current.tried = tried);
+        let value = Arc::new(built?);
+        self.current.send_modify(|current| current.value = value);
+        Ok(true)
+    }
+
+    /// Starts to read the files again every [`REFRESH_MS`].
+    #[must_use]
+    pub fn spawn_refresh(self: &Arc<Self>) -> Refresher {
+        let this = Arc::clone(self);
+        let task = tokio::spawn(async move {
+            let mut interval = tokio::time::interval(Duration::from_millis(REFRESH_MS));
+            interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            loop {
+                interval.tick().await;
+                let file = this.files[0].display();
+                match this.refresh() {
+                    Ok(false) => {}
+                    Ok(true) => log::info!("event=files_reloaded file={file}"),
+                    Err(error) => log::error!("event=reload_failed file={file} error={error:?}"),
+                }
+            }
+        });
+        Refresher(task.abort_handle())
+    }
+}
+
+fn read_all(files: &[PathBuf]) -> Result<Vec<Vec<u8>>, ReadError> {
+    let read = |path: &PathBuf| std::fs::read(path).context(ReadSnafu { path });
+    files.iter().map(read).collect()
+}
+
+fn digest(contents: &[Vec<u8>]) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for content in contents {
+        hasher.update((content.len() as u64).to_le_bytes());
+        hasher.update(content);
+    }
+    hasher.finalize().into()
+}
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -7,6 +7,7 @@
 use serde_json::Value as Json;
 
 use crate::check::{Sink, is_name, property_name, push_pointer};
+use crate::model::JobName;
 
 /// Format of names; see [`is_name`].
 pub const NAME_FORMAT: &str = "name";
@@ -17,6 +18,9 @@
 /// Format of a SHA-256 in hexadecimal.
 pub const SHA256_FORMAT: &str = "sha256";
 
+/// Format of a job's name.
+pub const JOB_FORMAT: &str = "job";
+
 /// A walk along one schema document.
 pub(crate) struct Walk<'s> {
     root: &'s Json,
@@ -262,6 +266,10 @@
             text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit()),
             "64 hexadecimal digits",
         ),
+        JOB_FORMAT => (
+            text.parse::<JobName>().is_ok(),
+            "a job: 16 hexadecimal digits",
+        ),
         _ => return None,
     };
     (!fits).then_some(expected)
--- /dev/null
+++ b/src/stream.rs
@@ -0,0 +1,255 @@
+//! TCP streams with or without TLS, and the limits on their idle time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use rustls::pki_types::ServerName;
+use snafu::{ResultExt, Snafu};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpStream, ToSocketAddrs};
+use tokio::time::{Instant, Sleep};
+use tokio_rustls::{TlsAcceptor, TlsConnector, TlsStream};
+
+use crate::tls::{ClientTls, ServerTls};
+
+/// Why a connection does not come about; no byte of a request was sent.
+#[derive(Debug, Snafu)]
+pub enum StreamError {
+    /// TCP did not connect.
+    #[snafu(display("cannot connect"))]
+    Connect {
+        /// Cause.
+        source: io::Error,
+    },
+    /// The other side does not speak TLS, or a certificate is not valid.
+    #[snafu(display("TLS handshake failed"))]
+    Handshake {
+        /// Cause.
+        source: io::Error,
+    },
+    /// The time was up.
+    #[snafu(display("no connection after {limit_ms} ms"))]
+    TooSlow {
+        /// The time, in milliseconds.
+        limit_ms: u64,
+    },
+}
+
+/// A TCP stream with or without TLS.
+#[derive(Debug)]
+pub enum Stream {
+    /// Plain text.
+    Plain(TcpStream),
+    /// TLS, at the side of the client or of the server.
+    Tls(Box<TlsStream<TcpStream>>),
+}
+
+impl Stream {
+    /// Performs the server's side of the handshake, if there is TLS.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StreamError`] if the handshake fails or takes longer than `limit_ms`.
+    pub async fn accept(
+        tcp: TcpStream,
+        tls: Option<&ServerTls>,
+        limit_ms: u64,
+    ) -> Result<Self, StreamError> {
+        let Some(tls) = tls else {
+            return Ok(Self::Plain(tcp));
+        };
+        let handshake = TlsAcceptor::from(tls.config()).accept(tcp);
+        let stream = within(limit_ms, handshake).await?.context(HandshakeSnafu)?;
+        Ok(Self::Tls(Box::new(stream.into())))
+    }
+
+    /// Connects, and performs the client's side of the handshake if there is TLS.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StreamError`] if that fails or takes longer than `limit_ms`.
+    pub async fn connect(
+        address: impl ToSocketAddrs,
+        tls: Option<(&ClientTls, ServerName<'static>)>,
+        limit_ms: u64,
+    ) -> Result<Self, StreamError> {
+        let connecting = async {
+            let tcp = TcpStream::connect(address).await.context(ConnectSnafu)?;
+            tcp.set_nodelay(true).context(ConnectSnafu)?;
+            let Some((tls, name)) = tls else {
+                return Ok(Self::Plain(tcp));
+            };
+            let connector = TlsConnector::from(tls.config());
+            let stream = connector.connect(name, tcp).await.context(HandshakeSnafu)?;
+            Ok(Self::Tls(Box::new(stream.into())))
+        };
+        within(limit_ms, connecting).await?
+    }
+
+    /// Whether HTTP/2 was negotiated.
+    #[must_use]
+    pub fn is_http2(&self) -> bool {
+        match self {
+            Self::Plain(_) => false,
+            Self::Tls(stream) => stream.get_ref().1.alpn_protocol() == Some(b"h2"),
+        }
+    }
+
+    /// Address of the other side.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn peer_address(&self) -> io::Result<SocketAddr> {
+        match self {
+            Self::Plain(stream) => stream.peer_addr(),
+            Self::Tls(stream) => stream.get_ref().0.peer_addr(),
+        }
+    }
+}
+
+async fn within<T>(limit_ms: u64, future: impl Future<Output = T>) -> Result<T, StreamError> {
+    let limited = tokio::time::timeout(Duration::from_millis(limit_ms), future).await;
+    limited.map_err(|_| StreamError::TooSlow { limit_ms })
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_read(cx, buffer),
+            Self::Tls(stream) => Pin::new(stream).poll_read(cx, buffer),
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_write(cx, bytes),
+            Self::Tls(stream) => Pin::new(stream).poll_write(cx, bytes),
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_write_vectored(cx, slices),
+            Self::Tls(stream) => Pin::new(stream).poll_write_vectored(cx, slices),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        match self {
+            Self::Plain(stream) => stream.is_write_vectored(),
+            Self::Tls(stream) => stream.is_write_vectored(),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_flush(cx),
+            Self::Tls(stream) => Pin::new(stream).poll_flush(cx),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_shutdown(cx),
+            Self::Tls(stream) => Pin::new(stream).poll_shutdown(cx),
+        }
+    }
+}
+
+/// Fails with [`io::ErrorKind::TimedOut`] when no byte moves in either direction for too long.
+///
+/// Both directions must be polled by one task.
+pub struct Idle<S> {
+    stream: S,
+    limit: Duration,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl<S: Unpin> Idle<S> {
+    /// Wraps a stream.
+    #[must_use]
+    pub fn new(stream: S, limit_ms: u64) -> Self {
+        let limit = Duration::from_millis(limit_ms);
+        Self {
+            stream,
+            limit,
+            sleep: Box::pin(tokio::time::sleep(limit)),
+        }
+    }
+
+    fn track<T>(&mut self, cx: &mut Context<'_>, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if poll.is_ready() {
+            self.sleep.as_mut().reset(Instant::now() + self.limit);
+            return poll;
+        }
+        ready!(self.sleep.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Idle<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.stream).poll_read(cx, buffer);
+        this.track(cx, poll)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Idle<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.track(cx, poll)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
+        this.track(cx, poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Flushing a stream without buffered bytes is always ready, so it is no sign of progress.
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.stream).poll_shutdown(cx);
+        this.track(cx, poll)
+    }
+}
