--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,7 +1,7 @@
 //! Log lines: one line of `key=value` pairs per event, written through `simplelog`.
 
 use std::fmt::{Display, Write as _};
-use std::io::LineWriter;
+use std::io::{LineWriter, Write};
 
 use log::{Level, LevelFilter};
 use primrosestack_core::event::Notice;
@@ -47,6 +47,16 @@
 ///
 /// Returns [`LogError`] if the level is unknown or logging is open already.
 pub fn open(level: &str) -> Result<(), LogError> {
+    // The logger writes a line in several pieces; the line buffer turns them into one system call.
+    open_to(level, LineWriter::new(std::io::stderr()))
+}
+
+/// Opens logging to `output`; measurements and tests use this.
+///
+/// # Errors
+///
+/// Returns [`LogError`] if the level is unknown or logging is open already.
+pub fn open_to(level: &str, output: impl Write + Send + 'static) -> Result<(), LogError> {
     let filter = parse_level(level)?;
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Error)
@@ -59,8 +69,6 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str(TARGET)
         .build();
-    // The logger writes a line in several pieces; the line buffer turns them into one system call.
-    let output = LineWriter::new(std::io::stderr());
     WriteLogger::init(filter, config, output).map_err(|source| LogError::Open { source })
 }
 
