--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -9,7 +9,9 @@
 use primrosestack::burn::{BYTES_PER_SERVICE, Burn};
 use primrosestack::logs::{self, Line};
 use primrosestack::metrics::{Metrics, Outcome, RequestRecord, TEAM_LIMIT};
-use primrosestack_core::ids::HostId;
+use primrosestack_core::event::{Report, ServerCommand, ServerReply, TaskReport, TaskState};
+use primrosestack_core::ids::{Attempt, Epoch, HostId, JobId, Stamp, TaskId};
+use primrosestack_core::prelude::Resources;
 use primrosestack_core::time::{DurationMs, MonoMs};
 
 type Failure = Box<dyn std::error::Error>;
@@ -26,7 +28,7 @@
 type Measure = (&'static str, fn() -> Result<Slope, Failure>);
 
 /// Memory comes first, since measurements of time leave freed pages behind, which growth would then reuse.
-const MEASURES: [Measure; 9] = [
+const MEASURES: [Measure; 14] = [
     ("process_bytes_at_start", process_bytes),
     ("burn_bytes_per_service", burn_bytes),
     ("metrics_bytes_per_team", metrics_bytes),
@@ -36,6 +38,11 @@
     ("log_ns_per_line_below_level", log_time_below_level),
     ("metrics_ns_per_request", metrics_time),
     ("metrics_scrape_us", scrape_time),
+    ("renew_json_bytes_base", renew_base),
+    ("renew_json_bytes_per_task", renew_per_task),
+    ("report_json_bytes_base", report_base),
+    ("report_json_bytes_per_task", report_per_task),
+    ("start_json_bytes", start_bytes),
 ];
 
 fn main() -> Result<(), Failure> {
@@ -225,3 +232,111 @@
     slope.basis = format!("{}, {TEAM_LIMIT} teams, {bytes} bytes of text", slope.basis);
     Ok(slope)
 }
+
+/// Typical values: 30 days of uptime, term 300, a random job and incarnation.
+const UP_MS: u64 = 30 * 86_400_000;
+
+fn attempt(counter: u64) -> Attempt {
+    Attempt {
+        term: 300,
+        counter: 100_000 + counter,
+    }
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: JobId(0x9e37_79b9_7f4a_7c15),
+        index,
+    }
+}
+
+fn size() -> Resources {
+    Resources {
+        millicores: 4_000,
+        memory_mib: 8_192,
+        accelerators: 0,
+    }
+}
+
+/// Bytes of a command with its envelope, as section 12 of the design page gives it.
+fn command_bytes(command: &ServerCommand) -> Result<Slope, Failure> {
+    let epoch = Epoch { term: 300, rank: 0 };
+    let owner = HostId {
+        name: "poa-1".into(),
+        incarnation: 0x9e37_79b9_7f4a_7c15,
+    };
+    let envelope = serde_json::json!({ "epoch": epoch, "owner": owner, "command": command });
+    json_bytes(&envelope)
+}
+
+fn json_bytes(value: &impl serde::Serialize) -> Result<Slope, Failure> {
+    let bytes = serde_json::to_vec(value)?.len();
+    Ok(Slope {
+        value: f64::from(u32::try_from(bytes)?),
+        unit: "bytes",
+        basis: "body only, without HTTP headers".to_owned(),
+    })
+}
+
+fn renew(tasks: u32) -> Result<Slope, Failure> {
+    command_bytes(&ServerCommand::Renew {
+        stamp: Stamp(UP_MS),
+        lease_ms: 10_000,
+        attempts: (0..tasks).map(|task| attempt(u64::from(task))).collect(),
+        acknowledged: Vec::new(),
+    })
+}
+
+fn report(tasks: u32) -> Result<Slope, Failure> {
+    let one = |index| TaskReport {
+        task: task(index),
+        attempt: attempt(u64::from(index)),
+        state: TaskState::Running,
+        checkpoint: Some("checkpoint-0123456789abcdef".into()),
+        used: size(),
+        slowdown_permille: 1_050,
+    };
+    json_bytes(&ServerReply::Report(Report {
+        stamp: Stamp(UP_MS),
+        boot_id: 0x9e37_79b9_7f4a_7c15,
+        tasks: (0..tasks).map(one).collect(),
+        request_slowdown_permille: 1_020,
+    }))
+}
+
+/// Bytes per task over 20 tasks, the mean of a server at the design size.
+fn per_task(measure: fn(u32) -> Result<Slope, Failure>) -> Result<Slope, Failure> {
+    let mut slope = measure(20)?;
+    slope.value = (slope.value - measure(0)?.value) / 20.0;
+    slope.basis.push_str(", mean of 20");
+    Ok(slope)
+}
+
+fn renew_base() -> Result<Slope, Failure> {
+    renew(0)
+}
+
+fn renew_per_task() -> Result<Slope, Failure> {
+    per_task(renew)
+}
+
+fn report_base() -> Result<Slope, Failure> {
+    report(0)
+}
+
+fn report_per_task() -> Result<Slope, Failure> {
+    per_task(report)
+}
+
+fn start_bytes() -> Result<Slope, Failure> {
+    command_bytes(&ServerCommand::Start {
+        stamp: Stamp(UP_MS),
+        lease_ms: 10_000,
+        task: task(12),
+        attempt: attempt(1),
+        kind: "invoices".into(),
+        size: size(),
+        run_ms: 600_000,
+        resume: None,
+    })
+}
