--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -136,8 +136,11 @@
     pub boot_id: u64,
     /// Running attempts, and ended ones not yet acknowledged.
     pub tasks: Vec<TaskReport>,
-    /// Observed slowdown of latency-critical requests in thousandths, by kind.
+    /// Observed slowdown of latency-critical requests in thousandths.
     pub request_slowdown_permille: u32,
+    /// Latency-critical requests in execution, those of earlier owners included.
+    #[serde(default)]
+    pub requests_running: u32,
 }
 
 /// Answer of a backend server to a command.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -6,6 +6,7 @@
 
 use crate::journal::ParkReason;
 use crate::ownership::Role;
+use crate::placement::Objective;
 use crate::prelude::*;
 use crate::servers::Server;
 use crate::shard::Shard;
@@ -189,6 +190,18 @@
         })
     }
 
+    /// What batch has reserved on a server.
+    #[must_use]
+    pub fn reserved(&self, server: ServerKey) -> Resources {
+        let reserved = self.scheduler.reserved(server);
+        reserved.map_or_else(Resources::default, |(reserved, _)| reserved)
+    }
+
+    /// Sets the weights of the goals.
+    pub fn set_objective(&mut self, objective: Objective) {
+        self.scheduler.set_objective(objective);
+    }
+
     fn state_of(&self, server: &Server) -> ServerState {
         let epoch = self.command_epoch();
         if server.is_leaving() {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -160,6 +160,7 @@
             boot_id: self.boot_id,
             tasks: tasks.collect(),
             request_slowdown_permille: 1_000,
+            requests_running: 0,
         })
     }
 
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -335,6 +335,7 @@
             boot_id: self.boot_id,
             tasks: tasks.collect(),
             request_slowdown_permille: 1_000,
+            requests_running: self.busy_slots,
         }
     }
 }
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -301,6 +301,7 @@
         boot_id: 0x9e37_79b9_7f4a_7c15,
         tasks: (0..tasks).map(one).collect(),
         request_slowdown_permille: 1_020,
+        requests_running: 0,
     }))
 }
 
--- /dev/null
+++ b/src/administration.rs
@@ -0,0 +1,366 @@
+//! What the administration API asks for, answered from the services of this host and of its peers.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use primrosestack_core::documents::EditError;
+use primrosestack_core::event::{JobSpec, NotRun, TokenReply};
+use primrosestack_core::ids::JobId;
+use primrosestack_core::peer_frame::Subject;
+use serde::de::DeserializeOwned;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::clock::unix_ms;
+use crate::control::{Answer, Cancellation, Control, PutDocument, Submission};
+use crate::docstore::{self, WriteError};
+use crate::document::Batch;
+use crate::inspect::Inspection;
+use crate::jobs::{Jobs, job_in_domain};
+use crate::logs::Line;
+use crate::members::{InForce, Members, MembersError};
+use crate::model::{
+    DocumentAccepted, DocumentChange, DocumentEntry, DocumentHistory, DocumentPage, DocumentView,
+    HostList, HostView, InForce as DomainInForce, JobAccepted, JobName, JobPage, JobView,
+    JobsCancelled, PageQuery, ServerGone, ServerPage, ServerView,
+};
+use crate::problem::Refusal;
+use crate::store::Store;
+
+/// Jobs named in one question to the owners.
+const JOBS_PER_QUESTION: usize = 2_048;
+
+/// Changes remembered per team.
+const CHANGES_MAX: usize = 16;
+
+/// What the service needs.
+pub struct AdministrationOptions {
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Documents and members.
+    pub members: Members,
+    /// Jobs.
+    pub jobs: Jobs,
+    /// State of other hosts.
+    pub inspection: Inspection,
+}
+
+/// The running service.
+pub struct Administration {
+    options: AdministrationOptions,
+    /// Changes that were accepted at this host since it started, by team.
+    changes: Mutex<BTreeMap<SmolStr, Vec<DocumentChange>>>,
+}
+
+impl Administration {
+    /// Opens the service.
+    #[must_use]
+    pub fn open(options: AdministrationOptions) -> Self {
+        Self {
+            options,
+            changes: Mutex::default(),
+        }
+    }
+
+    fn in_force(&self, team: &str) -> Answer<InForce> {
+        let view = self.options.members.view();
+        view.document(team)
+            .cloned()
+            .ok_or_else(|| Refusal::NotFound {
+                kind: "document of team",
+                name: team.to_owned(),
+            })
+    }
+
+    fn note_change(&self, team: &SmolStr, change: DocumentChange) {
+        let mut changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        let changes = changes.entry(team.clone()).or_default();
+        changes.insert(0, change);
+        changes.truncate(CHANGES_MAX);
+    }
+
+    async fn gather<T: DeserializeOwned>(
+        &self,
+        subject: Subject,
+        name: &str,
+    ) -> (Vec<T>, Vec<String>) {
+        let gathered = self.options.inspection.everywhere(subject, name).await;
+        let elements = gathered.elements.iter();
+        let parsed = elements.filter_map(|element| serde_json::from_str(element).ok());
+        (parsed.collect(), gathered.silent)
+    }
+
+    async fn named_jobs(&self, jobs: &[JobName]) -> (Vec<JobView>, Vec<String>) {
+        let mut views = Vec::new();
+        let mut silent = Vec::new();
+        for chunk in jobs.chunks(JOBS_PER_QUESTION) {
+            let names = serde_json::to_string(chunk).unwrap_or_default();
+            let (found, missing) = self.gather(Subject::Jobs, &names).await;
+            views.extend(found);
+            silent.extend(missing);
+        }
+        (views, silent)
+    }
+
+    fn job_spec(&self, submission: &Submission) -> Answer<JobSpec> {
+        let Submission {
+            id,
+            team,
+            client,
+            job,
+        } = submission;
+        let document = self.in_force(team)?;
+        let Some(batch) = document.content.batch.get(&job.kind) else {
+            let detail = format!(
+                "kind {:?} is not in the document of team {team:?}",
+                job.kind
+            );
+            return Err(Refusal::Invalid { detail });
+        };
+        let domain = home(batch, *id, job.failure_domain.as_ref())?;
+        let finish_within = batch
+            .finish_within_ms
+            .map(|within_ms| unix_ms() + within_ms);
+        Ok(JobSpec {
+            id: job_in_domain(*id, domain),
+            team: team.clone(),
+            client: client.clone(),
+            kind: job.kind.clone(),
+            tasks: job.tasks,
+            size: job.size.unwrap_or(batch.size).into(),
+            run_ms: job.run_ms.unwrap_or(batch.run_ms),
+            finish_by_unix_ms: job.finish_by_unix_ms.or(finish_within).unwrap_or_default(),
+        })
+    }
+}
+
+/// The failure domain of a job: the asked one, or the one that the hash selects. The same key selects the same.
+fn home<'a>(batch: &'a Batch, id: JobId, asked: Option<&'a SmolStr>) -> Answer<&'a SmolStr> {
+    let domains = &batch.failure_domains;
+    if let Some(asked) = asked {
+        if domains.contains(asked) {
+            return Ok(asked);
+        }
+        let detail = format!("failure_domain {asked:?}: expected one of {domains:?}");
+        return Err(Refusal::Invalid { detail });
+    }
+    let at = usize::try_from(id.0).unwrap_or_default() % domains.len().max(1);
+    domains.get(at).ok_or_else(|| Refusal::Invalid {
+        detail: "the kind has no failure domain".to_owned(),
+    })
+}
+
+fn page<T>(
+    mut all: Vec<T>,
+    query: &PageQuery,
+    name: impl Fn(&T) -> SmolStr,
+) -> (Vec<T>, Option<SmolStr>) {
+    all.sort_by_key(|element| name(element));
+    if let Some(after) = &query.after {
+        all.retain(|element| name(element) > *after);
+    }
+    let limit = query.limit() as usize;
+    if all.len() <= limit {
+        return (all, None);
+    }
+    all.truncate(limit);
+    let next = all.last().map(name);
+    (all, next)
+}
+
+fn refused(error: WriteError) -> Refusal {
+    match error {
+        WriteError::Unavailable => NotRun::StoreUnavailable.into(),
+        WriteError::Unknown => Refusal::Unknown,
+        WriteError::Refused { source } => match source {
+            MembersError::Edit {
+                source: EditError::Raced { current, .. } | EditError::StoreBehind { current, .. },
+            } => Refusal::Conflict { current },
+            MembersError::Joining | MembersError::Stopped => NotRun::NotOwner.into(),
+        },
+    }
+}
+
+impl Control for Administration {
+    async fn documents(&self, query: PageQuery) -> Answer<DocumentPage> {
+        let view = self.options.members.view();
+        let wanted = |one: &&InForce| query.team.as_ref().is_none_or(|team| *team == one.team);
+        let entries = view
+            .documents
+            .iter()
+            .filter(wanted)
+            .map(|one| DocumentEntry {
+                team: one.team.clone(),
+                revision: one.revision,
+                services: u32::try_from(one.content.services.len()).unwrap_or(u32::MAX),
+                batch: u32::try_from(one.content.batch.len()).unwrap_or(u32::MAX),
+            });
+        let (documents, next) = page(entries.collect(), &query, |entry| entry.team.clone());
+        Ok(DocumentPage { documents, next })
+    }
+
+    async fn document(&self, team: SmolStr) -> Answer<DocumentView> {
+        let document = self.in_force(&team)?;
+        Ok(DocumentView {
+            team,
+            revision: document.revision,
+            text: document.text.to_string(),
+        })
+    }
+
+    async fn put_document(&self, change: PutDocument) -> Answer<DocumentAccepted> {
+        let PutDocument {
+            document,
+            text,
+            expected,
+            by,
+        } = change;
+        let team = document.team;
+        let if_match = expected.unwrap_or_default();
+        let options = &self.options;
+        let written = docstore::edit(
+            &*options.store,
+            &options.members,
+            &team,
+            if_match,
+            text.into(),
+        );
+        let revision = written.await.map_err(refused)?;
+        let line = Line::info("document_accepted").with("team", &team);
+        line.with("revision", revision).with("by", &by).write();
+        let at_unix_ms = unix_ms();
+        let noted = DocumentChange {
+            revision,
+            at_unix_ms,
+            by,
+        };
+        self.note_change(&team, noted);
+        Ok(DocumentAccepted { team, revision })
+    }
+
+    async fn document_history(&self, team: SmolStr) -> Answer<DocumentHistory> {
+        let document = self.in_force(&team)?;
+        let view = self.options.members.view();
+        let found = view.domains.iter().find(|(known, _)| *known == team);
+        let domains = found
+            .map(|(_, domains)| domains.clone())
+            .unwrap_or_default();
+        let in_force = domains.into_iter().map(|domain| DomainInForce {
+            failure_domain: domain.failure_domain,
+            revision: Some(domain.revision),
+            heard_ms_ago: None,
+        });
+        let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(DocumentHistory {
+            revision: document.revision,
+            in_force: in_force.collect(),
+            changes: changes.get(&team).cloned().unwrap_or_default(),
+            team,
+        })
+    }
+
+    async fn submit(&self, submission: Submission) -> Answer<JobAccepted> {
+        let spec = self.job_spec(&submission)?;
+        match self.options.jobs.submit(spec).await {
+            TokenReply::Accepted { job, new } => {
+                let line = Line::info("job_accepted").with("job", JobName(job));
+                line.with("team", &submission.team).with("new", new).write();
+                let job = JobName(job);
+                Ok(JobAccepted { job, new })
+            }
+            TokenReply::NotRun(reason) => Err(reason.into()),
+            _ => Err(Refusal::Unknown),
+        }
+    }
+
+    async fn jobs(&self, query: PageQuery) -> Answer<JobPage> {
+        let text = serde_json::to_string(&query).unwrap_or_default();
+        let (mut jobs, _): (Vec<JobView>, _) = self.gather(Subject::Jobs, &text).await;
+        if let Some(domain) = &query.failure_domain {
+            jobs.retain(|job| job.failure_domain == *domain);
+        }
+        let (jobs, next) = page(jobs, &query, |job| format_smolstr!("{}", job.job));
+        Ok(JobPage { jobs, next })
+    }
+
+    async fn job(&self, job: JobName) -> Answer<JobView> {
+        let (jobs, silent) = self.named_jobs(&[job]).await;
+        let found = jobs.into_iter().next();
+        found.ok_or_else(|| {
+            if !silent.is_empty() {
+                return NotRun::NotOwner.into();
+            }
+            Refusal::NotFound {
+                kind: "job",
+                name: job.to_string(),
+            }
+        })
+    }
+
+    async fn cancel(&self, cancellation: Cancellation) -> Answer<JobsCancelled> {
+        let Cancellation { team, jobs } = cancellation;
+        let mut allowed = Vec::new();
+        let mut unknown = Vec::new();
+        match &team {
+            None => allowed.extend(jobs.into_iter().map(|job| job.0)),
+            Some(team) => {
+                let (views, silent) = self.named_jobs(&jobs).await;
+                for job in jobs {
+                    let view = views.iter().find(|view| view.job == job);
+                    match view {
+                        Some(view) if view.team == *team => allowed.push(job.0),
+                        // Its owner may be among the hosts that did not answer.
+                        None if !silent.is_empty() => return Err(NotRun::NotOwner.into()),
+                        _ => unknown.push(job),
+                    }
+                }
+            }
+        }
+        let (cancelled, failed) = self.options.jobs.cancel(&allowed).await;
+        if let Some(failure) = failed.into_iter().next() {
+            let nothing = cancelled.is_empty();
+            return Err(match failure {
+                TokenReply::NotRun(reason) if nothing => reason.into(),
+                _ => Refusal::Unknown,
+            });
+        }
+        let missing = allowed.into_iter().filter(|job| !cancelled.contains(job));
+        unknown.extend(missing.map(JobName));
+        Ok(JobsCancelled {
+            cancelled: cancelled.into_iter().map(JobName).collect(),
+            unknown,
+        })
+    }
+
+    async fn hosts(&self) -> Answer<HostList> {
+        let (mut hosts, _): (Vec<HostView>, _) = self.gather(Subject::Host, "").await;
+        hosts.extend(self.options.inspection.silent_hosts(&hosts));
+        hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(HostList { hosts })
+    }
+
+    async fn servers(&self, query: PageQuery) -> Answer<ServerPage> {
+        let (mut servers, _): (Vec<ServerView>, _) = self.gather(Subject::Servers, "").await;
+        if let Some(domain) = &query.failure_domain {
+            servers.retain(|server| server.failure_domain == *domain);
+        }
+        let (servers, next) = page(servers, &query, |server| server.name.clone());
+        Ok(ServerPage { servers, next })
+    }
+
+    async fn declare_gone(&self, server: SmolStr, by: SmolStr) -> Answer<ServerGone> {
+        let line = Line::warn("server_declared_gone").with("server", &server);
+        line.with("by", &by).write();
+        let (found, silent): (Vec<ServerGone>, _) =
+            self.gather(Subject::DeclareGone, &server).await;
+        let first = found.into_iter().next();
+        first.ok_or_else(|| {
+            if !silent.is_empty() {
+                return NotRun::NotOwner.into();
+            }
+            Refusal::NotFound {
+                kind: "backend server",
+                name: server.to_string(),
+            }
+        })
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -85,7 +85,11 @@
 
 impl<T> Drop for Waiting<T> {
     fn drop(&mut self) {
-        let mut inner = self.calls.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut inner = self
+            .calls
+            .inner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         inner.waiting.remove(&self.id);
     }
 }
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -22,12 +22,30 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum CommandError {
-    /// A part of the program is missing.
-    #[snafu(display("{part}: not built into this branch"))]
-    NotBuilt {
-        /// The part.
-        part: &'static str,
+    /// The entry host could not be opened.
+    #[snafu(context(false), display("{source}"))]
+    Host {
+        /// Cause.
+        source: crate::host::HostError,
+    },
+    /// The log could not be opened.
+    #[snafu(context(false), display("{source}"))]
+    Log {
+        /// Cause.
+        source: crate::logs::LogError,
+    },
+    /// Requests or shards were left when the time for stopping was over.
+    #[snafu(display("requests or shards were left when the time for stopping was over"))]
+    IncompleteStop,
+    /// The report could not be made.
+    #[snafu(context(false), display("{source}"))]
+    Report {
+        /// Cause.
+        source: crate::cmd::report::ReportError,
     },
+    /// Data of some hosts are missing from a report that was printed.
+    #[snafu(display("data of some entry hosts are missing"))]
+    PartialReport,
     /// Settings cannot be used.
     #[snafu(context(false), display("{source}"))]
     Settings {
@@ -98,6 +116,7 @@
             | Self::Faulty { .. }
             | Self::Usage { .. } => EXIT_BAD_INPUT,
             Self::Client { source } => client_exit_code(source),
+            Self::PartialReport => EXIT_NOT_RUN,
             _ => EXIT_FAILURE,
         }
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -49,6 +49,9 @@
     /// Shows entry hosts and backend servers
     #[bpaf(command)]
     Host(#[bpaf(external(host::options))] host::Options),
+    /// Reports figures added up over entry hosts
+    #[bpaf(command)]
+    Report(#[bpaf(external(report::report_options))] report::ReportOptions),
 }
 
 /// How to reach an entry host, and how to print its answer.
@@ -109,6 +112,7 @@
         Command::Document(options) => document::run(options),
         Command::Job(options) => job::run(options),
         Command::Host(options) => host::run(options),
+        Command::Report(options) => report::run(&options),
     }
 }
 
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -14,6 +14,7 @@
 use crate::burn_fetch::{Client, ClientError};
 use crate::burn_html;
 use crate::burn_sum::{Row, Summary};
+use crate::cmd::error::{CommandError, PartialReportSnafu};
 
 /// Exit code when every asked and known entry host gave data.
 pub const EXIT_COMPLETE: u8 = 0;
@@ -82,12 +83,25 @@
     pub html: Option<PathBuf>,
 }
 
+/// Makes a report.
+///
+/// # Errors
+///
+/// Returns [`CommandError`] if a file cannot be read or written, or data of some hosts are missing.
+pub fn run(options: &ReportOptions) -> Result<(), CommandError> {
+    let code = super::block_on(async { Ok(make(options).await?) })?;
+    if code == EXIT_PARTIAL {
+        return PartialReportSnafu.fail();
+    }
+    Ok(())
+}
+
 /// Makes a report and returns the exit code.
 ///
 /// # Errors
 ///
 /// Returns [`ReportError`] if a file cannot be read or written. Hosts that cannot be reached are no error.
-pub async fn run(options: &ReportOptions) -> Result<u8, ReportError> {
+pub async fn make(options: &ReportOptions) -> Result<u8, ReportError> {
     let ReportOptions::Burn(options) = options;
     let mut client = Client::open(options.timeout_ms);
     if let Some(path) = &options.token_file {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -3,8 +3,12 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use snafu::ResultExt;
+use tokio::signal::unix::{SignalKind, signal};
 
-use crate::cmd::error::{CommandError, NotBuiltSnafu};
+use crate::cmd::error::{CommandError, IncompleteStopSnafu, RuntimeSnafu};
+use crate::host::EntryHost;
+use crate::logs;
 use crate::settings::Settings;
 
 /// Arguments of `serve`.
@@ -16,12 +20,32 @@
     settings: Option<PathBuf>,
 }
 
-/// Runs an entry host until it is asked to stop.
+/// Runs an entry host until SIGTERM or SIGINT, then stops it in order.
 ///
 /// # Errors
 ///
-/// Returns [`CommandError`] if the settings cannot be used or a listener cannot be bound.
+/// Returns [`CommandError`] if the settings cannot be used, a listener cannot be bound, or requests or shards were left
+/// when the time for stopping was over.
 pub fn run(options: Options) -> Result<(), CommandError> {
-    let _settings = Settings::open_named(options.settings)?;
-    NotBuiltSnafu { part: "serve" }.fail()
+    let settings = Settings::open_named(options.settings)?;
+    logs::open(&settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), CommandError> {
+    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    let host = EntryHost::bind(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    if host.stop().await? {
+        return Ok(());
+    }
+    IncompleteStopSnafu.fail()
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -119,7 +119,8 @@
                 service,
                 operation,
             } = &path;
-            let detail = format!("no operation {operation:?} of service {service:?} of team {team:?}");
+            let detail =
+                format!("no operation {operation:?} of service {service:?} of team {team:?}");
             return Err(Problem::new(Code::NotFound).with_detail(detail));
         };
         let declared_ms = operation.deadline_ms.unwrap_or(service.deadline_ms);
@@ -305,8 +306,8 @@
     };
     let problem = Problem::new(code).with_detail(cause.name());
     let mut response = with_outcome(problem.into_response(), "not-run");
-    let retry_after_s = retry_after_ms.div_ceil(1_000).max(1);
-    if let Ok(value) = HeaderValue::from_str(&retry_after_s.to_string()) {
+    let seconds = retry_after_ms.div_ceil(1_000).max(1);
+    if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
     }
     response
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,5 +1,6 @@
 //! One entry host: opens all services, registers them in the kernel, and stops them in order.
 
+use std::any::Any;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +33,7 @@
 use crate::logs::Line;
 use crate::members::{Members, MembersError, MembersOptions};
 use crate::metrics::{Metrics, MetricsError};
-use crate::peer::{PeerError, PeerOptions, PeerSecurity, Peers};
+use crate::peer::{PeerError, PeerOptions, PeerSecurity, Peers, Received};
 use crate::peertls::PeerTls;
 use crate::requests::{Requests, RequestsOptions};
 use crate::settings::Settings;
@@ -106,160 +107,223 @@
     peer_address: SocketAddr,
 }
 
-impl EntryHost {
-    /// Opens all services and listens. Returns as soon as the listeners are open; the health check fails until the
-    /// documents of the peers have been received.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HostError`] if an address, a file or a service cannot be opened.
-    pub async fn bind(settings: Settings) -> Result<Self, HostError> {
+/// What every service of a host is opened with. The services find each other in the kernel by name.
+struct Base {
+    settings: Settings,
+    host: HostId,
+    clock: Clock,
+    kernel: Kernel,
+}
+
+impl Base {
+    fn open(settings: Settings) -> Self {
         let host = HostId {
             name: settings.name.clone(),
             incarnation: rand::random::<u64>().max(1),
         };
-        let kernel = Kernel::default();
-        let clock = Clock::open();
-        let metrics = Metrics::open()?;
+        Self {
+            settings,
+            host,
+            clock: Clock::open(),
+            kernel: Kernel::default(),
+        }
+    }
+
+    fn failure_domain(&self) -> SmolStr {
+        self.settings.failure_domain.clone()
+    }
+
+    fn find<T: Any + Send + Sync + Clone>(&self, name: &str) -> Result<T, KernelError> {
+        self.kernel.find(name)
+    }
+
+    /// The platform, metrics and authentication.
+    fn open_platform(&self) -> Result<(), HostError> {
+        let settings = &self.settings;
         let store: Arc<dyn Store> = Arc::new(HttpStore::open(settings.store_address));
-        let backend: Arc<dyn Backend> = Arc::new(HttpBackend::open(host.clone()));
+        let backend: Arc<dyn Backend> = Arc::new(HttpBackend::open(self.host.clone()));
         let host_list: Arc<dyn HostList> = Arc::new(HttpHostList::open(settings.host_list_address));
-        let (slots, load) = Slots::spawn(clock, host.incarnation);
+        let auth = match &settings.tokens_file {
+            Some(file) => Auth::open(file)?,
+            None => Auth::open_to_all(),
+        };
+        let burn = Burn::open(
+            self.host.clone(),
+            self.failure_domain(),
+            known_hosts(settings),
+            self.clock.now(),
+        );
+        self.kernel.register("store", store)?;
+        self.kernel.register("backend", backend)?;
+        self.kernel.register("host_list", host_list)?;
+        self.kernel.register("auth", auth)?;
+        self.kernel.register("metrics", Metrics::open()?)?;
+        self.kernel.register("burn", burn)?;
+        Ok(())
+    }
+
+    /// Links, members and shards.
+    async fn open_coordination(&self) -> Result<mpsc::Receiver<Received>, HostError> {
+        let settings = &self.settings;
+        let (slots, load) = Slots::spawn(self.clock, self.host.incarnation);
         let (frame_sender, frames) = mpsc::channel(FRAMES);
-        let peers = Peers::bind(peer_options(&settings, &host)?, frame_sender).await?;
+        let peers = Peers::bind(peer_options(settings, &self.host)?, frame_sender).await?;
         let (suspicion_sender, suspicions) = mpsc::channel(FRAMES);
         let members = Members::spawn(MembersOptions {
-            config: membership(&settings, &host),
-            clock,
+            config: membership(settings, &self.host),
+            clock: self.clock,
             peers: peers.clone(),
-            store: store.clone(),
+            store: self.find("store")?,
             load,
             suspicions: suspicion_sender,
         });
-        let hosts = domain_hosts(&settings);
+        let hosts = domain_hosts(settings);
         let shards = Shards::spawn(ShardsOptions {
-            host: host.clone(),
-            failure_domain: settings.failure_domain.clone(),
-            shards: shard_count(&settings, hosts.len()),
+            host: self.host.clone(),
+            failure_domain: self.failure_domain(),
+            shards: shard_count(settings, hosts.len()),
             hosts,
             clock_drift_ppm: settings.clock_drift_ppm,
             store_writes_per_s: settings.store_writes_per_s,
             store_reads_per_s: settings.store_reads_per_s,
-            clock,
-            store: store.clone(),
-            backend: backend.clone(),
+            clock: self.clock,
+            store: self.find("store")?,
+            backend: self.find("backend")?,
             peers: peers.clone(),
             slots: slots.clone(),
-            metrics: metrics.clone(),
+            metrics: self.find("metrics")?,
         });
-        let failure_domain = settings.failure_domain.clone();
+        let upkeep = UpkeepOptions {
+            failure_domain: self.failure_domain(),
+            links: settings.links.clone(),
+            members: members.clone(),
+            shards: shards.clone(),
+            slots: slots.clone(),
+            host_list: self.find("host_list")?,
+            metrics: self.find("metrics")?,
+        };
+        upkeep::spawn(upkeep, suspicions);
+        self.kernel.register("slots", slots)?;
+        self.kernel.register("peers", peers)?;
+        self.kernel.register("members", members)?;
+        self.kernel.register("shards", shards)?;
+        Ok(frames)
+    }
+
+    /// The paths of requests, keys, jobs and inspections.
+    fn open_paths(&self) -> Result<(), HostError> {
+        let shards: Shards = self.find("shards")?;
+        let members: Members = self.find("members")?;
+        let peers: Peers = self.find("peers")?;
         let keys = Keys::open(
-            failure_domain.clone(),
+            self.failure_domain(),
             shards.clone(),
             members.clone(),
             peers.clone(),
         );
         let jobs = Jobs::open(
-            failure_domain.clone(),
+            self.failure_domain(),
             shards.clone(),
             members.clone(),
             peers.clone(),
         );
-        let requests = Requests::open(RequestsOptions {
-            host: host.clone(),
-            failure_domain: failure_domain.clone(),
-            clock,
-            slots: slots.clone(),
-            backend,
-            peers: peers.clone(),
-            members: members.clone(),
-            keys: keys.clone(),
-            seed: host.incarnation,
-        });
         let inspection = Inspection::open(InspectionOptions {
-            host: host.clone(),
-            failure_domain: failure_domain.clone(),
-            shards: shards.clone(),
+            host: self.host.clone(),
+            failure_domain: self.failure_domain(),
+            peer_address: peers.address(),
+            shards,
             members: members.clone(),
             peers: peers.clone(),
-            slots: slots.clone(),
-            clock,
+            slots: self.find("slots")?,
         });
-        let burn = Burn::open(
-            host.clone(),
-            failure_domain.clone(),
-            known_hosts(&settings),
-            clock.now(),
-        );
-        let auth = match &settings.tokens_file {
-            Some(file) => Auth::open(file)?,
-            None => Auth::open_to_all(),
+        let requests = Requests::open(RequestsOptions {
+            host: self.host.clone(),
+            failure_domain: self.failure_domain(),
+            clock: self.clock,
+            slots: self.find("slots")?,
+            backend: self.find("backend")?,
+            peers,
+            members,
+            keys: keys.clone(),
+            seed: self.host.incarnation,
+        });
+        self.kernel.register("keys", keys)?;
+        self.kernel.register("jobs", jobs)?;
+        self.kernel.register("inspection", inspection)?;
+        self.kernel.register("requests", requests)?;
+        Ok(())
+    }
+
+    fn open_inbox(&self, frames: mpsc::Receiver<Received>) -> Result<(), HostError> {
+        let inbox = Inbox {
+            members: self.find("members")?,
+            shards: self.find("shards")?,
+            keys: self.find("keys")?,
+            requests: self.find("requests")?,
+            jobs: self.find("jobs")?,
+            inspection: self.find("inspection")?,
         };
+        inbox.spawn(frames);
+        Ok(())
+    }
+
+    /// The listeners for callers and for operators.
+    async fn open_listeners(&self) -> Result<(Listener, Listener), HostError> {
+        let settings = &self.settings;
+        let clock = self.clock;
+        let burn: Burn = self.find("burn")?;
         let front = Front::open(FrontOptions {
-            host: host.clone(),
-            failure_domain: failure_domain.clone(),
+            host: self.host.clone(),
+            failure_domain: self.failure_domain(),
             clock,
-            auth: auth.clone(),
-            members: members.clone(),
-            requests: requests.clone(),
-            metrics: metrics.clone(),
+            auth: self.find("auth")?,
+            members: self.find("members")?,
+            requests: self.find("requests")?,
+            metrics: self.find("metrics")?,
             burn: burn.clone(),
         });
-        Inbox {
-            members: members.clone(),
-            shards: shards.clone(),
-            keys: keys.clone(),
-            requests: requests.clone(),
-            jobs: jobs.clone(),
-            inspection: inspection.clone(),
-        }
-        .spawn(frames);
-        upkeep::spawn(
-            UpkeepOptions {
-                failure_domain,
-                links: settings.links.clone(),
-                members: members.clone(),
-                shards: shards.clone(),
-                slots: slots.clone(),
-                host_list,
-                metrics: metrics.clone(),
-            },
-            suspicions,
-        );
         let administration = Administration::open(AdministrationOptions {
-            store: store.clone(),
-            members: members.clone(),
-            jobs: jobs.clone(),
-            inspection: inspection.clone(),
-            settings: settings.clone(),
+            store: self.find("store")?,
+            members: self.find("members")?,
+            jobs: self.find("jobs")?,
+            inspection: self.find("inspection")?,
         });
-        kernel.register("metrics", metrics.clone())?;
-        kernel.register("store", store)?;
-        kernel.register("peers", peers.clone())?;
-        kernel.register("members", members)?;
-        kernel.register("shards", shards)?;
-        kernel.register("slots", slots)?;
-        kernel.register("keys", keys)?;
-        kernel.register("jobs", jobs)?;
-        kernel.register("requests", requests)?;
-        kernel.register("inspection", inspection)?;
-        kernel.register("burn", burn.clone())?;
-        kernel.register("front", front.clone())?;
-        let tls = server_tls(&settings)?;
-        let admin_router = api::router(administration, auth)
+        let admin_router = api::router(administration, self.find("auth")?)
             .merge(burn.router(move || clock.now()))
-            .merge(observation(front.clone(), metrics));
+            .merge(observation(front.clone(), self.find("metrics")?));
+        let tls = server_tls(settings)?;
         let limits = settings.limits;
+        let callers = front.router();
         let front_listener =
-            listen::bind(settings.front_address, front.router(), tls.clone(), limits).await?;
+            listen::bind(settings.front_address, callers, tls.clone(), limits).await?;
         let admin_listener =
             listen::bind(settings.admin_address, admin_router, tls, limits).await?;
-        let line = Line::info("host_open").with("host", &host.name);
-        line.with("incarnation", host.incarnation).write();
+        self.kernel.register("front", front)?;
+        Ok((front_listener, admin_listener))
+    }
+}
+
+impl EntryHost {
+    /// Opens all services and listens. Returns as soon as the listeners are open; the health check fails until the
+    /// documents of the peers have been received.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HostError`] if an address, a file or a service cannot be opened.
+    pub async fn bind(settings: Settings) -> Result<Self, HostError> {
+        let base = Base::open(settings);
+        base.open_platform()?;
+        let frames = base.open_coordination().await?;
+        base.open_paths()?;
+        base.open_inbox(frames)?;
+        let (front, admin) = base.open_listeners().await?;
+        let peers: Peers = base.find("peers")?;
+        let line = Line::info("host_open").with("host", &base.host.name);
+        line.with("incarnation", base.host.incarnation).write();
         Ok(Self {
-            kernel,
-            front: front_listener,
-            admin: admin_listener,
+            kernel: base.kernel,
+            front,
+            admin,
             peer_address: peers.address(),
         })
     }
@@ -314,7 +378,9 @@
         members.leave().await;
         tokio::time::sleep(BALANCER_WAIT).await;
         let finished = self.front.stop(DRAIN_MS).await;
-        let handed_over = tokio::time::timeout(HANDOVER_WAIT, shards.stop()).await.is_ok();
+        let handed_over = tokio::time::timeout(HANDOVER_WAIT, shards.stop())
+            .await
+            .is_ok();
         let admin_finished = self.admin.stop(1_000).await;
         let line = Line::info("host_closed").with("requests_finished", finished);
         let line = line.with("handed_over", handed_over);
@@ -344,7 +410,7 @@
     let Some(files) = &settings.tls else {
         return Ok(None);
     };
-    let tls = ServerTls::open(files, ClientCertificates::None).context(TlsSnafu)?;
+    let tls = ServerTls::open(files, ClientCertificates::NotAsked).context(TlsSnafu)?;
     Ok(Some(Arc::new(tls)))
 }
 
@@ -381,11 +447,11 @@
 fn known_hosts(settings: &Settings) -> Vec<KnownHost> {
     let peers = settings.peers.iter().map(|peer| KnownHost {
         failure_domain: peer.failure_domain.clone(),
-        host: peer.name.clone(),
+        name: peer.name.clone(),
     });
     let own = KnownHost {
         failure_domain: settings.failure_domain.clone(),
-        host: settings.name.clone(),
+        name: settings.name.clone(),
     };
     peers.chain([own]).collect()
 }
--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -6,6 +6,7 @@
 use primrosestack_core::time::MonoMs;
 use tokio::sync::mpsc;
 
+use crate::inspect::Inspection;
 use crate::jobs::Jobs;
 use crate::keys::Keys;
 use crate::members::Members;
@@ -26,6 +27,8 @@
     pub requests: Requests,
     /// Jobs.
     pub jobs: Jobs,
+    /// State for the administration API.
+    pub inspection: Inspection,
 }
 
 impl Inbox {
@@ -58,7 +61,12 @@
                 let keys = self.keys.clone();
                 tokio::spawn(async move { keys.serve_claim(&from, claim).await });
             }
-            Body::JobSubmit(_) | Body::JobCancel(_) | Body::JobList(_) => {
+            Body::Inspected(answer) => self.inspection.take_answer(answer),
+            Body::Inspect(inspect) => {
+                let inspection = self.inspection.clone();
+                tokio::spawn(async move { inspection.serve_peer(&from, inspect).await });
+            }
+            Body::JobSubmit(_) | Body::JobCancel(_) => {
                 let jobs = self.jobs.clone();
                 tokio::spawn(async move { jobs.serve_peer(&from, received.body).await });
             }
--- /dev/null
+++ b/src/inspect.rs
@@ -0,0 +1,412 @@
+//! State that only its owner has, gathered from entry hosts for the administration API.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use primrosestack_core::event::Event;
+use primrosestack_core::ids::{HostId, JobId};
+use primrosestack_core::membership::{Load, MemberState as PeerState, MemberView};
+use primrosestack_core::peer_frame::{Body, Inspect, Inspected, Subject};
+use primrosestack_core::shard::Shard;
+use primrosestack_core::tasks::JobState;
+use primrosestack_core::view::{self, ServerState, TaskPhase};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::calls::Calls;
+use crate::members::Members;
+use crate::model::{
+    Amounts, HostView, JobName, JobView, MemberState, PageQuery, ServerGone, ServerView,
+};
+use crate::peer::Peers;
+use crate::shards::Shards;
+use crate::slots::Slots;
+
+/// Time for an entry host of the same failure domain to answer.
+const HOST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for another failure domain, whose host asks its neighbours in turn.
+const DOMAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the service needs.
+pub struct InspectionOptions {
+    /// This process.
+    pub host: HostId,
+    /// Its failure domain.
+    pub failure_domain: SmolStr,
+    /// Address of its peer listener.
+    pub peer_address: std::net::SocketAddr,
+    /// Shards.
+    pub shards: Shards,
+    /// Members.
+    pub members: Members,
+    /// Links to peers.
+    pub peers: Peers,
+    /// Slots.
+    pub slots: Slots,
+}
+
+struct Inner {
+    options: InspectionOptions,
+    calls: Calls<Inspected>,
+}
+
+/// The running service; a clone is the same.
+#[derive(Clone)]
+pub struct Inspection {
+    inner: Arc<Inner>,
+}
+
+/// Elements in the JSON form of the administration API.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    /// The elements.
+    pub elements: Vec<String>,
+    /// Entry hosts that did not answer.
+    pub silent: Vec<String>,
+}
+
+impl Inspection {
+    /// Opens the service.
+    #[must_use]
+    pub fn open(options: InspectionOptions) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                options,
+                calls: Calls::default(),
+            }),
+        }
+    }
+
+    /// Gathers from all entry hosts of this failure domain and, through one host each, of the others. A failure domain
+    /// without a live host is named among the silent ones.
+    pub async fn everywhere(&self, subject: Subject, name: &str) -> Gathered {
+        let view = self.inner.options.members.view();
+        let mut others: Vec<SmolStr> = Vec::new();
+        for member in &view.members {
+            let own = member.failure_domain == self.inner.options.failure_domain;
+            if !own && !others.contains(&member.failure_domain) {
+                others.push(member.failure_domain.clone());
+            }
+        }
+        let asked = others
+            .iter()
+            .map(|domain| self.domain(domain, subject, name));
+        let (mut gathered, answers) = tokio::join!(self.own_domain(subject, name), join_all(asked));
+        for answer in answers {
+            gathered.elements.extend(answer.elements);
+            gathered.silent.extend(answer.silent);
+        }
+        gathered
+    }
+
+    async fn domain(&self, domain: &str, subject: Subject, name: &str) -> Gathered {
+        let view = self.inner.options.members.view();
+        let Some(member) = view.live(domain).next() else {
+            return Gathered {
+                elements: Vec::new(),
+                silent: vec![domain.to_owned()],
+            };
+        };
+        self.ask(&member.host.name, subject, name, true).await
+    }
+
+    /// Gathers from all entry hosts of this failure domain.
+    pub async fn own_domain(&self, subject: Subject, name: &str) -> Gathered {
+        let options = &self.inner.options;
+        let view = options.members.view();
+        let own = view.members.iter();
+        let own = own.filter(|member| member.failure_domain == options.failure_domain);
+        let asked = own.map(|member| self.ask(&member.host.name, subject, name, false));
+        let mut gathered = Gathered {
+            elements: self.here(subject, name).await,
+            silent: Vec::new(),
+        };
+        for answer in join_all(asked).await {
+            gathered.elements.extend(answer.elements);
+            gathered.silent.extend(answer.silent);
+        }
+        gathered
+    }
+
+    async fn ask(&self, host: &str, subject: Subject, name: &str, whole_domain: bool) -> Gathered {
+        let waiting = self.inner.calls.open();
+        let inspect = Inspect {
+            call: waiting.id(),
+            subject: subject.into(),
+            name: name.to_owned(),
+            whole_domain,
+        };
+        let timeout = if whole_domain {
+            DOMAIN_TIMEOUT
+        } else {
+            HOST_TIMEOUT
+        };
+        let silent = || Gathered {
+            elements: Vec::new(),
+            silent: vec![host.to_owned()],
+        };
+        if !self.inner.options.peers.send(host, Body::Inspect(inspect)) {
+            return silent();
+        }
+        match waiting.answer(timeout).await {
+            Some(answer) => Gathered {
+                elements: answer.elements,
+                silent: answer.silent,
+            },
+            None => silent(),
+        }
+    }
+
+    /// Answers another entry host.
+    pub async fn serve_peer(&self, from: &HostId, inspect: Inspect) {
+        let subject = inspect.subject();
+        let gathered = if inspect.whole_domain {
+            self.own_domain(subject, &inspect.name).await
+        } else {
+            Gathered {
+                elements: self.here(subject, &inspect.name).await,
+                silent: Vec::new(),
+            }
+        };
+        let answer = Inspected {
+            call: inspect.call,
+            elements: gathered.elements,
+            silent: gathered.silent,
+        };
+        let _ = self
+            .inner
+            .options
+            .peers
+            .send(&from.name, Body::Inspected(answer));
+    }
+
+    /// Takes the answer to an inspection.
+    pub fn take_answer(&self, answer: Inspected) {
+        self.inner.calls.answer(answer.call, answer);
+    }
+
+    async fn here(&self, subject: Subject, name: &str) -> Vec<String> {
+        match subject {
+            Subject::Jobs => self.jobs_here(name).await,
+            Subject::Servers => self.servers_here().await,
+            Subject::Host => vec![json(&self.host_here())],
+            Subject::DeclareGone => self.declare_gone_here(name).await,
+            Subject::Unspecified => Vec::new(),
+        }
+    }
+
+    /// `query` is a page query, or a list of jobs.
+    async fn jobs_here(&self, query: &str) -> Vec<String> {
+        let domain = self.inner.options.failure_domain.clone();
+        let named: Option<Vec<JobName>> = serde_json::from_str(query).ok();
+        let page: PageQuery = serde_json::from_str(query).unwrap_or_default();
+        let read = move |shards: &[Shard]| {
+            let owned = shards.iter().filter(|shard| shard.is_owner());
+            if let Some(named) = named {
+                let found = owned.flat_map(|shard| {
+                    let jobs = named.iter().filter_map(|JobName(id)| shard.job(*id));
+                    jobs.collect::<Vec<_>>()
+                });
+                return found.map(|job| json(&job_view(&job, &domain))).collect();
+            }
+            let jobs = owned
+                .flat_map(Shard::jobs)
+                .filter(|job| in_page(job, &page));
+            let mut jobs: Vec<view::JobView> = jobs.collect();
+            jobs.sort_by_key(|job| job.spec.id);
+            // One more than asked for tells whether there is a next page.
+            jobs.truncate(page.limit() as usize + 1);
+            jobs.iter()
+                .map(|job| json(&job_view(job, &domain)))
+                .collect()
+        };
+        self.inner
+            .options
+            .shards
+            .inspect(read)
+            .await
+            .unwrap_or_default()
+    }
+
+    async fn servers_here(&self) -> Vec<String> {
+        let options = &self.inner.options;
+        let domain = options.failure_domain.clone();
+        let owner = options.host.name.clone();
+        let busy = options.slots.busy();
+        let read = move |shards: &[Shard]| {
+            let mut servers = Vec::new();
+            for (number, shard) in shards.iter().enumerate() {
+                let Some(epoch) = shard.epoch() else {
+                    continue;
+                };
+                for server in shard.servers() {
+                    let found = busy.binary_search_by(|(name, _)| name.cmp(&server.name));
+                    servers.push(json(&ServerView {
+                        failure_domain: domain.clone(),
+                        shard: u32::try_from(number).unwrap_or(u32::MAX),
+                        owner: Some(owner.clone()),
+                        epoch: Some(format_smolstr!("{}.{}", epoch.term, epoch.rank)),
+                        slots_used: found.map_or(0, |at| busy[at].1),
+                        ..server_view(&server)
+                    }));
+                }
+            }
+            servers
+        };
+        options.shards.inspect(read).await.unwrap_or_default()
+    }
+
+    async fn declare_gone_here(&self, name: &str) -> Vec<String> {
+        let server = SmolStr::from(name);
+        let wanted = server.clone();
+        let read = move |shards: &[Shard]| {
+            let owned = shards.iter().filter(|shard| shard.is_owner());
+            let mut servers = owned.flat_map(Shard::servers);
+            let found = servers.find(|found| found.name == wanted);
+            found.map(|found| u32::try_from(found.attempts).unwrap_or(u32::MAX))
+        };
+        let shards = &self.inner.options.shards;
+        let Some(tasks_released) = shards.inspect(read).await.flatten() else {
+            return Vec::new();
+        };
+        let event = Event::DeclaredGone {
+            server: server.clone(),
+        };
+        shards.everywhere(event).await;
+        vec![json(&ServerGone {
+            server,
+            tasks_released,
+        })]
+    }
+
+    fn host_here(&self) -> HostView {
+        let options = &self.inner.options;
+        let load = options.slots.load();
+        let shards = options.shards.view();
+        let owned = (0_u32..)
+            .zip(shards.iter())
+            .filter(|(_, shard)| shard.owned);
+        let busy = options.slots.busy();
+        HostView {
+            name: options.host.name.clone(),
+            failure_domain: options.failure_domain.clone(),
+            address: format_smolstr!("{}", options.peer_address),
+            state: MemberState::Live,
+            out_reason: None,
+            shards: owned.map(|(number, _)| number).collect(),
+            requests_running: busy.iter().map(|(_, count)| count).sum(),
+            requests_queued: load.queued,
+            slots_free: load.free_slots,
+            heard_ms_ago: Some(0),
+        }
+    }
+
+    /// Entry hosts that are known but did not answer, as this one sees them.
+    #[must_use]
+    pub fn silent_hosts(&self, answered: &[HostView]) -> Vec<HostView> {
+        let view = self.inner.options.members.view();
+        let silent = view.members.iter();
+        let silent = silent.filter(|member| {
+            let mut names = answered.iter().map(|host| &host.name);
+            !names.any(|name| *name == member.host.name)
+        });
+        let views = silent.map(silent_host);
+        views.collect()
+    }
+}
+
+fn silent_host(member: &MemberView) -> HostView {
+    let (state, reason) = match member.state {
+        PeerState::Live => (MemberState::Suspected, "it did not answer the question"),
+        PeerState::Leaving => (MemberState::Leaving, "it announced that it leaves"),
+        PeerState::Gone => (MemberState::Gone, "another incarnation replaced it"),
+        PeerState::Unheard => (MemberState::Suspected, "it was never heard"),
+        PeerState::Suspected => (MemberState::Suspected, "no heartbeat arrives"),
+    };
+    let Load {
+        free_slots, queued, ..
+    } = member.load;
+    HostView {
+        name: member.host.name.clone(),
+        failure_domain: member.failure_domain.clone(),
+        address: SmolStr::default(),
+        state,
+        out_reason: Some(SmolStr::new_static(reason)),
+        shards: Vec::new(),
+        requests_running: 0,
+        requests_queued: queued,
+        slots_free: free_slots,
+        heard_ms_ago: None,
+    }
+}
+
+fn json(element: &impl serde::Serialize) -> String {
+    serde_json::to_string(element).unwrap_or_default()
+}
+
+fn in_page(job: &view::JobView, page: &PageQuery) -> bool {
+    let in_team = page.team.as_ref().is_none_or(|team| *team == job.spec.team);
+    let after: Option<JobName> = page.after.as_ref().and_then(|after| after.parse().ok());
+    in_team && after.is_none_or(|JobName(JobId(after))| job.spec.id.0 > after)
+}
+
+fn job_view(job: &view::JobView, failure_domain: &SmolStr) -> JobView {
+    let count = |phase: TaskPhase| job.tasks.get(&phase).copied().unwrap_or_default();
+    let ended = count(TaskPhase::Ended);
+    let cancelled = job.state == JobState::Cancelled;
+    let running = count(TaskPhase::Starting)
+        + count(TaskPhase::Running)
+        + count(TaskPhase::Evicting)
+        + count(TaskPhase::Stopping);
+    let spec = &job.spec;
+    JobView {
+        job: JobName(spec.id),
+        team: spec.team.clone(),
+        client: spec.client.clone(),
+        kind: spec.kind.clone(),
+        failure_domain: failure_domain.clone(),
+        tasks: spec.tasks,
+        pending: count(TaskPhase::Pending),
+        running,
+        succeeded: if cancelled { 0 } else { ended },
+        failed: 0,
+        cancelled: if cancelled { ended } else { 0 },
+        parked: count(TaskPhase::Parked),
+        parked_reason: job.parked.map(|reason| format_smolstr!("{reason:?}")),
+        evictions: 0,
+        finish_by_unix_ms: Some(spec.finish_by_unix_ms).filter(|finish_by| *finish_by > 0),
+    }
+}
+
+fn server_view(server: &view::ServerView) -> ServerView {
+    let (state, reason) = match server.state {
+        ServerState::Claimed => (MemberState::Live, None),
+        ServerState::Unclaimed => (MemberState::Claiming, Some("it has not answered the claim")),
+        ServerState::Silent => (MemberState::Suspected, Some("no reports arrive")),
+        ServerState::Lapsed => (MemberState::Gone, Some("its task leases have lapsed")),
+        ServerState::Leaving => (MemberState::Leaving, Some("it is leaving")),
+        ServerState::Quarantined => {
+            let reason = "its last starts failed, of jobs that run elsewhere";
+            (MemberState::Quarantined, Some(reason))
+        }
+    };
+    ServerView {
+        name: server.name.clone(),
+        failure_domain: SmolStr::default(),
+        rack: server.rack.clone(),
+        shard: 0,
+        owner: None,
+        epoch: None,
+        state,
+        out_reason: reason.map(SmolStr::new_static),
+        size: Amounts {
+            millicores: server.size.millicores,
+            memory_mib: server.size.memory_mib,
+            accelerators: server.size.accelerators,
+        },
+        reserved: Amounts::default(),
+        tasks: u32::try_from(server.attempts).unwrap_or(u32::MAX),
+        slots_used: 0,
+        heard_ms_ago: None,
+    }
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -91,7 +91,10 @@
         let mut failed = Vec::new();
         for (_, _, part) in parts {
             for chunk in part.chunks(CANCEL_CHUNK) {
-                match self.anywhere(chunk[0], Request::Cancel(chunk.to_vec())).await {
+                match self
+                    .anywhere(chunk[0], Request::Cancel(chunk.to_vec()))
+                    .await
+                {
                     TokenReply::Cancelled(jobs) => cancelled.extend(jobs),
                     other => failed.push(other),
                 }
@@ -187,7 +190,10 @@
         };
         let result = result_of(reply);
         // Without a link the sender times out and repeats the call, which is safe.
-        let _ = self.inner.peers.send(&from.name, Body::JobReply(JobReply { call, result }));
+        let _ = self
+            .inner
+            .peers
+            .send(&from.name, Body::JobReply(JobReply { call, result }));
     }
 
     /// Takes the answer to a job call.
@@ -232,7 +238,9 @@
 
 fn result_of(reply: TokenReply) -> Option<JobResult> {
     match reply {
-        TokenReply::Accepted { job, new } => Some(JobResult::Accepted(JobAccepted { job: job.0, new })),
+        TokenReply::Accepted { job, new } => {
+            Some(JobResult::Accepted(JobAccepted { job: job.0, new }))
+        }
         TokenReply::Cancelled(jobs) => Some(JobResult::Cancelled(JobsCancelled {
             jobs: jobs.iter().map(|job| job.0).collect(),
         })),
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use primrosestack_core::dispatch::RefusalReason;
+use primrosestack_core::event::NotRun;
 use primrosestack_core::ids::{HostId, RequestKey, stable_hash};
 use primrosestack_core::membership::MemberView;
 use primrosestack_core::peer_frame::{Body, Outcome, RequestAnswer, RequestForward};
@@ -83,6 +84,16 @@
 }
 
 impl Cause {
+    /// The reason as metrics count it.
+    #[must_use]
+    pub fn not_run(self) -> NotRun {
+        match self {
+            Self::KeyUnrecorded => NotRun::StoreUnavailable,
+            Self::Unreachable | Self::NoServer => NotRun::NotOwner,
+            Self::Overloaded | Self::DeadlineTooNear | Self::Refused => NotRun::Overloaded,
+        }
+    }
+
     /// Stable name for answers, logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/src/shards.rs
+++ b/src/shards.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosestack_core::capacity::Resources;
 use primrosestack_core::event::{
     Action, Event, JobSpec, NotRun, ServerCommand, ServerReply, StoreCall, StoreReply, Token,
     TokenReply,
@@ -21,10 +22,11 @@
 
 use crate::backend::Backend;
 use crate::clock::{Clock, unix_ms};
-use crate::hostlist::{ListedServer, ListedState};
+use crate::hostlist::ListedServer;
 use crate::logs::Line;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
+use crate::rooms::{Fit, Rooms};
 use crate::slots::{Slots, Target};
 use crate::store::Store;
 
@@ -63,16 +65,37 @@
     pub metrics: Metrics,
 }
 
+/// Reads the shards between two events.
+type Reader = Box<dyn FnOnce(&[Shard]) + Send>;
+
 enum Command {
     Event(u32, Event),
     Everywhere(Event),
     Call(u32, CallKind, oneshot::Sender<TokenReply>),
     Listed(Vec<ListedServer>),
-    Teams(Vec<(SmolStr, u32)>),
-    Inspect(Box<dyn FnOnce(&[Shard]) + Send>),
+    Teams(Policy),
+    Answered {
+        shard: u32,
+        op: OpId,
+        server: SmolStr,
+        epoch: Epoch,
+        reply: ServerReply,
+    },
+    Inspect(Reader),
     Stop(oneshot::Sender<()>),
 }
 
+/// What the documents in force say about this failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Weight of each team.
+    pub quotas: Vec<(SmolStr, u32)>,
+    /// Weights of the goals, over all teams.
+    pub objective: Objective,
+    /// What one request in execution may use, the largest of all services.
+    pub slot_size: Resources,
+}
+
 enum CallKind {
     Submit(JobSpec),
     Cancel(Vec<JobId>),
@@ -179,9 +202,9 @@
         let _ = self.commands.send(Command::Listed(servers)).await;
     }
 
-    /// Takes in the quotas of all teams.
-    pub async fn teams(&self, quotas: Vec<(SmolStr, u32)>) {
-        let _ = self.commands.send(Command::Teams(quotas)).await;
+    /// Takes in what the documents in force say.
+    pub async fn set_policy(&self, policy: Policy) {
+        let _ = self.commands.send(Command::Teams(policy)).await;
     }
 
     /// Submits a job to a shard of this process.
@@ -243,6 +266,7 @@
     own: Shards,
     shards: Vec<Shard>,
     addresses: BTreeMap<SmolStr, SocketAddr>,
+    rooms: Rooms,
     tokens: BTreeMap<Token, oneshot::Sender<TokenReply>>,
     next_token: u64,
     ticks: u64,
@@ -276,6 +300,7 @@
             own,
             shards,
             addresses: BTreeMap::new(),
+            rooms: Rooms::default(),
             tokens: BTreeMap::new(),
             next_token: 1,
             ticks: 0,
@@ -319,12 +344,26 @@
             Command::Everywhere(event) => self.everywhere(&event),
             Command::Call(shard, kind, sender) => self.call(shard, kind, sender),
             Command::Listed(servers) => self.listed(servers),
-            Command::Teams(quotas) => {
-                for (team, weight) in quotas {
-                    for shard in &mut self.shards {
-                        shard.set_quota(&team, weight);
+            Command::Teams(policy) => {
+                for shard in &mut self.shards {
+                    shard.set_objective(policy.objective);
+                    for (team, weight) in &policy.quotas {
+                        shard.set_quota(team, *weight);
                     }
                 }
+                self.rooms.set_policy(&policy);
+            }
+            Command::Answered {
+                shard,
+                op,
+                server,
+                epoch,
+                reply,
+            } => {
+                if let ServerReply::Report(report) = &reply {
+                    self.rooms.reported(&server, epoch, report.requests_running);
+                }
+                self.handle(shard, Event::Server { op, reply });
             }
             Command::Inspect(read) => read(&self.shards),
             Command::Stop(done) => {
@@ -354,12 +393,7 @@
             }
             self.addresses.insert(server.name.clone(), server.address);
             let shard = self.own.shard_of_rack(&server.rack);
-            let event = Event::Listed {
-                server: server.name,
-                rack: server.rack,
-                size: server.resources,
-                leaving: server.state == ListedState::Leaving,
-            };
+            let event = self.rooms.listed(&server);
             self.handle(shard, event);
         }
     }
@@ -458,54 +492,82 @@
         epoch: Epoch,
         command: ServerCommand,
     ) {
-        let own = self.own.clone();
-        let Some(address) = self.addresses.get(name).copied() else {
-            // A server of a recovered journal that the platform does not list now.
-            tokio::spawn(async move {
-                let reply = ServerReply::Lost;
-                own.event(shard, Event::Server { op, reply }).await;
-            });
-            return;
-        };
+        let commands = self.own.commands.clone();
+        let address = self.addresses.get(name).copied();
+        let server = name.clone();
         let backend = self.options.backend.clone();
         tokio::spawn(async move {
-            let reply = backend.command(address, epoch, command).await;
-            own.event(shard, Event::Server { op, reply }).await;
+            let reply = match address {
+                Some(address) => backend.command(address, epoch, command).await,
+                // A server of a recovered journal that the platform does not list now.
+                None => ServerReply::Lost,
+            };
+            let answered = Command::Answered {
+                shard,
+                op,
+                server,
+                epoch,
+                reply,
+            };
+            // The service runs as long as the process.
+            let _ = commands.send(answered).await;
         });
     }
 
-    /// Tells the other services which servers may be sent requests and who owns what.
+    /// Fits batch and requests of each server into its size, and tells the other services who owns what.
     fn publish(&mut self) {
         let now = self.options.clock.now();
         let mut targets = Vec::new();
-        let mut views = Vec::new();
-        let mut owned = 0;
-        for shard in &self.shards {
-            for server in shard.servers(now) {
+        let mut fits: Vec<(u32, Fit)> = Vec::new();
+        let queued = self.options.slots.load().queued;
+        let busy = self.options.slots.busy();
+        for (number, shard) in (0..).zip(&self.shards) {
+            if shard.epoch().is_none() {
+                continue;
+            }
+            for server in shard.servers() {
                 let Some(address) = self.addresses.get(&server.name).copied() else {
                     continue;
                 };
-                let epoch = shard.may_send(&server.name, now);
+                let found = busy.binary_search_by(|(name, _)| name.cmp(&server.name));
+                let running = found.map_or(0, |at| busy[at].1);
+                let fit = self
+                    .rooms
+                    .fit(now, &server, shard.reserved(server.key), running, queued);
+                let epoch = shard.may_send(server.key, now);
                 targets.push(Target {
-                    name: server.name,
+                    name: server.name.clone(),
                     address,
                     epoch: epoch.unwrap_or_default(),
                     open: epoch.is_some(),
-                    foreign_slots: 0,
+                    slots: fit.slots,
                 });
+                fits.push((number, fit));
             }
-            owned += u64::from(shard.is_owner());
-            views.push(ShardView {
-                owner: shard.owner(),
-                owned: shard.is_owner(),
-                commands: shard.epoch().is_some(),
-            });
         }
+        // Slots are closed before batch may take their room.
         self.options.slots.set_targets(&targets);
-        self.options.metrics.set_shards(owned);
-        self.view.send_replace(views.into());
-        let holds_any = self.shards.iter().any(Shard::is_owner);
-        if !holds_any && let Some(done) = self.stopping.take() {
+        for (number, fit) in fits {
+            for event in fit.events {
+                self.handle(number, event);
+            }
+        }
+        self.publish_owners();
+    }
+
+    fn publish_owners(&mut self) {
+        let owned = self.shards.iter().filter(|shard| shard.is_owner()).count();
+        let views = self.shards.iter().map(|shard| ShardView {
+            owner: shard.owner().cloned(),
+            owned: shard.is_owner(),
+            commands: shard.epoch().is_some(),
+        });
+        self.view.send_replace(views.collect());
+        self.options.metrics.set_shards(owned as u64);
+        if self.shards.iter().all(Shard::is_stopped)
+            && let Some(done) = self.stopping.take()
+        {
+            // The process may have given up waiting.
             let _ = done.send(());
         }
     }
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -16,8 +16,6 @@
 
 use crate::clock::Clock;
 
-/// Requests that one backend server handles at a time.
-const SLOTS_PER_SERVER: u32 = 8;
 /// A backend server gives up a request at its deadline; its slot is counted as taken for this much longer.
 const SLOT_GRACE: Duration = Duration::from_secs(1);
 /// Waiting requests are refused at most this long after their deadline.
@@ -34,8 +32,8 @@
     pub epoch: Epoch,
     /// Whether new requests may be sent.
     pub open: bool,
-    /// Slots that requests of an earlier owner still occupy.
-    pub foreign_slots: u32,
+    /// Requests that may be in execution at one time.
+    pub slots: u32,
 }
 
 /// Who asks for a slot.
@@ -68,10 +66,16 @@
     deadline: MonoMs,
 }
 
+struct Known {
+    target: Target,
+    key: ServerKey,
+    busy: u32,
+}
+
 struct State {
     dispatcher: Dispatcher,
     /// Servers by name, with the key that each keeps for the life of the process.
-    known: Vec<(Target, ServerKey)>,
+    known: Vec<Known>,
     next_id: u64,
     waiting: BTreeMap<u64, Waiter>,
 }
@@ -156,6 +160,21 @@
         state.dispatcher.queued() == 0 && busy < open
     }
 
+    /// Requests in execution at each server that has any, by name.
+    #[must_use]
+    pub fn busy(&self) -> Vec<(SmolStr, u32)> {
+        let state = self.state();
+        let busy = state.known.iter().filter(|known| known.busy > 0);
+        busy.map(|known| (known.target.name.clone(), known.busy))
+            .collect()
+    }
+
+    /// The load that is announced to peers.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        *self.inner.load.borrow()
+    }
+
     /// Whether this host owns any server that is open.
     #[must_use]
     pub fn has_servers(&self) -> bool {
@@ -199,7 +218,7 @@
             spilled: asker.stays,
         };
         let turn = match state.dispatcher.offer(now, request) {
-            Offer::Send(key) => self.grant(&state, id, key, deadline),
+            Offer::Send(key) => self.grant(&mut state, id, key, deadline),
             Offer::Spill(failure_domain) => Turn::Spill(failure_domain),
             Offer::Refused(refusal) => Turn::Refused(refusal),
             Offer::Queued => {
@@ -214,19 +233,20 @@
         Ok(turn)
     }
 
-    fn grant(&self, state: &State, id: u64, key: ServerKey, deadline: MonoMs) -> Turn {
-        let Some((target, _)) = state.known.iter().find(|(_, known)| *known == key) else {
+    fn grant(&self, state: &mut State, id: u64, key: ServerKey, deadline: MonoMs) -> Turn {
+        let Some(known) = state.known.iter_mut().find(|known| known.key == key) else {
             return Turn::Refused(Refusal {
                 id,
                 reason: RefusalReason::NoServer,
                 retry_after_ms: 1_000,
             });
         };
+        known.busy += 1;
         Turn::Slot(Slot {
             slots: self.clone(),
             id,
             key,
-            target: target.clone(),
+            target: known.target.clone(),
             began: self.inner.clock.now(),
             deadline,
             ended: false,
@@ -246,7 +266,7 @@
                     continue;
                 };
                 let deadline = waiter.deadline;
-                let turn = self.grant(&state, dispatched.id, dispatched.server, deadline);
+                let turn = self.grant(&mut state, dispatched.id, dispatched.server, deadline);
                 undelivered.extend(waiter.sender.send(turn).err());
             }
             for refusal in state.dispatcher.refused(now) {
@@ -286,31 +306,35 @@
 
 impl State {
     fn set_targets(&mut self, now: MonoMs, targets: &[Target]) {
-        for (known, key) in &mut self.known {
-            if targets.iter().any(|target| target.name == known.name) {
+        for known in &mut self.known {
+            let name = &known.target.name;
+            if targets.iter().any(|target| target.name == *name) {
                 continue;
             }
-            known.open = false;
-            self.dispatcher.open_server(now, *key, false);
+            known.target.open = false;
+            self.dispatcher.open_server(now, known.key, false);
         }
         for target in targets {
             let found = self
                 .known
-                .binary_search_by(|(known, _)| known.name.cmp(&target.name));
+                .binary_search_by(|known| known.target.name.cmp(&target.name));
             let key = match found {
                 Ok(at) => {
-                    self.known[at].0 = target.clone();
-                    self.known[at].1
+                    self.known[at].target = target.clone();
+                    self.known[at].key
                 }
                 Err(at) => {
                     let next = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
-                    let key = ServerKey(next);
-                    self.known.insert(at, (target.clone(), key));
-                    key
+                    let known = Known {
+                        target: target.clone(),
+                        key: ServerKey(next),
+                        busy: 0,
+                    };
+                    self.known.insert(at, known);
+                    ServerKey(next)
                 }
             };
-            let slots = SLOTS_PER_SERVER.saturating_sub(target.foreign_slots);
-            self.dispatcher.put_server(now, key, slots);
+            self.dispatcher.put_server(now, key, target.slots);
             self.dispatcher.open_server(now, key, target.open);
         }
     }
@@ -327,6 +351,9 @@
         let now = self.slots.inner.clock.now();
         let service_ms = now.since(self.began).0;
         let mut state = self.slots.state();
+        if let Some(known) = state.known.iter_mut().find(|known| known.key == self.key) {
+            known.busy = known.busy.saturating_sub(1);
+        }
         let dispatcher = &mut state.dispatcher;
         dispatcher.finished(now, self.key, self.id, service_ms, failed);
         drop(state);
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosestack_core::capacity::Resources;
 use primrosestack_core::dispatch::Link;
 use primrosestack_core::event::Event;
 use primrosestack_core::membership::MemberState;
+use primrosestack_core::placement::Objective;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
@@ -15,7 +17,7 @@
 use crate::members::{Members, View};
 use crate::metrics::Metrics;
 use crate::settings::LinkSettings;
-use crate::shards::Shards;
+use crate::shards::{Policy, Shards};
 use crate::slots::Slots;
 
 const HOST_LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -74,7 +76,7 @@
         let view = options.members.view();
         options.metrics.set_documents(view.documents.len() as u64);
         set_links(&options, &view);
-        set_quotas(&options, &view).await;
+        set_policy(&options, &view).await;
         tokio::time::sleep(LINK_INTERVAL).await;
     }
 }
@@ -108,14 +110,42 @@
     }
 }
 
-/// A team's weight is its processor quota, in cores, and at least 1.
-async fn set_quotas(options: &UpkeepOptions, view: &View) {
+/// A team's weight is its processor quota, in cores, and at least 1. Teams share servers, so their objectives are
+/// averaged by that weight.
+async fn set_policy(options: &UpkeepOptions, view: &View) {
     let mut quotas = Vec::with_capacity(view.documents.len());
+    let mut slot_size = Resources::default();
+    let mut weights = [0_u64; 3];
     for document in &view.documents {
-        let quota = document.content.quota;
-        options.slots.set_quota(&document.team, quota.slots.max(1));
-        let weight = (quota.millicores / 1_000).max(1);
+        let content = &document.content;
+        options
+            .slots
+            .set_quota(&document.team, content.quota.slots.max(1));
+        let weight = (content.quota.millicores / 1_000).max(1);
         quotas.push((document.team.clone(), weight));
+        for service in content.services.values() {
+            if service.failure_domains.contains(&options.failure_domain) {
+                slot_size = slot_size.greater(service.size.into());
+            }
+        }
+        let objective = content.objective;
+        weights[0] += u64::from(weight) * u64::from(objective.latency_permille);
+        weights[1] += u64::from(weight) * u64::from(objective.throughput_permille);
+        weights[2] += u64::from(weight) * u64::from(objective.eviction_permille);
+    }
+    let total: u64 = quotas.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    if total == 0 {
+        return;
     }
-    options.shards.teams(quotas).await;
+    let average = |sum: u64| u32::try_from(sum / total).unwrap_or(1_000);
+    let policy = Policy {
+        quotas,
+        objective: Objective {
+            latency_permille: average(weights[0]),
+            throughput_permille: average(weights[1]),
+            eviction_permille: average(weights[2]),
+        },
+        slot_size,
+    };
+    options.shards.set_policy(policy).await;
 }
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -305,7 +305,7 @@
     let arguments = ["burn", "--address", &address, "--html", page_name];
     let parser = report_options().to_options();
     let options = parser.run_inner(&arguments[..]).unwrap();
-    assert_eq!(run(&options).await.unwrap(), EXIT_PARTIAL);
+    assert_eq!(make(&options).await.unwrap(), EXIT_PARTIAL);
     let text = std::fs::read_to_string(&page).unwrap();
     std::fs::remove_file(&page).unwrap();
     assert!(text.contains("failure domain cxs is missing"));
