Scenario tests of the shard; faults that they found

- A job that fails is tried on a server where it has not failed yet; a scheduler that prefers one server otherwise never shows whether the job or the server is at fault.
- Failures of many tasks at once count as one round, so a faulty server with 20 tasks of one job parks nothing.
- A third host takes over from a living successor that does not manage to, 10 s after the store is back for that host.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -95,6 +95,7 @@
     writes: Bucket,
     reads: Bucket,
     backoff: Backoff,
+    up_since: MonoMs,
 }
 
 impl StoreBudget {
@@ -105,6 +106,7 @@
             writes: Bucket::open(writes_per_s, now),
             reads: Bucket::open(reads_per_s, now),
             backoff: Backoff::open(seed),
+            up_since: now,
         }
     }
 
@@ -121,12 +123,21 @@
     /// Takes in the outcome of a call.
     pub fn outcome(&mut self, now: MonoMs, answered: bool) {
         if answered {
+            if self.is_down() {
+                self.up_since = now;
+            }
             self.backoff.succeed();
             return;
         }
         self.backoff.fail(now);
     }
 
+    /// Since when all calls were answered, or `None` if the last one was not.
+    #[must_use]
+    pub fn up_since(&self) -> Option<MonoMs> {
+        (!self.is_down()).then_some(self.up_since)
+    }
+
     /// Whether the last call failed.
     #[must_use]
     pub fn is_down(&self) -> bool {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -37,6 +37,7 @@
                 .is_some_and(|task| task.phase == Phase::Held);
             if is_held {
                 self.requeue(task);
+                self.place_elsewhere(task.job);
             }
         }
     }
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -16,9 +16,8 @@
 /// Servers on which a job must have failed to be parked.
 const BLAMED_SERVERS: usize = 3;
 
-/// Failures in a row after which a job is parked wherever they happened. A shard with one or two servers can never
-/// show failures on three.
-const FAILURES_MAX: u32 = 20;
+/// Rounds of failures after which a job is parked in a shard with fewer servers than that.
+const ROUNDS_MAX: u32 = 10;
 
 /// Time between two probes of a quarantined server, in milliseconds.
 pub const PROBE_MS: u64 = 30_000;
@@ -54,7 +53,7 @@
     pub fn started(&mut self, now: MonoMs) {
         if self.probe_at.is_some() {
             self.probe_at = Some(now + DurationMs(PROBE_MS));
-            self.probed = Some(now);
+            self.probed = self.probed.or(Some(now));
         }
     }
 
@@ -92,7 +91,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct JobFailures {
     servers: BTreeSet<ServerKey>,
-    count: u32,
+    /// Failures, of which those of many tasks at once count as one.
+    rounds: u32,
+    next_round: MonoMs,
 }
 
 impl JobFailures {
@@ -122,7 +123,10 @@
         if blames_job {
             let failures = self.failures.entry(job).or_default();
             failures.servers.insert(key);
-            failures.count = failures.count.saturating_add(1);
+            if self.now >= failures.next_round {
+                failures.rounds = failures.rounds.saturating_add(1);
+                failures.next_round = self.now + DurationMs(RETRY_MIN_MS);
+            }
         }
         if let Some(server) = self.fleet.get_mut(key) {
             server.health.note(job, false);
@@ -130,7 +134,10 @@
         }
         self.consider_quarantine(key);
         self.consider_parking(job);
-        let failures = self.failures.get(&job).map_or(0, |failures| failures.count);
+        let failures = self
+            .failures
+            .get(&job)
+            .map_or(0, |failures| failures.rounds);
         self.now + DurationMs(RETRY_MIN_MS << failures.min(6))
     }
 
@@ -169,11 +176,13 @@
         let Some(failures) = self.failures.get(&job) else {
             return;
         };
-        let blamed = failures
-            .servers
-            .iter()
-            .filter(|key| self.runs_others_well(**key, job));
-        let is_faulty = blamed.count() >= BLAMED_SERVERS || failures.count >= FAILURES_MAX;
+        let servers = failures.servers.iter();
+        let blamed = servers
+            .filter(|key| self.runs_others_well(**key, job))
+            .count();
+        let members = self.fleet.iter().filter(|(_, server)| server.open).count();
+        let is_faulty = blamed >= BLAMED_SERVERS
+            || (members < BLAMED_SERVERS && blamed >= members && failures.rounds >= ROUNDS_MAX);
         if is_faulty {
             self.park(job, ParkReason::FailsEverywhere);
         }
@@ -194,6 +203,25 @@
         others.all(|other| fails_elsewhere(&self.failures, other, key))
     }
 
+    /// Starts a task that failed, if possible on a server where its job has not failed yet. Without this a scheduler
+    /// that prefers one server would never show whether the job or that server is at fault.
+    pub(crate) fn place_elsewhere(&mut self, job: JobId) {
+        let failures = self.failures.get(&job);
+        let tried: Vec<ServerKey> = failures
+            .into_iter()
+            .flat_map(|failures| failures.servers.iter().copied())
+            .filter(|key| self.fleet.get(*key).is_some_and(|server| server.open))
+            .collect();
+        for &key in &tried {
+            self.scheduler.set_open(key, false);
+        }
+        self.place();
+        for &key in &tried {
+            let is_open = self.fleet.get(key).is_some_and(|server| server.open);
+            self.scheduler.set_open(key, is_open);
+        }
+    }
+
     pub(crate) fn park(&mut self, job: JobId, reason: ParkReason) {
         if !self.is_active(job) {
             return;
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -59,11 +59,13 @@
         }
     }
 
-    /// Whether this host comes first among the hosts that are not suspected.
-    fn is_first(&self) -> bool {
+    /// Whether this host comes first among the hosts that are not suspected, `except` aside.
+    fn is_first(&self, except: Option<&HostId>) -> bool {
         let hosts = self.config.hosts.iter();
-        let candidates =
-            hosts.filter(|&name| *name == self.host.name || !self.is_name_suspected(name));
+        let candidates = hosts.filter(|&name| {
+            let is_excepted = except.is_some_and(|host| host.name == *name);
+            *name == self.host.name || !(is_excepted || self.is_name_suspected(name))
+        });
         rendezvous(&self.name, candidates.map(SmolStr::as_str)) == Some(self.host.name.as_str())
     }
 
@@ -135,12 +137,19 @@
             Some(successor) => self.suspected_since(successor),
             None => Some(since),
         };
-        match successor_since {
-            Some(both) => {
-                self.is_first() && self.now >= since.max(both) + DurationMs(OTHER_TAKEOVER_MS)
-            }
-            None => self.is_first() && self.now >= since + DurationMs(STUCK_SUCCESSOR_MS),
-        }
+        let (from, except) = if let Some(both) = successor_since {
+            (since.max(both) + DurationMs(OTHER_TAKEOVER_MS), None)
+        } else {
+            // After an outage of the store the successor gets the first try.
+            let Some(up_since) = self.budget.up_since() else {
+                return false;
+            };
+            let from = since.max(up_since) + DurationMs(STUCK_SUCCESSOR_MS);
+            (from, seen.successor.as_ref())
+        };
+        // The first host may be cut off from the store like the successor; after a second wait any host may try.
+        let is_anyones_turn = self.now >= from + DurationMs(STUCK_SUCCESSOR_MS);
+        self.now >= from && (is_anyones_turn || self.is_first(except))
     }
 
     pub(crate) fn head_read(&mut self, sent: MonoMs, reply: &StoreReply) {
@@ -167,7 +176,7 @@
     /// Acquires a shard that has no head.
     fn head_absent(&mut self) {
         self.duty.next_read = self.now + DurationMs(CONFIRM_READ_MS);
-        if self.role != Role::Observer || !self.is_first() {
+        if self.role != Role::Observer || !self.is_first(None) {
             return;
         }
         let head = Head {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -565,3 +565,53 @@
 pub fn server_name(at: usize) -> SmolStr {
     format!("w{at}").into()
 }
+
+pub const HOSTS: [&str; 3] = ["a", "b", "c"];
+
+/// A world with three entry hosts, an owner and all servers claimed.
+pub fn opened(servers: usize, rack: usize) -> World {
+    let mut world = World::open(&HOSTS, servers, rack);
+    world.run_until(5_000, "an owner with claimed servers", World::is_claimed);
+    world.run(3_000);
+    world
+}
+
+impl World {
+    /// Whether an owner has claimed every server that still runs.
+    pub fn is_claimed(&self) -> bool {
+        let Some(owner) = self.owner() else {
+            return false;
+        };
+        let shard = self.shard(&owner);
+        let mut servers = self.servers.keys();
+        servers.all(|name| {
+            let key = shard.server_key(name);
+            self.is_cut(&owner, name)
+                || key.is_some_and(|key| shard.may_send(key, MonoMs(self.now)).is_some())
+        })
+    }
+
+    pub fn successor(&self) -> SmolStr {
+        let successor = self.owner_shard().successor();
+        successor.expect("a successor is designated").name.clone()
+    }
+
+    pub fn cut_off(&mut self, a: &str, b: &str) {
+        self.cut.insert((a.into(), b.into()));
+    }
+
+    /// Cuts a server off from every entry host.
+    pub fn lose_server(&mut self, server: &str) {
+        for name in HOSTS {
+            self.cut_off(name, server);
+        }
+    }
+
+    pub fn attempts_of(&self, id: TaskId) -> Vec<Attempt> {
+        let attempts = self.servers.values().flat_map(|backend| &backend.attempts);
+        attempts
+            .filter(|(_, attempted)| attempted.task == id)
+            .map(|(attempt, _)| *attempt)
+            .collect()
+    }
+}
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -1,28 +1,12 @@
-//! Scenarios of one shard with entry hosts, a store and backend servers.
+//! Scenarios of one shard: work, callers, journal and servers.
 
 mod common;
 
 use common::*;
+use primrosestack_core::journal::ParkReason;
 use primrosestack_core::prelude::*;
-use primrosestack_core::view::TaskPhase;
-
-const HOSTS: [&str; 3] = ["a", "b", "c"];
-
-fn opened(servers: usize, rack: usize) -> World {
-    let mut world = World::open(&HOSTS, servers, rack);
-    world.run_until(5_000, "an owner with claimed servers", |world| {
-        let servers = world.servers.len();
-        let is_open = |world: &World| {
-            let shard = world.owner_shard();
-            let states = shard.servers().map(|server| server.state);
-            states
-                .filter(|state| *state == primrosestack_core::view::ServerState::Claimed)
-                .count()
-        };
-        world.owner().is_some() && is_open(world) == servers
-    });
-    world
-}
+use primrosestack_core::tasks::JobState;
+use primrosestack_core::view::{ServerState, TaskPhase};
 
 /// Guards against an owner that never acquires a new shard, does not start accepted work, lets its leases lapse or
 /// does not record its end.
@@ -30,13 +14,11 @@
 fn acquires_and_runs_a_job() {
     let mut world = opened(2, 2);
     let reply = world.submit(job(1, 3));
-    assert_eq!(
-        reply,
-        TokenReply::Accepted {
-            job: JobId(1),
-            new: true
-        }
-    );
+    let accepted = TokenReply::Accepted {
+        job: JobId(1),
+        new: true,
+    };
+    assert_eq!(reply, accepted);
     world.run(60_000);
     assert_eq!(world.running_total(), 3, "leases are renewed");
     for index in 0..3 {
@@ -52,3 +34,378 @@
         .sum();
     assert_eq!(left, 0, "ended attempts are acknowledged");
 }
+
+/// Guards against a repeated submission that runs the job again, and against a job that is remembered for ever.
+#[test]
+fn accepts_a_job_once() {
+    let mut world = opened(1, 1);
+    world.submit(job(1, 1));
+    let again = world.submit(job(1, 1));
+    assert!(matches!(again, TokenReply::Accepted { new: false, .. }));
+    world.run(1_000);
+    assert_eq!(world.running_total(), 1);
+    world.end(task(1, 0), &TaskState::Succeeded);
+    world.run(610_000);
+    assert!(world.owner_shard().job(JobId(1)).is_none());
+}
+
+/// Guards against a job that no server can hold and that waits for ever instead of being refused.
+#[test]
+fn refuses_a_task_larger_than_every_server() {
+    let mut world = opened(2, 2);
+    let spec = JobSpec {
+        size: size(9_000),
+        ..job(1, 1)
+    };
+    assert_eq!(world.submit(spec), TokenReply::NotRun(NotRun::TooLarge));
+}
+
+/// Guards against a store write for each start: 40 tasks in one rack start with the commit that accepts them.
+#[test]
+fn starts_need_no_write() {
+    let mut world = opened(8, 8);
+    let before = world.store.writes;
+    world.submit(job(1, 40));
+    world.run(10_000);
+    assert_eq!(world.running_total(), 40);
+    assert_eq!(world.store.writes - before, 1);
+}
+
+/// Guards against work that waits in a full rack while another rack has room, and that starts there without a record.
+#[test]
+fn moves_pending_work_to_a_cell_with_room() {
+    let mut world = opened(2, 1);
+    world.submit(job(1, 8));
+    world.submit(job(2, 8));
+    world.run(3_000);
+    assert_eq!(world.running_total(), 16);
+    world.submit(job(3, 4));
+    for index in 0..4 {
+        let server = world.server_of(task(1, index)).expect("runs");
+        assert_eq!(
+            server,
+            world.server_of(task(1, 0)).unwrap_or(server.clone())
+        );
+    }
+    // Everything in one rack ends; what is bound to the other rack has to move.
+    for index in 0..8 {
+        world.end(task(1, index), &TaskState::Succeeded);
+    }
+    world.run(10_000);
+    assert_eq!(world.running_total(), 12);
+}
+
+/// Guards against a lost server's task that is never resumed, or resumed while its lease may still run.
+#[test]
+fn resumes_work_of_a_lost_server_after_its_lease() {
+    let mut world = opened(2, 2);
+    world.submit(job(1, 1));
+    world.run(3_000);
+    let server = world.server_of(task(1, 0)).expect("runs");
+    world.lose_server(&server);
+    let lost = world.now;
+    world.run_until(14_000, "the lease lapses at the server", |world| {
+        world.running(task(1, 0)) == 0
+    });
+    world.run_until(4_000, "a start elsewhere", |world| {
+        world.running(task(1, 0)) == 1
+    });
+    assert!(world.now - lost >= 10_000 - 2_000);
+    assert_ne!(world.server_of(task(1, 0)), Some(server.clone()));
+    world.cut.clear();
+    world.run(5_000);
+    assert_eq!(
+        world.running_total(),
+        1,
+        "the server that returns runs nothing old"
+    );
+}
+
+/// Guards against a restart of a backend server that leaves its tasks counted as running.
+#[test]
+fn restarts_tasks_of_a_rebooted_server() {
+    let mut world = opened(1, 1);
+    world.submit(job(1, 2));
+    world.run(3_000);
+    let backend = world.servers.values_mut().next().expect("one server");
+    backend.attempts.clear();
+    backend.boot_id = 1;
+    world.run(5_000);
+    assert_eq!(world.running_total(), 2);
+}
+
+/// Guards against an eviction that loses its checkpoint, resumes twice or resumes from the beginning.
+#[test]
+fn evicted_work_resumes_once_from_its_checkpoint() {
+    let mut world = opened(2, 2);
+    world.submit(job(1, 1));
+    world.run(3_000);
+    let server = world.server_of(task(1, 0)).expect("runs");
+    let first = world.attempts_of(task(1, 0));
+    let owner = world.owner().expect("owned");
+    let need = size(1_000);
+    world.send(&owner, Event::Pressure { server, need });
+    world.run(6_000);
+    assert_eq!(world.running(task(1, 0)), 1);
+    let attempts = world.attempts_of(task(1, 0));
+    assert_eq!(attempts.len(), 1, "resumed once: {attempts:?}");
+    assert!(attempts[0] > first[0]);
+    let mut backends = world.servers.values();
+    let resumed = backends
+        .find_map(|backend| backend.attempts.get(&attempts[0]))
+        .expect("there");
+    let checkpoint = format!("c{}.{}", first[0].term, first[0].counter);
+    assert_eq!(resumed.resumed_from.as_deref(), Some(checkpoint.as_str()));
+}
+
+/// Guards against an eviction during a store outage, whose record could not be committed.
+#[test]
+fn throttles_instead_of_evicting_without_the_store() {
+    let mut world = opened(1, 1);
+    world.submit(job(1, 1));
+    world.run(3_000);
+    world.mode = StoreMode::Unavailable;
+    world.run(5_000);
+    let attempts = world.attempts_of(task(1, 0));
+    let owner = world.owner().expect("owned");
+    let server = server_name(0);
+    let need = size(1_000);
+    world.send(&owner, Event::Pressure { server, need });
+    world.run(20_000);
+    assert_eq!(world.attempts_of(task(1, 0)), attempts);
+    assert_eq!(world.running(task(1, 0)), 1);
+}
+
+/// Guards against a cancellation wave that overflows the head, takes many commits or leaves a task running.
+#[test]
+fn a_wave_of_cancellations_fits_in_the_head() {
+    let mut world = opened(4, 4);
+    let owner = world.owner().expect("owned");
+    for id in 0..10_000 {
+        let token = Token(id);
+        let event = Event::Submit {
+            token,
+            job: job(id + 1, 1),
+        };
+        world.send(&owner, event);
+    }
+    world.run(10_000);
+    assert_eq!(world.running_total(), 32);
+    let before = world.store.writes;
+    for id in 0..10_000 {
+        let token = Token(20_000 + id);
+        let jobs = vec![JobId(id + 1)];
+        world.send(&owner, Event::Cancel { token, jobs });
+    }
+    world.run(10_000);
+    assert_eq!(world.running_total(), 0);
+    let writes = world.store.writes - before;
+    assert!(
+        writes <= 40,
+        "{writes} writes for 10,000 single cancellations"
+    );
+    assert!(world.store.largest < 1_000_000, "{}", world.store.largest);
+    let counts = world.owner_shard().job_counts();
+    assert_eq!(counts.get(&JobState::Cancelled), Some(&10_000));
+    println!(
+        "cancellations: {writes} writes, largest value {}",
+        world.store.largest
+    );
+}
+
+/// Guards against a single call with 10,000 cancellations that is committed in part, and against a cancelled task that
+/// starts again.
+#[test]
+fn cancels_many_jobs_in_one_record() {
+    let mut world = opened(1, 1);
+    let owner = world.owner().expect("owned");
+    for id in 1..=10_000 {
+        let token = Token(id);
+        let event = Event::Submit {
+            token,
+            job: job(id, 1),
+        };
+        world.send(&owner, event);
+    }
+    world.run(5_000);
+    let before = world.store.writes;
+    let jobs: Vec<JobId> = (1..=10_001).map(JobId).collect();
+    let token = Token(99_999);
+    world.send(&owner, Event::Cancel { token, jobs });
+    world.run(2_000);
+    let Some(TokenReply::Cancelled(known)) = world.reply(token) else {
+        panic!("no reply");
+    };
+    assert_eq!(known.len(), 10_000, "the unknown job is left out");
+    world.run(5_000);
+    assert!(world.store.writes - before <= 6);
+    assert_eq!(world.running_total(), 0);
+}
+
+/// Guards against a tail that grows without bound, and against a recovery that differs from the state before it.
+#[test]
+fn snapshots_truncate_the_tail_and_recover() {
+    let mut world = opened(4, 2);
+    let owner = world.owner().expect("owned");
+    for id in 1..=12_000 {
+        let token = Token(id);
+        let event = Event::Submit {
+            token,
+            job: job(id, 1),
+        };
+        world.send(&owner, event);
+    }
+    world.run(20_000);
+    let chunks = world
+        .store
+        .values
+        .keys()
+        .filter(|key| key.contains("/snap/"))
+        .count();
+    assert!(chunks >= 2, "the state takes several chunks");
+    assert!(world.owner_shard().tail_bytes() < 200_000);
+    assert!(world.store.largest < 1_000_000);
+    let before: Vec<_> = world.owner_shard().jobs().map(|job| job.spec).collect();
+    let running = world.running_total();
+    world.kill(&owner);
+    world.run_until(6_000, "a new owner", World::is_claimed);
+    let after: Vec<_> = world.owner_shard().jobs().map(|job| job.spec).collect();
+    assert_eq!(before, after);
+    assert_eq!(before.len(), 12_000);
+    world.run(3_000);
+    assert_eq!(world.running_total(), running);
+    println!("{chunks} chunks, largest value {}", world.store.largest);
+}
+
+/// Guards against a commit whose answer is lost being taken as failed or applied twice.
+#[test]
+fn recognises_its_own_write_after_a_lost_answer() {
+    let mut world = opened(1, 1);
+    world.mode = StoreMode::LosesAnswers;
+    let reply = world.submit(job(1, 2));
+    assert!(matches!(reply, TokenReply::Accepted { new: true, .. }));
+    world.run(2_000);
+    assert_eq!(world.running_total(), 2);
+    assert_eq!(world.count("superseded"), 0);
+    world.mode = StoreMode::Up;
+    world.run(2_000);
+    assert!(matches!(
+        world.submit(job(2, 1)),
+        TokenReply::Accepted { new: true, .. }
+    ));
+}
+
+/// Guards against a key whose request runs twice, an answer that is not kept, and keys kept for ever.
+#[test]
+fn an_idempotency_key_is_fresh_once() {
+    let mut world = opened(1, 1);
+    let key = RequestKey(1 << 100);
+    let ask = |world: &mut World, token: u64| {
+        let owner = world.owner().expect("owned");
+        let token = Token(token);
+        world.send(&owner, Event::ClaimKey { token, key });
+        world.run(500);
+        world.reply(token).expect("replied")
+    };
+    assert_eq!(ask(&mut world, 1), TokenReply::Key(KeyReply::Fresh));
+    assert_eq!(ask(&mut world, 2), TokenReply::Key(KeyReply::Unknown));
+    let owner = world.owner().expect("owned");
+    let answer: std::sync::Arc<[u8]> = b"done".as_slice().into();
+    let event = Event::AnswerKey {
+        key,
+        answer: answer.clone(),
+    };
+    world.send(&owner, event);
+    world.run(500);
+    let kept = TokenReply::Key(KeyReply::Answered(answer));
+    assert_eq!(ask(&mut world, 3), kept);
+    world.kill(&owner);
+    world.run_until(6_000, "a new owner", World::is_claimed);
+    assert_eq!(ask(&mut world, 4), kept, "kept across a takeover");
+    world.run(601_000);
+    assert_eq!(world.owner_shard().key_count(), 0);
+}
+
+/// Guards against refusing with "not run" what was recorded, and recording what was refused.
+#[test]
+fn refuses_records_while_the_store_is_down() {
+    let mut world = opened(1, 1);
+    world.submit(job(1, 2));
+    world.run(2_000);
+    world.mode = StoreMode::Unavailable;
+    let refused = TokenReply::NotRun(NotRun::StoreUnavailable);
+    assert_eq!(world.submit(job(2, 1)), refused, "the first one finds out");
+    assert_eq!(world.submit(job(3, 1)), refused);
+    world.run(30_000);
+    assert_eq!(world.running_total(), 2, "tasks go on");
+    world.mode = StoreMode::Up;
+    world.run(12_000);
+    assert!(world.owner_shard().job(JobId(2)).is_none());
+    assert!(matches!(
+        world.submit(job(2, 1)),
+        TokenReply::Accepted { new: true, .. }
+    ));
+}
+
+/// Guards against a server that fails everything and goes on to draw work, and against one that never returns.
+#[test]
+fn quarantines_and_probes_a_faulty_server() {
+    let mut world = opened(3, 3);
+    let faulty = server_name(0);
+    world.servers.get_mut(&faulty).expect("there").fails_all = true;
+    for id in 1..=24 {
+        world.submit(job(id, 1));
+    }
+    let is_quarantined = |world: &World| {
+        let mut servers = world.owner_shard().servers();
+        servers.any(|server| server.name == faulty && server.state == ServerState::Quarantined)
+    };
+    world.run_until(30_000, "quarantine", is_quarantined);
+    world.run(10_000);
+    assert_eq!(
+        world.owner_shard().job_counts().get(&JobState::Active),
+        Some(&24)
+    );
+    let failed = world.count("server_quarantined");
+    assert_eq!(failed, 1);
+    world.servers.get_mut(&faulty).expect("there").fails_all = false;
+    world.run_until(70_000, "the probe succeeds", |world| !is_quarantined(world));
+}
+
+/// Guards against a job that fails everywhere and is tried for ever, or that takes healthy servers down with it.
+#[test]
+fn parks_a_job_that_fails_everywhere() {
+    let mut world = opened(4, 4);
+    world.submit(job(1, 4));
+    world.submit(job(2, 1));
+    world.run(1_000);
+    let failed = TaskState::Failed { code: 1 };
+    let parked = Some(JobState::Parked(ParkReason::FailsEverywhere));
+    let state = |world: &World| world.owner_shard().job(JobId(2)).map(|job| job.state);
+    for _ in 0..600 {
+        world.end(task(2, 0), &failed);
+        world.run(500);
+        if state(&world) == parked {
+            break;
+        }
+    }
+    assert_eq!(state(&world), parked);
+    assert_eq!(world.count("server_quarantined"), 0);
+    assert_eq!(world.running_total(), 4, "the other job runs on");
+}
+
+/// Guards against new work on a leaving server, and against work that stays there until it is cut off.
+#[test]
+fn a_leaving_server_is_emptied() {
+    let mut world = opened(2, 1);
+    world.submit(job(1, 4));
+    world.run(2_000);
+    let server = world.server_of(task(1, 0)).expect("runs");
+    let at = usize::from(server == server_name(1));
+    world.list(at, 1, 8_000, true);
+    world.run(8_000);
+    assert_eq!(world.servers[&server].running().count(), 0);
+    assert_eq!(world.running_total(), 4);
+    let key = world.owner_shard().server_key(&server).expect("known");
+    assert_eq!(world.owner_shard().may_send(key, MonoMs(world.now)), None);
+}
