--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -11,7 +11,7 @@
 use primrosestack::burn_html;
 use primrosestack::burn_sum::{Asked, Summary};
 use primrosestack::cmd::report::{
-    EXIT_COMPLETE, EXIT_PARTIAL, exit_code, report_options, run, table,
+    EXIT_COMPLETE, EXIT_PARTIAL, exit_code, make, report_options, table,
 };
 use primrosestack::metrics::Outcome;
 use primrosestack_core::event::NotRun;
