Test the administration API, the command line and the listeners

Cause: a token of another team, a lost race, an expired certificate or a slow sender must not get through unnoticed.

--- /dev/null
+++ b/tests/fake/mod.rs
@@ -0,0 +1,275 @@
+//! A control in memory, and tokens, keys and listeners for the tests of the administration API.
+#![allow(dead_code, reason = "each test crate uses a part")]
+
+pub mod keys;
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+use primrosestack::api;
+use primrosestack::auth::{Auth, token_sha256};
+use primrosestack::control::{Answer, Cancellation, Control, PutDocument, Submission};
+use primrosestack::model::*;
+use primrosestack::problem::Refusal;
+use primrosestack_core::event::NotRun;
+use smol_str::SmolStr;
+
+pub const FICHALUZ: &str = include_str!("../../examples/documents/fichaluz.jsonc");
+
+#[derive(Default)]
+pub struct State {
+    pub store_is_down: AtomicBool,
+    pub store_is_silent: AtomicBool,
+    documents: Mutex<BTreeMap<SmolStr, (u64, String)>>,
+    jobs: Mutex<BTreeMap<JobName, JobView>>,
+    gone: Mutex<Vec<SmolStr>>,
+}
+
+#[derive(Clone, Default)]
+pub struct Fake(pub Arc<State>);
+
+impl Fake {
+    fn write(&self) -> Answer<()> {
+        if self.0.store_is_down.load(Ordering::SeqCst) {
+            return Err(NotRun::StoreUnavailable.into());
+        }
+        if self.0.store_is_silent.load(Ordering::SeqCst) {
+            return Err(Refusal::Unknown);
+        }
+        Ok(())
+    }
+}
+
+fn missing(kind: &'static str, name: &impl ToString) -> Refusal {
+    let name = name.to_string();
+    Refusal::NotFound { kind, name }
+}
+
+impl Control for Fake {
+    async fn documents(&self, query: PageQuery) -> Answer<DocumentPage> {
+        let documents = self.0.documents.lock().unwrap();
+        let matching = documents
+            .iter()
+            .filter(|(team, _)| query.team.as_ref().is_none_or(|only| only == *team));
+        let entry = |(team, (revision, _)): (&SmolStr, &(u64, String))| DocumentEntry {
+            team: team.clone(),
+            revision: *revision,
+            services: 1,
+            batch: 2,
+        };
+        let documents = matching.take(query.limit() as usize).map(entry).collect();
+        Ok(DocumentPage {
+            documents,
+            next: None,
+        })
+    }
+
+    async fn document(&self, team: SmolStr) -> Answer<DocumentView> {
+        let documents = self.0.documents.lock().unwrap();
+        let (revision, text) = documents
+            .get(&team)
+            .cloned()
+            .ok_or_else(|| missing("document", &team))?;
+        Ok(DocumentView {
+            team,
+            revision,
+            text,
+        })
+    }
+
+    async fn put_document(&self, change: PutDocument) -> Answer<DocumentAccepted> {
+        self.write()?;
+        let mut documents = self.0.documents.lock().unwrap();
+        let team = change.document.team;
+        let current = documents.get(&team).map_or(0, |(revision, _)| *revision);
+        if change.expected.unwrap_or(0) != current {
+            return Err(Refusal::Conflict { current });
+        }
+        let revision = current + 1;
+        documents.insert(team.clone(), (revision, change.text));
+        Ok(DocumentAccepted { team, revision })
+    }
+
+    async fn document_history(&self, team: SmolStr) -> Answer<DocumentHistory> {
+        let revision = self.document(team.clone()).await?.revision;
+        let behind = |failure_domain: &str, revision| InForce {
+            failure_domain: failure_domain.into(),
+            revision,
+            heard_ms_ago: revision.map(|_| 40),
+        };
+        let in_force = vec![
+            behind("cxs", None),
+            behind("pel", Some(revision - 1)),
+            behind("poa", Some(revision)),
+        ];
+        Ok(DocumentHistory {
+            team,
+            revision,
+            in_force,
+            changes: Vec::new(),
+        })
+    }
+
+    async fn submit(&self, submission: Submission) -> Answer<JobAccepted> {
+        self.write()?;
+        let job = JobName(submission.id);
+        let view = JobView {
+            job,
+            team: submission.team,
+            client: submission.client,
+            kind: submission.job.kind,
+            failure_domain: submission
+                .job
+                .failure_domain
+                .unwrap_or_else(|| "poa".into()),
+            tasks: submission.job.tasks,
+            pending: submission.job.tasks,
+            running: 0,
+            succeeded: 0,
+            failed: 0,
+            cancelled: 0,
+            parked: 0,
+            parked_reason: None,
+            evictions: 0,
+            finish_by_unix_ms: None,
+        };
+        let mut jobs = self.0.jobs.lock().unwrap();
+        match jobs.get(&job) {
+            Some(known) if known.kind != view.kind || known.tasks != view.tasks => {
+                Err(Refusal::KeyReused)
+            }
+            Some(_) => Ok(JobAccepted { job, new: false }),
+            None => {
+                jobs.insert(job, view);
+                Ok(JobAccepted { job, new: true })
+            }
+        }
+    }
+
+    async fn jobs(&self, query: PageQuery) -> Answer<JobPage> {
+        let jobs = self.0.jobs.lock().unwrap();
+        let is_wanted = |job: &&JobView| query.team.as_ref().is_none_or(|team| *team == job.team);
+        Ok(JobPage {
+            jobs: jobs.values().filter(is_wanted).cloned().collect(),
+            next: None,
+        })
+    }
+
+    async fn job(&self, job: JobName) -> Answer<JobView> {
+        let jobs = self.0.jobs.lock().unwrap();
+        jobs.get(&job).cloned().ok_or_else(|| missing("job", &job))
+    }
+
+    async fn cancel(&self, cancellation: Cancellation) -> Answer<JobsCancelled> {
+        self.write()?;
+        let mut jobs = self.0.jobs.lock().unwrap();
+        let mut answer = JobsCancelled::default();
+        for name in cancellation.jobs {
+            let known = jobs.get_mut(&name);
+            let known = known.filter(|job| {
+                cancellation
+                    .team
+                    .as_ref()
+                    .is_none_or(|team| *team == job.team)
+            });
+            let Some(job) = known else {
+                answer.unknown.push(name);
+                continue;
+            };
+            job.cancelled += job.pending;
+            job.pending = 0;
+            answer.cancelled.push(name);
+        }
+        Ok(answer)
+    }
+
+    async fn hosts(&self) -> Answer<HostList> {
+        let host = HostView {
+            name: "poa-1".into(),
+            failure_domain: "poa".into(),
+            address: "10.20.1.1:7402".into(),
+            state: MemberState::Leaving,
+            out_reason: Some("shutting down".into()),
+            shards: vec![0, 2],
+            requests_running: 3,
+            requests_queued: 0,
+            slots_free: 5,
+            heard_ms_ago: Some(12),
+        };
+        Ok(HostList { hosts: vec![host] })
+    }
+
+    async fn servers(&self, _: PageQuery) -> Answer<ServerPage> {
+        Ok(ServerPage::default())
+    }
+
+    async fn declare_gone(&self, server: SmolStr, _: SmolStr) -> Answer<ServerGone> {
+        self.0.gone.lock().unwrap().push(server.clone());
+        Ok(ServerGone {
+            server,
+            tasks_released: 4,
+        })
+    }
+}
+
+/// A directory that is removed at the end of the test.
+pub struct Directory(PathBuf);
+
+impl Directory {
+    pub fn open() -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let name = format!(
+            "primrosestack-test-{}-{}",
+            std::process::id(),
+            COUNT.fetch_add(1, Ordering::SeqCst)
+        );
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    pub fn write(&self, name: &str, content: impl AsRef<[u8]>) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, content).unwrap();
+        path
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A tokens file with an operator and two teams, whose tokens are `operator`, `field-work` and `other`.
+pub fn tokens(directory: &Directory) -> PathBuf {
+    let team = |team: &str| {
+        format!(
+            "{{\"sha256\": \"{}\", \"team\": \"{team}\"}}",
+            token_sha256(team)
+        )
+    };
+    let operator = format!(
+        "{{\"sha256\": \"{}\", \"operator\": true}}",
+        token_sha256("operator")
+    );
+    let text = format!(
+        "{{\"tokens\": [{operator}, {}, {}]}}",
+        team("field-work"),
+        team("other")
+    );
+    directory.write("tokens.jsonc", text)
+}
+
+/// The API with those tokens.
+pub fn app(directory: &Directory) -> (Fake, axum::Router) {
+    let fake = Fake::default();
+    let auth = Auth::open(tokens(directory)).unwrap();
+    (fake.clone(), api::router(fake, auth))
+}
