--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,12 @@
 //! Typed events and a monotonic time go in, typed actions come out. Nothing in this crate reads a clock, opens a
 //! socket, takes a lock or draws a random number, so tests, replay and fuzzing drive exactly the code that ships.
 
-pub mod admission;
+pub mod allotment;
 pub mod budget;
 pub mod capacity;
+mod choice;
+pub mod digest;
+pub mod dispatch;
 pub mod documents;
 pub mod event;
 pub mod eviction;
@@ -16,8 +19,15 @@
 pub mod lease;
 pub mod membership;
 pub mod ownership;
+pub mod peer_frame;
+pub mod peer_work;
 pub mod placement;
 pub mod prelude;
+pub mod queue;
+mod relief;
+pub mod retry;
+mod running;
 pub mod shard;
+mod slots;
 pub mod tasks;
 pub mod time;
