Burn: room for a service of each team

Cause: the front counts services as team/service, so 970 teams exceed 256 places, and services counted as 'other' set each other's level.

The limit is 1,024; 'other' keeps the default level; the HTML page plots the 40 services with the least budget left.

--- a/src/burn.rs
+++ b/src/burn.rs
@@ -18,8 +18,9 @@
 /// Slots of a ring: 30 complete steps and the one in progress.
 pub const SLOTS: usize = 31;
 
-/// Services that a host counts separately; further ones are counted together as `other`.
-pub const SERVICE_LIMIT: usize = 256;
+/// Services that a host counts separately; further ones are counted together as `other`. One latency-critical service
+/// for each of the 970 teams of the design size fits, in 1.5 MB.
+pub const SERVICE_LIMIT: usize = 1_024;
 
 /// Lengths of the windows in milliseconds: 5 min, 1 h, 6 h, 3 d, 30 d.
 pub const WINDOWS_MS: [u64; 5] = [300_000, 3_600_000, 21_600_000, 259_200_000, 2_592_000_000];
@@ -273,10 +274,14 @@
         }
     }
 
-    /// Sets what a service promises; it applies to requests recorded from then on.
+    /// Sets what a service promises; it applies to requests recorded from then on. Services that are counted together
+    /// as `other` keep the default level, since they have no common one.
     pub fn set_level(&self, now: MonoMs, service: &str, level: ServiceLevel) {
         let mut services = self.services();
-        entry(&mut services, service, now).level = level;
+        let entry = entry(&mut services, service, now);
+        if entry.name == service {
+            entry.level = level;
+        }
     }
 
     /// Counts a finished request of this host's callers.
--- a/src/burn_fetch.rs
+++ b/src/burn_fetch.rs
@@ -23,8 +23,9 @@
 use crate::burn::{BurnReply, REPLY_VERSION};
 use crate::burn_sum::Asked;
 
-/// Longest reply that is read, in bytes. 256 services with full counters make 1.1 MB.
-const REPLY_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Longest reply that is read, in bytes. 1,025 services make 3 MB at one request a second, and at most 6 MB with counters
+/// of ten digits.
+const REPLY_MAX_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a client could not be opened.
 #[derive(Debug, Snafu)]
--- a/src/burn_html.rs
+++ b/src/burn_html.rs
@@ -20,6 +20,8 @@
 const COLOURS: [&str; 6] = [
     "#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9",
 ];
+/// Services that are plotted; a page with five plots for each of 1,000 services would be some 30 MB.
+const SERVICE_PLOTS: usize = 40;
 const SUM_COLOUR: &str = "#222222";
 
 // Size and inner area of a plot in SVG user units.
@@ -80,16 +82,37 @@
     } else {
         table(&mut page, &summary.rows);
     }
-    for rows in summary
-        .rows
-        .chunk_by(|left, right| left.service == right.service)
-    {
+    let (plotted, left_out) = plotted_services(&summary.rows);
+    if left_out > 0 {
+        put(
+            &mut page,
+            format_args!(
+                "<p>Plots of the {SERVICE_PLOTS} services with the least budget left; {left_out} more are in the table \
+                 only.</p>\n"
+            ),
+        );
+    }
+    for rows in plotted {
         service(&mut page, rows);
     }
     page.push_str("</body></html>\n");
     page
 }
 
+/// Rows of the services that are plotted, in the order of the table, and the number of those left out.
+fn plotted_services(rows: &[Row]) -> (Vec<&[Row]>, usize) {
+    let services = rows.chunk_by(|left, right| left.service == right.service);
+    let mut services: Vec<(usize, &[Row])> = services.enumerate().collect();
+    let left_out = services.len().saturating_sub(SERVICE_PLOTS);
+    // The sum over all failure domains is the first row.
+    let left = |rows: &[Row]| rows.first().and_then(|row| row.budget_left).unwrap_or(1.0);
+    services.sort_by(|(_, a), (_, b)| left(a).total_cmp(&left(b)));
+    services.truncate(SERVICE_PLOTS);
+    services.sort_by_key(|(position, _)| *position);
+    let services = services.into_iter().map(|(_, rows)| rows);
+    (services.collect(), left_out)
+}
+
 fn put(page: &mut String, text: std::fmt::Arguments<'_>) {
     let _infallible = page.write_fmt(text);
 }
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -4,8 +4,8 @@
 
 use bpaf::Parser as _;
 use primrosestack::burn::{
-    BYTES_PER_SERVICE, Burn, BurnReply, KnownHost, SERVICE_LIMIT, SLOTS, ServiceLevel, WINDOWS_MS,
-    step_ms,
+    BYTES_PER_SERVICE, Burn, BurnReply, KnownHost, SERVICE_LIMIT, SLOTS, ServiceBurn, ServiceLevel,
+    WINDOWS_MS, step_ms,
 };
 use primrosestack::burn_fetch::{Client, decode};
 use primrosestack::burn_html;
@@ -121,6 +121,31 @@
     let other = reply.services.iter().find(|one| one.service == "other");
     assert_eq!(other.unwrap().windows[0].counts[0].good, 20);
     const { assert!(BYTES_PER_SERVICE <= 1_400) };
+    let page = burn_html::render(&Summary::of(&[asked(reply)]), "now");
+    assert_eq!(page.matches("<h2>").count(), 40);
+    assert!(page.contains("985 more are in the table only"));
+}
+
+/// Guards against services without a place of their own that change each other's level.
+#[test]
+fn services_counted_together_keep_the_default_level() {
+    let burn = burn_of("fe-1", "poa", &[], START);
+    let level = ServiceLevel {
+        good_ppm: 990_000,
+        latency_ms: 1,
+    };
+    for number in 0..=SERVICE_LIMIT {
+        let service = format!("service-{number:04}");
+        burn.set_level(START, &service, level);
+    }
+    let services = burn.reply(START).services;
+    let default = |one: &&ServiceBurn| one.level == ServiceLevel::default();
+    let names: Vec<_> = services
+        .iter()
+        .filter(default)
+        .map(|one| &one.service)
+        .collect();
+    assert_eq!(names, ["other"]);
 }
 
 /// Guards against a wrong sum, a wrong burn or an alarm on one window alone.
