--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -48,8 +48,13 @@
         let eviction = objective.eviction_permille as f32;
         let sum = (latency + throughput).max(1.0);
         let batch_first = throughput / sum;
+        let limit = if objective.latency_permille == 0 {
+            f32::INFINITY
+        } else {
+            0.02 + 0.4 * batch_first
+        };
         Self {
-            limit: 0.02 + 0.4 * batch_first,
+            limit,
             slowed_share: 0.25 + 0.5 * batch_first,
             latency: latency / 1_000.0,
             throughput: throughput / 1_000.0,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 mod relief;
 mod running;
 pub mod shard;
+mod sizes;
 mod slots;
 pub mod tasks;
 pub mod time;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,10 +9,11 @@
 use crate::choice::{Cell, Goals, Server, Waiting};
 use crate::eviction::History;
 use crate::fairness::{Accounts, ClientKey};
-use crate::ids::{JobId, ServerKey, TaskId};
+use crate::ids::{ServerKey, TaskId};
 use crate::interference::Interference;
 use crate::queue::Class;
 use crate::running::Task;
+use crate::sizes::Sizes;
 use crate::time::{DurationMs, MonoMs};
 
 /// The backend servers of one rack in one shard; a pending task is bound to one cell.
@@ -99,9 +100,6 @@
 /// Longest time for which a server is drained for one task.
 const DRAIN_MS: u64 = 300_000;
 
-/// Learned sizes of jobs are forgotten after this time without a report.
-const SIZE_KEPT_MS: u64 = 3_600_000;
-
 /// Where a known task is.
 pub(crate) enum Place {
     Pending {
@@ -133,9 +131,7 @@
     pub(crate) accounts: Accounts,
     pub(crate) interference: Interference,
     pub(crate) history: History,
-    /// Size learned of jobs that outgrew their declaration, and when.
-    pub(crate) sizes: BTreeMap<JobId, (Resources, MonoMs)>,
-    sizes_swept: MonoMs,
+    pub(crate) sizes: Sizes,
     largest: Resources,
 }
 
@@ -159,8 +155,7 @@
             accounts: Accounts::open(seed),
             interference: Interference::default(),
             history: History::default(),
-            sizes: BTreeMap::new(),
-            sizes_swept: MonoMs(0),
+            sizes: Sizes::default(),
             largest: Resources::default(),
         }
     }
@@ -359,7 +354,9 @@
             let mut chosen = None;
             let mut starved = None;
             let taken = queue.take(&mut self.accounts, class, TRIES, |waiting| {
-                let size = learned_size(&self.sizes, self.largest, waiting);
+                let size = self
+                    .sizes
+                    .size(waiting.task.job, waiting.declared, self.largest);
                 chosen = chooser.best(&self.goals, now, waiting, size, self.seed);
                 let aged = urgent || now.since(waiting.submitted).0 >= AGED_MS;
                 if chosen.is_none() && aged && starved.is_none() {
@@ -382,7 +379,9 @@
                 found.urgent_at.remove(&(*time, waiting.task));
             }
             self.accounts.serve(client);
-            let size = learned_size(&self.sizes, self.largest, &waiting);
+            let size = self
+                .sizes
+                .size(waiting.task.job, waiting.declared, self.largest);
             return Some(self.start(now, &waiting, client, server, size));
         }
         None
@@ -435,14 +434,6 @@
         self.ready.insert(cell);
     }
 
-    pub(crate) fn sweep_sizes(&mut self, now: MonoMs) {
-        if now.since(self.sizes_swept).0 >= SIZE_KEPT_MS {
-            self.sizes_swept = now;
-            self.sizes
-                .retain(|_, (_, seen)| now.since(*seen).0 < SIZE_KEPT_MS);
-        }
-    }
-
     fn cell_at(&mut self, key: CellKey) -> u32 {
         let next = index_u32(self.cells.len());
         let at = *self.cell_names.entry(key).or_insert(next);
@@ -460,18 +451,6 @@
     half.min(finish_by - DurationMs(run_ms.saturating_mul(3)))
 }
 
-/// Size to reserve for a task: its declaration, or what tasks of its job needed, within the largest server.
-fn learned_size(
-    sizes: &BTreeMap<JobId, (Resources, MonoMs)>,
-    largest: Resources,
-    waiting: &Waiting,
-) -> Resources {
-    match sizes.get(&waiting.task.job) {
-        Some((seen, _)) => waiting.declared.greater(seen.lesser(largest)),
-        None => waiting.declared,
-    }
-}
-
 pub(crate) fn index_u32(index: usize) -> u32 {
     u32::try_from(index).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -27,6 +27,10 @@
 /// Reports in a row at the limit before a reservation grows, or before a task out of memory is evicted.
 const REPORTS_AT_LIMIT: u16 = 3;
 
+/// Slowdown from which a task at its memory limit counts as out of memory, in thousandths. Many tasks use all their
+/// memory for caches without needing it.
+const OUT_OF_MEMORY_PERMILLE: u32 = 3_000;
+
 /// Lowest processor limit of a throttled task, as a part of its reservation: 1/4.
 const FLOOR_PARTS: u32 = 4;
 
@@ -52,11 +56,10 @@
             return;
         };
         self.interference.age(now);
-        self.sweep_sizes(now);
         self.learn(at, usage, request_slowdown_permille);
         for one in usage {
             if let Some(task) = self.running_at(one.task) {
-                self.observe(now, at, task, one.used);
+                self.observe(now, at, task, one);
             }
         }
         let found = &mut self.servers[at as usize];
@@ -107,14 +110,21 @@
                 return;
             };
             let found = kinds.iter_mut().find(|known| known.0 == task.kind);
-            let slowdown = u64::from(one.slowdown_permille);
+            // A task out of memory is slowed by itself, not by its neighbours.
+            let starved = one.used.memory_mib >= task.held.reserved.memory_mib
+                && one.slowdown_permille >= OUT_OF_MEMORY_PERMILLE;
+            let (slowdown, count) = if starved {
+                (0, 0)
+            } else {
+                (u64::from(one.slowdown_permille), 1)
+            };
             match found {
                 Some(known) => {
                     known.1 = known.1.saturating_add(one.used.millicores);
                     known.2 += slowdown;
-                    known.3 += 1;
+                    known.3 += count;
                 }
-                None => kinds.push((task.kind, one.used.millicores, slowdown, 1)),
+                None => kinds.push((task.kind, one.used.millicores, slowdown, count)),
             }
         }
         let mut loads: Vec<(KindKey, f32)> = Vec::with_capacity(kinds.len());
@@ -124,6 +134,9 @@
         self.interference
             .learn(KindKey::REQUESTS, &loads, request_slowdown_permille);
         for (position, &(kind, _, slowdowns, count)) in kinds.iter().enumerate() {
+            if count == 0 {
+                continue;
+            }
             let mean = u32::try_from(slowdowns / u64::from(count)).unwrap_or(u32::MAX);
             let whole = loads[position].1;
             #[expect(clippy::cast_precision_loss, reason = "tasks on one server")]
@@ -135,7 +148,8 @@
     }
 
     /// Lets the reservation of a task follow its observed use, and charges the time since the last report.
-    fn observe(&mut self, now: MonoMs, at: u32, task: u32, used: Resources) {
+    fn observe(&mut self, now: MonoMs, at: u32, task: u32, usage: &TaskUsage) {
+        let used = usage.used;
         let server = &mut self.servers[at as usize];
         let Some(task) = &mut self.tasks[task as usize] else {
             return;
@@ -150,6 +164,7 @@
             task.paid_until = now;
         }
         task.held.used = used;
+        task.slowdown_permille = usage.slowdown_permille;
         let limited = task.held.at_processor_limit() || task.held.at_memory_limit();
         task.at_limit = if limited { task.at_limit + 1 } else { 0 };
         let settled = now.since(task.limited).0 >= SETTLE_MS;
@@ -167,8 +182,7 @@
         let _ = self.accounts.sub_use(team, u64::from(old.millicores));
         self.accounts.add_use(team, u64::from(reserved.millicores));
         if !used.fits_in(task.declared) {
-            let entry = self.sizes.entry(task.id.job).or_insert((used, now));
-            *entry = (entry.0.greater(used), now);
+            self.sizes.seen(now, task.id.job, used);
         }
     }
 
@@ -236,50 +250,60 @@
             }
             let settled = now.since(task.limited).0 >= SETTLE_MS;
             let grown = held.limit_millicores > task.declared.millicores;
-            if grown && settled && held.used.millicores < held.limit_millicores / 2 {
-                let fitting = held.used.millicores + held.used.millicores / 4;
-                held.limit_millicores = task.declared.millicores.max(fitting);
-                task.limited = now;
-                task.sated = true;
-                relief.push(throttle(task));
+            if grown && settled && !held.at_processor_limit() {
+                let fitting = held.used.millicores + held.used.millicores / 16;
+                let fitting = task.declared.millicores.max(fitting);
+                if fitting < held.limit_millicores {
+                    held.limit_millicores = fitting;
+                    task.limited = now;
+                    self.sizes.sated(now, task.id.job);
+                    relief.push(throttle(task));
+                }
+                continue;
+            }
+            if held.used.memory_mib > held.reserved.memory_mib {
+                outgrown.push(candidate(now, task, 0.0));
                 continue;
             }
-            let beyond = held.used.memory_mib > held.reserved.memory_mib;
-            if task.at_limit < REPORTS_AT_LIMIT && !beyond {
+            if task.at_limit < REPORTS_AT_LIMIT {
                 continue;
             }
             task.at_limit = 0;
             if held.at_memory_limit() {
-                outgrown.push(candidate(now, task, 0.0));
+                if task.slowdown_permille >= OUT_OF_MEMORY_PERMILLE {
+                    outgrown.push(candidate(now, task, 0.0));
+                }
                 continue;
             }
-            let held = &mut task.held;
-            let whole = held.limit_millicores == held.reserved.millicores;
-            if held.at_processor_limit() && whole && !task.sated {
-                let free = server
-                    .size
-                    .saturating_sub(server.reserved.saturating_add(server.withheld));
-                let more = held.reserved.millicores.min(free.millicores);
-                if more == 0 {
-                    continue;
-                }
-                held.reserved.millicores += more;
-                held.limit_millicores = held.reserved.millicores;
-                server.reserved.millicores += more;
-                let team = self.accounts.team_of(task.client);
-                self.accounts.add_use(team, u64::from(more));
-                task.limited = now;
-                relief.push(throttle(task));
+            if held.limit_millicores < held.reserved.millicores {
+                continue;
             }
+            let known = self.sizes.size(task.id.job, task.declared, server.size);
+            let wanted = if known.millicores > held.reserved.millicores {
+                known.millicores
+            } else if self.sizes.may_try(now, task.id) {
+                held.reserved.millicores.saturating_mul(2)
+            } else {
+                continue;
+            };
+            let taken = server.reserved.saturating_add(server.withheld);
+            let free = server.size.saturating_sub(taken).millicores;
+            let more = free.min(wanted - held.reserved.millicores);
+            if more == 0 {
+                continue;
+            }
+            held.reserved.millicores += more;
+            held.limit_millicores = held.reserved.millicores;
+            server.reserved.millicores += more;
+            let team = self.accounts.team_of(task.client);
+            self.accounts.add_use(team, u64::from(more));
+            task.limited = now;
+            relief.push(throttle(task));
         }
         for chosen in outgrown {
-            let double = chosen.frees.memory_mib.saturating_mul(2);
-            let entry = self
-                .sizes
-                .entry(chosen.task.job)
-                .or_insert((chosen.frees, now));
-            entry.0.memory_mib = entry.0.memory_mib.max(double);
-            entry.1 = now;
+            let mut larger = chosen.frees;
+            larger.memory_mib = larger.memory_mib.saturating_mul(2);
+            self.sizes.seen(now, chosen.task.job, larger);
             self.evict(now, chosen, relief);
         }
     }
@@ -405,18 +429,18 @@
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "the limit is between 0 and 1"
+            reason = "the cast saturates, and no weight on latency means no limit"
         )]
         let limit_permille = (limit * 1_000.0) as u32;
         let high = if self.slowed {
             SLOWED_LIMIT_PERMILLE
         } else {
-            1_000 + limit_permille + limit_permille / 4
+            limit_permille.saturating_add(1_000 + limit_permille / 4)
         };
         let low = if self.slowed {
             SLOWED_LIMIT_PERMILLE / 2
         } else {
-            1_000 + limit_permille * 3 / 4
+            1_000 + limit_permille / 4 * 3
         };
         self.pressure.observe(self.seen_permille, low, high);
     }
--- a/crates/core/src/running.rs
+++ b/crates/core/src/running.rs
@@ -29,8 +29,8 @@
     pub(crate) limited: MonoMs,
     /// Reports in a row that showed the task at its processor or memory limit.
     pub(crate) at_limit: u16,
-    /// Grown before without using the room; not grown again.
-    pub(crate) sated: bool,
+    /// Last reported slowdown in thousandths.
+    pub(crate) slowdown_permille: u32,
     /// An eviction is under way.
     pub(crate) evicting: Option<MonoMs>,
 }
@@ -90,7 +90,7 @@
             run_ms: waiting.run_ms,
             limited: now,
             at_limit: 0,
-            sated: false,
+            slowdown_permille: 1_000,
             evicting: None,
         };
         let at = if let Some(at) = self.vacant.pop() {
