Send requests to slowed servers last

Cause: with 2 of 8 servers of a rack slowed, both random candidates were slowed often enough to show in the p99.

Change: slots.rs keeps calm and slowed servers with a free slot apart and draws the two candidates from the calm ones while there are any.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -181,8 +181,8 @@
     }
 
     /// Takes in a slowdown of requests on a server, learned elsewhere, in thousandths.
-    pub fn set_slowdown(&mut self, key: ServerKey, permille: u32) {
-        self.slots.set_slowdown(key, permille);
+    pub fn set_slowdown(&mut self, now: MonoMs, key: ServerKey, permille: u32) {
+        self.slots.set_slowdown(now, key, permille);
     }
 
     /// Sets what is known of the link to a failure domain.
@@ -296,7 +296,7 @@
             return;
         };
         if !failed {
-            self.learn(server, ended.kind, service_ms);
+            self.learn(now, server, ended.kind, service_ms);
         }
         if service_ms > ended.charged_ms {
             let extra_ms = service_ms - ended.charged_ms;
@@ -308,13 +308,13 @@
         self.accounts.release(ended.client);
     }
 
-    fn learn(&mut self, server: ServerKey, kind: u32, service_ms: u64) {
+    fn learn(&mut self, now: MonoMs, server: ServerKey, kind: u32, service_ms: u64) {
         let mean = &mut self.service[kind as usize];
         let sample = service_ms.saturating_mul(1024);
         let permille = (sample.saturating_mul(1_000) / (*mean).max(1)).clamp(500, 20_000);
         *mean = *mean - (*mean >> SERVICE_SHIFT) + (sample >> SERVICE_SHIFT);
         let permille = u32::try_from(permille).unwrap_or(20_000);
-        self.slots.learn(server, permille);
+        self.slots.learn(now, server, permille);
     }
 
     fn take_slot(&mut self, now: MonoMs, server: ServerKey, id: u64, kind: u32, client: ClientKey) {
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -6,8 +6,14 @@
 use crate::ids::{ServerKey, stable_hash};
 use crate::time::{DurationMs, MonoMs};
 
-/// Weight of one answer in the slowdown of a server: 1/8.
-const SLOWDOWN_SHIFT: u32 = 3;
+/// Weight of one answer in the slowdown of a server: 1/32. Slot times of undisturbed requests differ by more than the
+/// slowdowns that matter.
+const SLOWDOWN_SHIFT: u32 = 5;
+
+/// Slowdown in thousandths up to which a server counts as calm; above the second bound it is a slowed one. Requests go
+/// to slowed servers only when no calm one has a free slot.
+const CALM_PERMILLE: u32 = 1_080;
+const SLOWED_PERMILLE: u32 = 1_120;
 
 /// Failures in a row after which a server gets only probes. A server that fails at once looks free and fast, so it
 /// would attract most requests.
@@ -36,6 +42,9 @@
     /// Start of the slow start; none after it.
     opened: Option<MonoMs>,
     slowdown_permille: u32,
+    /// The slowdown was told, not only learned from answers.
+    told: bool,
+    slowed: bool,
     failures: u32,
     probe_at: MonoMs,
     /// Position in the list of servers with a free slot.
@@ -76,8 +85,8 @@
 /// The servers of one owner and their slots.
 pub(crate) struct Slots {
     servers: Vec<Server>,
-    /// Servers with a usable free slot, in no order.
-    free: Vec<ServerKey>,
+    /// Calm and slowed servers with a usable free slot, in no order.
+    free: [Vec<ServerKey>; 2],
     /// Servers in slow start or with failures, whose usable slots change with time.
     timed: BTreeSet<ServerKey>,
     slow_start_ms: u64,
@@ -89,7 +98,7 @@
     pub(crate) fn open(slow_start_ms: u64, seed: u64) -> Self {
         Self {
             servers: Vec::new(),
-            free: Vec::new(),
+            free: [Vec::new(), Vec::new()],
             timed: BTreeSet::new(),
             slow_start_ms,
             seed,
@@ -109,6 +118,8 @@
                     open: true,
                     opened: None,
                     slowdown_permille: UNDISTURBED_PERMILLE,
+                    told: false,
+                    slowed: false,
                     failures: 0,
                     probe_at: now,
                     free_at: None,
@@ -146,12 +157,32 @@
         self.count_slots();
     }
 
-    pub(crate) fn set_slowdown(&mut self, key: ServerKey, permille: u32) {
+    pub(crate) fn set_slowdown(&mut self, now: MonoMs, key: ServerKey, permille: u32) {
         if let Ok(at) = self.find(key) {
-            self.servers[at].slowdown_permille = permille.max(1);
+            self.servers[at].told = true;
+            self.classify(now, at, permille.max(1));
         }
     }
 
+    /// Sets a slowdown and moves the server between the lists of calm and slowed ones.
+    fn classify(&mut self, now: MonoMs, at: usize, permille: u32) {
+        let server = &mut self.servers[at];
+        server.slowdown_permille = permille;
+        let bound = if server.slowed {
+            CALM_PERMILLE
+        } else {
+            SLOWED_PERMILLE
+        };
+        let slowed = permille > bound;
+        if slowed == server.slowed {
+            return;
+        }
+        self.leave_free(at);
+        self.servers[at].slowed = slowed;
+        let key = self.servers[at].key;
+        self.refresh(now, key);
+    }
+
     /// Slots of the open servers.
     pub(crate) fn open_slots(&self) -> u64 {
         self.total
@@ -175,13 +206,11 @@
 
     /// The better of two servers with a free slot, drawn by `draw`.
     pub(crate) fn choose(&self, draw: u64) -> Option<ServerKey> {
-        let count = self.free.len() as u64;
-        if count == 0 {
-            return None;
-        }
+        let list = self.free.iter().find(|list| !list.is_empty())?;
+        let count = list.len() as u64;
         let drawn = stable_hash(&draw.to_le_bytes(), self.seed);
-        let first = self.candidate(drawn % count)?;
-        let second = self.candidate((drawn >> 32) % count)?;
+        let first = self.candidate(list, drawn % count)?;
+        let second = self.candidate(list, (drawn >> 32) % count)?;
         let better = if second.cost() < first.cost() {
             second
         } else {
@@ -229,17 +258,35 @@
         Some(ended)
     }
 
-    /// Takes in the slowdown that one answer showed, in thousandths.
-    pub(crate) fn learn(&mut self, key: ServerKey, permille: u32) {
-        if let Ok(at) = self.find(key) {
-            let old = i64::from(self.servers[at].slowdown_permille);
-            let step = (i64::from(permille) - old) >> SLOWDOWN_SHIFT;
-            self.servers[at].slowdown_permille = u32::try_from(old + step).unwrap_or(1).max(1);
+    /// Takes in the slowdown that one answer showed, in thousandths; without effect once a slowdown was told.
+    pub(crate) fn learn(&mut self, now: MonoMs, key: ServerKey, permille: u32) {
+        let Ok(at) = self.find(key) else {
+            return;
+        };
+        let server = &self.servers[at];
+        if server.told {
+            return;
+        }
+        let old = i64::from(server.slowdown_permille);
+        let step = (i64::from(permille) - old) >> SLOWDOWN_SHIFT;
+        let learned = u32::try_from(old + step).unwrap_or(1).max(1);
+        self.classify(now, at, learned);
+    }
+
+    fn leave_free(&mut self, at: usize) {
+        let list = usize::from(self.servers[at].slowed);
+        let Some(position) = self.servers[at].free_at.take() else {
+            return;
+        };
+        self.free[list].swap_remove(position);
+        let moved = self.free[list].get(position).copied();
+        if let Some(Ok(moved_at)) = moved.map(|one| self.find(one)) {
+            self.servers[moved_at].free_at = Some(position);
         }
     }
 
-    fn candidate(&self, position: u64) -> Option<&Server> {
-        let key = self.free.get(usize::try_from(position).ok()?)?;
+    fn candidate(&self, list: &[ServerKey], position: u64) -> Option<&Server> {
+        let key = list.get(usize::try_from(position).ok()?)?;
         self.servers.get(self.find(*key).ok()?)
     }
 
@@ -271,17 +318,11 @@
         let has_free = server.busy() < server.usable(now, slow_start_ms);
         match (server.free_at, has_free) {
             (None, true) => {
-                server.free_at = Some(self.free.len());
-                self.free.push(key);
-            }
-            (Some(position), false) => {
-                server.free_at = None;
-                self.free.swap_remove(position);
-                let moved = self.free.get(position).copied();
-                if let Some(Ok(moved_at)) = moved.map(|one| self.find(one)) {
-                    self.servers[moved_at].free_at = Some(position);
-                }
+                let list = &mut self.free[usize::from(server.slowed)];
+                server.free_at = Some(list.len());
+                list.push(key);
             }
+            (Some(_), false) => self.leave_free(at),
             _ => {}
         }
     }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -112,6 +112,23 @@
     assert!(to_faulty <= 8, "{to_faulty} requests sent to it");
 }
 
+/// Guards against requests drawn to slowed servers while calm ones have free slots, and against idle slowed ones.
+#[test]
+fn slowed_servers_are_taken_last() {
+    let mut dispatcher = dispatcher(4, 2);
+    for key in 0..3 {
+        dispatcher.set_slowdown(MonoMs(0), ServerKey(key), 1_500);
+    }
+    let mut order = Vec::new();
+    for id in 0..8 {
+        let Offer::Send(server) = dispatcher.offer(MonoMs(0), request(id, "a", 1_000)) else {
+            panic!("a slot is free");
+        };
+        order.push(server.0);
+    }
+    assert_eq!(order[..2], [3, 3]);
+}
+
 /// Guards against a returned server being flooded before its caches are warm.
 #[test]
 fn a_returned_server_starts_slowly() {
--- a/examples/replay/run.rs
+++ b/examples/replay/run.rs
@@ -437,7 +437,7 @@
                 }
                 if let Batch::Shipped(scheduler) = &self.batches[domain] {
                     let slowdown = scheduler.request_slowdown_permille(key);
-                    self.dispatchers[domain].set_slowdown(key, slowdown);
+                    self.dispatchers[domain].set_slowdown(now, key, slowdown);
                 }
             }
             Step::Failed { task, server } => self.failed(task, server),
