--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 mod running;
 pub mod servers;
 pub mod shard;
+mod sizes;
 mod slots;
 pub mod snapshot;
 pub mod takeover;
