--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -154,13 +154,10 @@
         }
     }
     let slot = Slot(backend.clone());
-    backend.ledger.ran_request(&identity);
+    let text = String::from_utf8_lossy(&body);
+    backend.ledger.ran_request(&format!("{operation} {text}"));
     tokio::time::sleep(Duration::from_millis(backend.service_ms)).await;
     drop(slot);
-    let answer = format!(
-        "{service}/{operation} {} {}",
-        body.len(),
-        String::from_utf8_lossy(&body)
-    );
+    let answer = format!("{service}/{operation} {} {text}", body.len());
     ([("primrose-request", identity)], answer).into_response()
 }
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -39,7 +39,7 @@
 pub struct Records {
     /// Runs of each task.
     pub runs: BTreeMap<TaskId, Vec<Run>>,
-    /// How often the body of each request ran.
+    /// How often each request ran, by operation and body.
     pub requests: BTreeMap<SmolStr, u32>,
     /// What must never happen and did.
     pub violations: Vec<String>,
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Notes that the body of a request ran.
+    /// Notes that a request ran, named by its operation and body.
     pub fn ran_request(&self, identity: &str) {
         *self.records().requests.entry(identity.into()).or_default() += 1;
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -40,6 +40,8 @@
     pub resources: Resources,
     /// How long one request takes.
     pub service_ms: u64,
+    /// What one request in execution uses.
+    pub request_size: Resources,
 }
 
 /// The running stand-ins.
@@ -74,7 +76,8 @@
         for domain in &options.failure_domains {
             for number in 0..options.servers_per_domain {
                 let name = format_smolstr!("{domain}-server-{number}");
-                let worker = Worker::open(name.clone(), 1, options.resources, ledger.clone());
+                let worker = Worker::open(name.clone(), 1, options.resources, ledger.clone())
+                    .with_request_size(options.request_size);
                 let (backend, address) = StandinBackend::bind(
                     ANY_PORT,
                     name.clone(),
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -37,6 +37,7 @@
     leaving_since_ms: Option<u64>,
     fails_everything: bool,
     busy_slots: u32,
+    request_size: Resources,
 }
 
 impl Worker {
@@ -56,9 +57,17 @@
             leaving_since_ms: None,
             fails_everything: false,
             busy_slots: 0,
+            request_size: Resources::default(),
         }
     }
 
+    /// Makes each request in execution count with this size.
+    #[must_use]
+    pub fn with_request_size(mut self, size: Resources) -> Self {
+        self.request_size = size;
+        self
+    }
+
     /// Makes every later start fail at once.
     pub fn fail_everything(&mut self, fails: bool) {
         self.fails_everything = fails;
@@ -149,6 +158,7 @@
             return false;
         }
         self.busy_slots += 1;
+        self.check_capacity();
         true
     }
 
@@ -287,9 +297,8 @@
             .tasks
             .iter()
             .filter(|task| task.state == TaskState::Running);
-        let used = running.fold(Resources::default(), |sum, task| {
-            sum.saturating_add(task.size)
-        });
+        let requests = self.request_size.saturating_mul(self.busy_slots);
+        let used = running.fold(requests, |sum, task| sum.saturating_add(task.size));
         if !used.fits_in(self.capacity) {
             self.ledger
                 .violation(format!("{} is overfilled: {used:?}", self.name));
