Room for requests is withheld from batch, not taken off the server's size

Cause: the quick start parked 116 of 120 tasks, since a server whose room was withheld for requests looked too small for ever. Before: 4 tasks finished. Still open: 80 notes of overfilled servers and an incomplete stop.

--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -79,21 +79,16 @@
         }
     }
 
-    /// What batch may use of a server of size `total`, while `busy` requests are in execution.
+    /// What batch must leave free while `busy` requests are in execution.
     #[must_use]
-    pub fn batch_size(&self, config: AllotmentConfig, total: Resources, busy: u32) -> Resources {
-        total.saturating_sub(config.slot_size.saturating_mul(self.slots.max(busy)))
+    pub fn withheld(&self, config: AllotmentConfig, busy: u32) -> Resources {
+        config.slot_size.saturating_mul(self.slots.max(busy))
     }
 
-    /// Slots that may be open while batch has `reserved` of a server of size `total`.
+    /// Slots that may be open: covered by what batch must leave free and by what it does leave free.
     #[must_use]
-    pub fn open_slots(
-        &self,
-        config: AllotmentConfig,
-        total: Resources,
-        reserved: Resources,
-    ) -> u32 {
-        let left = total.saturating_sub(reserved);
-        self.slots.min(left.count_of(config.slot_size))
+    pub fn open_slots(&self, config: AllotmentConfig, withheld: Resources, left: Resources) -> u32 {
+        self.slots
+            .min(withheld.lesser(left).count_of(config.slot_size))
     }
 }
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -299,6 +299,22 @@
         let Some(key) = self.fleet.key(name) else {
             return;
         };
+        self.relieve(key, need);
+    }
+
+    /// Keeps an amount of a server free for latency-critical requests.
+    pub(crate) fn withhold(&mut self, name: &str, amount: Resources) {
+        if self.role != Role::Owner {
+            return;
+        }
+        let Some(key) = self.fleet.key(name) else {
+            return;
+        };
+        self.scheduler.set_withheld(key, amount);
+        self.relieve(key, Resources::default());
+    }
+
+    fn relieve(&mut self, key: ServerKey, need: Resources) {
         for relief in self.scheduler.relieve(self.now, key, need) {
             match relief {
                 Relief::Throttle { task, millicores } => self.throttle(task, millicores),
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -141,6 +141,9 @@
     /// Latency-critical requests in execution, those of earlier owners included.
     #[serde(default)]
     pub requests_running: u32,
+    /// Sum of the sizes with which the running attempts were started.
+    #[serde(default)]
+    pub tasks_size: Resources,
 }
 
 /// Answer of a backend server to a command.
@@ -384,6 +387,13 @@
         /// How much batch should give back.
         need: Resources,
     },
+    /// Keeps an amount of a server free for latency-critical requests, in place of the amount kept before.
+    Withhold {
+        /// The server's name.
+        server: SmolStr,
+        /// What batch must not use.
+        amount: Resources,
+    },
     /// The process is asked to stop; the shard is handed over.
     Shutdown,
 }
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -98,6 +98,26 @@
         relief
     }
 
+    /// Keeps an amount of a server free for requests until it is set again.
+    pub fn set_withheld(&mut self, server: ServerKey, amount: Resources) {
+        let Some(at) = self.server_at(server) else {
+            return;
+        };
+        let server = &mut self.servers[at as usize];
+        server.withheld = amount.lesser(server.size);
+        server.withheld_until = MonoMs(u64::MAX);
+        let cell = server.cell;
+        self.cells[cell as usize].index_free(&mut self.servers, at);
+        self.wake(cell);
+    }
+
+    /// What is kept free for requests on a server.
+    #[must_use]
+    pub fn withheld(&self, server: ServerKey) -> Resources {
+        let found = self.server_at(server);
+        found.map_or_else(Resources::default, |at| self.servers[at as usize].withheld)
+    }
+
     fn learn(&mut self, at: u32, usage: &[TaskUsage], request_slowdown_permille: u32) {
         let server = &self.servers[at as usize];
         let mut kinds: Vec<(KindKey, u32, u64, u32)> = Vec::new();
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -200,6 +200,7 @@
             } => self.listed(&server, &rack, size, leaving),
             Event::DeclaredGone { server } => self.declared_gone(&server),
             Event::Pressure { server, need } => self.pressure(&server, need),
+            Event::Withhold { server, amount } => self.withhold(&server, amount),
             Event::Shutdown => self.shut_down(),
         }
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -197,6 +197,12 @@
         reserved.map_or_else(Resources::default, |(reserved, _)| reserved)
     }
 
+    /// What batch must leave free for requests on a server.
+    #[must_use]
+    pub fn withheld(&self, server: ServerKey) -> Resources {
+        self.scheduler.withheld(server)
+    }
+
     /// Sets the weights of the goals.
     pub fn set_objective(&mut self, objective: Objective) {
         self.scheduler.set_objective(objective);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -161,6 +161,7 @@
             tasks: tasks.collect(),
             request_slowdown_permille: 1_000,
             requests_running: 0,
+            tasks_size: Resources::default(),
         })
     }
 
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -292,16 +292,28 @@
         ServerReply::Done
     }
 
-    fn check_capacity(&self) {
+    fn tasks_size(&self) -> Resources {
         let running = self
             .tasks
             .iter()
             .filter(|task| task.state == TaskState::Running);
+        running.fold(Resources::default(), |sum, task| {
+            sum.saturating_add(task.size)
+        })
+    }
+
+    fn check_capacity(&self) {
         let requests = self.request_size.saturating_mul(self.busy_slots);
-        let used = running.fold(requests, |sum, task| sum.saturating_add(task.size));
+        let used = requests.saturating_add(self.tasks_size());
         if !used.fits_in(self.capacity) {
-            self.ledger
-                .violation(format!("{} is overfilled: {used:?}", self.name));
+            let text = format!(
+                "{} is overfilled at {} ms by {} tasks and {} requests: {used:?}",
+                self.name,
+                self.now_ms,
+                self.running(),
+                self.busy_slots
+            );
+            self.ledger.violation(text);
         }
     }
 
@@ -345,6 +357,7 @@
             tasks: tasks.collect(),
             request_slowdown_permille: 1_000,
             requests_running: self.busy_slots,
+            tasks_size: self.tasks_size(),
         }
     }
 }
--- a/examples/capacity/shell.rs
+++ b/examples/capacity/shell.rs
@@ -232,6 +232,7 @@
         tasks: (0..tasks).map(one).collect(),
         request_slowdown_permille: 1_020,
         requests_running: 0,
+        tasks_size: Resources::default(),
     })
 }
 
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -316,7 +316,8 @@
         not_run: Vec::new(),
         unknown: 0,
         crossed: 0,
-        latency_us: Histogram::new(3).unwrap_or_else(|_| unreachable!("3 digits are valid")),
+        latency_us: Histogram::new_with_max(60_000_000, 3)
+            .unwrap_or_else(|_| unreachable!("3 digits are valid")),
     };
     let deployment = Deployment::open().await?;
     println!("{} entry hosts serve", deployment.hosts.len());
@@ -385,7 +386,7 @@
         let of = |operation: &&str| records.requests.get(format!("{operation} {body}").as_str());
         operations
             .by_ref()
-            .filter_map(|operation| of(&operation))
+            .filter_map(|operation| of(operation))
             .sum()
     };
     let lost_answers = seen.answered.iter().filter(|body| runs(body) == 0).count();
--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -1,16 +1,17 @@
-//! Room for requests and batch on each backend server: sizes for batch, open slots for requests.
+//! Room for requests and batch on each backend server: what batch must leave free, and open slots for requests.
+//!
+//! Room is withheld from batch before slots open, and slots are closed before room is given back.
 
 use std::collections::BTreeMap;
 
 use primrosestack_core::allotment::{Allotment, AllotmentConfig};
 use primrosestack_core::capacity::Resources;
-use primrosestack_core::event::Event;
+use primrosestack_core::event::{Event, Report};
 use primrosestack_core::ids::Epoch;
 use primrosestack_core::time::MonoMs;
-use primrosestack_core::view::ServerView;
 use smol_str::SmolStr;
 
-use crate::hostlist::{ListedServer, ListedState};
+use crate::hostlist::ListedServer;
 use crate::shards::Policy;
 
 /// Requests that one backend server handles at a time, a hard limit.
@@ -19,12 +20,10 @@
 struct Room {
     allotment: Allotment,
     total: Resources,
-    rack: SmolStr,
-    leaving: bool,
-    batch_size: Resources,
     /// Epoch under which the server last reported, and requests of earlier owners that were still in execution.
     foreign: (Epoch, u32),
-    reported_busy: u32,
+    /// Sum of the sizes of its tasks, as last reported.
+    tasks_size: Resources,
 }
 
 /// The rooms of all listed servers of the failure domain.
@@ -33,12 +32,17 @@
     rooms: BTreeMap<SmolStr, Room>,
 }
 
-/// How requests and batch fit into one server.
-pub struct Fit {
-    /// Slots that may be open.
-    pub slots: u32,
-    /// Events for the shard, if batch gets another size or has to give room back.
-    pub events: Vec<Event>,
+/// Use of a server by the work of this host.
+#[derive(Clone, Copy, Debug)]
+pub struct Use {
+    /// What batch has reserved; `None` if this host does not know all tasks of the server.
+    pub reserved: Option<Resources>,
+    /// What batch must leave free, as the shard has it.
+    pub withheld: Resources,
+    /// Requests of this host in execution.
+    pub running: u32,
+    /// Requests that wait for any server.
+    pub queued: u32,
 }
 
 impl Default for Rooms {
@@ -63,89 +67,81 @@
         );
     }
 
-    /// Takes in one line of the host list; returns the event for the shard.
-    pub fn listed(&mut self, server: &ListedServer) -> Event {
+    /// Takes in one line of the host list.
+    pub fn listed(&mut self, server: &ListedServer) {
         let config = self.config;
-        let room = self.rooms.entry(server.name.clone()).or_insert_with(|| {
-            let allotment = Allotment::open(config);
-            Room {
-                allotment,
-                total: server.resources,
-                rack: server.rack.clone(),
-                leaving: false,
-                batch_size: allotment.batch_size(config, server.resources, 0),
-                foreign: (Epoch::default(), 0),
-                reported_busy: 0,
-            }
+        let room = self.rooms.entry(server.name.clone());
+        let room = room.or_insert_with(|| Room {
+            allotment: Allotment::open(config),
+            total: server.resources,
+            foreign: (Epoch::default(), 0),
+            tasks_size: Resources::default(),
         });
         room.total = server.resources;
-        room.leaving = server.state == ListedState::Leaving;
-        room.listed(&server.name)
     }
 
-    /// Takes in how many requests a server has in execution, from a report under an epoch of this host.
-    pub fn reported(&mut self, server: &SmolStr, epoch: Epoch, requests_running: u32) {
+    /// Takes in a report of a server that was made under an epoch of this host.
+    pub fn reported(&mut self, server: &SmolStr, epoch: Epoch, report: &Report) {
         let Some(room) = self.rooms.get_mut(server) else {
             return;
         };
         if room.foreign.0 != epoch {
             // The server obeys this epoch from now on, so all that runs now was sent under earlier ones.
-            room.foreign = (epoch, requests_running);
+            room.foreign = (epoch, report.requests_running);
         }
-        room.foreign.1 = room.foreign.1.min(requests_running);
-        room.reported_busy = requests_running;
+        room.foreign.1 = room.foreign.1.min(report.requests_running);
+        room.tasks_size = report.tasks_size;
     }
 
-    /// Fits requests and batch into a server, given what batch has reserved, the own requests in execution there, and
-    /// the requests that wait for any server.
-    pub fn fit(
-        &mut self,
-        now: MonoMs,
-        server: &ServerView,
-        reserved: Resources,
-        running: u32,
-        queued: u32,
-    ) -> Fit {
+    /// Follows the demand on a server. Returns what batch must leave free, if that is more than it does now.
+    pub fn follow(&mut self, now: MonoMs, server: &SmolStr, current: Use) -> Option<Event> {
         let config = self.config;
-        let Some(room) = self.rooms.get_mut(&server.name) else {
-            return Fit {
-                slots: 0,
-                events: Vec::new(),
-            };
+        let room = self.rooms.get_mut(server)?;
+        let waiting = current.queued.min(SLOTS_PER_SERVER);
+        let demand = current.running + room.foreign.1 + waiting;
+        room.allotment.follow(now, config, demand);
+        let withheld = room.withheld(config, current.running);
+        let is_more = !withheld.fits_in(current.withheld);
+        is_more.then(|| withhold(server, withheld.greater(current.withheld)))
+    }
+
+    /// Slots that may be open.
+    #[must_use]
+    pub fn open_slots(&self, server: &SmolStr, current: Use) -> u32 {
+        let Some(room) = self.rooms.get(server) else {
+            return 0;
         };
-        let foreign = room.foreign.1;
-        let waiting = queued.min(SLOTS_PER_SERVER);
-        room.allotment
-            .follow(now, config, running + foreign + waiting);
-        let size = room
-            .allotment
-            .batch_size(config, room.total, running + foreign);
-        let mut events = Vec::new();
-        if size != room.batch_size {
-            room.batch_size = size;
-            events.push(room.listed(&server.name));
-        }
-        if !reserved.fits_in(size) {
-            events.push(Event::Pressure {
-                server: server.name.clone(),
-                need: reserved.saturating_sub(size),
-            });
-        }
-        let open = room.allotment.open_slots(config, room.total, reserved);
-        Fit {
-            slots: open.saturating_sub(foreign),
-            events,
-        }
+        let (reserved, withheld) = match current.reserved {
+            Some(reserved) => (reserved, current.withheld),
+            // No task starts here meanwhile, so all that the reported tasks leave is free for requests.
+            None => (room.tasks_size, room.total),
+        };
+        let left = room.total.saturating_sub(reserved);
+        let open = room.allotment.open_slots(self.config, withheld, left);
+        open.saturating_sub(room.foreign.1)
+    }
+
+    /// Returns what batch must leave free, if that is less than it does now. To be asked after the slots were closed,
+    /// with the requests that are in execution then.
+    #[must_use]
+    pub fn give_back(&self, server: &SmolStr, current: Use) -> Option<Event> {
+        let room = self.rooms.get(server)?;
+        let withheld = room.withheld(self.config, current.running);
+        let is_less = withheld.fits_in(current.withheld) && withheld != current.withheld;
+        is_less.then(|| withhold(server, withheld))
     }
 }
 
 impl Room {
-    fn listed(&self, name: &SmolStr) -> Event {
-        Event::Listed {
-            server: name.clone(),
-            rack: self.rack.clone(),
-            size: self.batch_size,
-            leaving: self.leaving,
-        }
+    fn withheld(&self, config: AllotmentConfig, running: u32) -> Resources {
+        let withheld = self.allotment.withheld(config, running + self.foreign.1);
+        withheld.lesser(self.total)
+    }
+}
+
+fn withhold(server: &SmolStr, amount: Resources) -> Event {
+    Event::Withhold {
+        server: server.clone(),
+        amount,
     }
 }
--- a/src/shards.rs
+++ b/src/shards.rs
@@ -11,22 +11,25 @@
     TokenReply,
 };
 use primrosestack_core::ids::{Epoch, HostId, JobId, OpId, RequestKey, rendezvous};
+use primrosestack_core::ownership::Role;
 use primrosestack_core::peer_frame::{
     Body, Promise, PromiseAsked, Release, ReleaseAsked, TermTold,
 };
 use primrosestack_core::placement::Objective;
 use primrosestack_core::shard::{Shard, ShardConfig};
+use primrosestack_core::time::MonoMs;
+use primrosestack_core::view::ServerView;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::backend::Backend;
 use crate::clock::{Clock, unix_ms};
-use crate::hostlist::ListedServer;
+use crate::hostlist::{ListedServer, ListedState};
 use crate::logs::Line;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
-use crate::rooms::{Fit, Rooms};
+use crate::rooms::{Rooms, Use};
 use crate::slots::{Slots, Target};
 use crate::store::Store;
 
@@ -361,7 +364,7 @@
                 reply,
             } => {
                 if let ServerReply::Report(report) = &reply {
-                    self.rooms.reported(&server, epoch, report.requests_running);
+                    self.rooms.reported(&server, epoch, report);
                 }
                 self.handle(shard, Event::Server { op, reply });
             }
@@ -393,7 +396,13 @@
             }
             self.addresses.insert(server.name.clone(), server.address);
             let shard = self.own.shard_of_rack(&server.rack);
-            let event = self.rooms.listed(&server);
+            self.rooms.listed(&server);
+            let event = Event::Listed {
+                server: server.name,
+                rack: server.rack,
+                size: server.resources,
+                leaving: server.state == ListedState::Leaving,
+            };
             self.handle(shard, event);
         }
     }
@@ -517,44 +526,67 @@
     /// Fits batch and requests of each server into its size, and tells the other services who owns what.
     fn publish(&mut self) {
         let now = self.options.clock.now();
-        let mut targets = Vec::new();
-        let mut fits: Vec<(u32, Fit)> = Vec::new();
-        let queued = self.options.slots.load().queued;
-        let busy = self.options.slots.busy();
-        for (number, shard) in (0..).zip(&self.shards) {
-            if shard.epoch().is_none() {
-                continue;
-            }
-            for server in shard.servers() {
-                let Some(address) = self.addresses.get(&server.name).copied() else {
-                    continue;
-                };
-                let found = busy.binary_search_by(|(name, _)| name.cmp(&server.name));
-                let running = found.map_or(0, |at| busy[at].1);
-                let fit = self
-                    .rooms
-                    .fit(now, &server, shard.reserved(server.key), running, queued);
-                let epoch = shard.may_send(server.key, now);
-                targets.push(Target {
-                    name: server.name.clone(),
-                    address,
-                    epoch: epoch.unwrap_or_default(),
-                    open: epoch.is_some(),
-                    slots: fit.slots,
-                });
-                fits.push((number, fit));
+        for (shard, server) in self.commanded() {
+            let current = self.use_of(shard, &server);
+            if let Some(event) = self.rooms.follow(now, &server.name, current) {
+                self.handle(shard, event);
             }
         }
-        // Slots are closed before batch may take their room.
+        let targets = self.targets(now);
         self.options.slots.set_targets(&targets);
-        for (number, fit) in fits {
-            for event in fit.events {
-                self.handle(number, event);
+        for (shard, server) in self.commanded() {
+            let current = self.use_of(shard, &server);
+            if let Some(event) = self.rooms.give_back(&server.name, current) {
+                self.handle(shard, event);
             }
         }
         self.publish_owners();
     }
 
+    /// The servers that this host may command, with the number of their shard.
+    fn commanded(&self) -> Vec<(u32, ServerView)> {
+        let mut servers = Vec::new();
+        for (number, shard) in (0..).zip(&self.shards) {
+            if shard.epoch().is_some() {
+                servers.extend(shard.servers().map(|server| (number, server)));
+            }
+        }
+        servers
+    }
+
+    fn use_of(&self, number: u32, server: &ServerView) -> Use {
+        let shard = &self.shards[number as usize];
+        let knows_tasks = shard.role() == Role::Owner;
+        Use {
+            reserved: knows_tasks.then(|| shard.reserved(server.key)),
+            withheld: shard.withheld(server.key),
+            running: self.options.slots.busy_at(&server.name),
+            queued: self.options.slots.load().queued,
+        }
+    }
+
+    fn targets(&self, now: MonoMs) -> Vec<Target> {
+        let mut targets = Vec::new();
+        for (number, server) in self.commanded() {
+            let Some(address) = self.addresses.get(&server.name).copied() else {
+                continue;
+            };
+            let shard = &self.shards[number as usize];
+            let epoch = shard.may_send(server.key, now);
+            let slots = self
+                .rooms
+                .open_slots(&server.name, self.use_of(number, &server));
+            targets.push(Target {
+                name: server.name,
+                address,
+                epoch: epoch.unwrap_or_default(),
+                open: epoch.is_some(),
+                slots,
+            });
+        }
+        targets
+    }
+
     fn publish_owners(&mut self) {
         let owned = self.shards.iter().filter(|shard| shard.is_owner()).count();
         let views = self.shards.iter().map(|shard| ShardView {
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -169,6 +169,16 @@
             .collect()
     }
 
+    /// Requests in execution at one server.
+    #[must_use]
+    pub fn busy_at(&self, server: &str) -> u32 {
+        let state = self.state();
+        let found = state
+            .known
+            .binary_search_by(|known| known.target.name.as_str().cmp(server));
+        found.map_or(0, |at| state.known[at].busy)
+    }
+
     /// The load that is announced to peers.
     #[must_use]
     pub fn load(&self) -> Load {
