Bound each administration call in time and check the names of peers

Cause: a call that the rest of the program never answers held its caller for ever, and a client certificate of one entry host would have passed for that of any other.

Changed: calls end after 15,000 ms with outcome_unknown; Stream::shows_name compares the certificate with a name; accepted documents, cancellations and servers declared gone are logged with the client that asked.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,9 +1,11 @@
 //! Administration API: HTTP in, calls of [`Control`] out.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use axum::extract::State;
+use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::middleware::{Next, from_fn};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -22,6 +24,9 @@
 use crate::openapi;
 use crate::problem::{Code, Problem};
 
+/// Time for a call in milliseconds; a graceful stop waits 20,000 ms for requests in flight.
+const CALL_LIMIT_MS: u64 = 15_000;
+
 type Shared<C> = State<Arc<App<C>>>;
 type Answered<T> = Result<Json<T>, Problem>;
 
@@ -44,9 +49,17 @@
         .route("/v1/servers/{server}/gone", post(declare_gone::<C>))
         .fallback(no_path)
         .method_not_allowed_fallback(no_method)
+        .layer(from_fn(within_limit))
         .with_state(app)
 }
 
+/// Answers for a call that takes too long, so that an operator is not left without an answer.
+async fn within_limit(request: Request, next: Next) -> Response {
+    let limit = Duration::from_millis(CALL_LIMIT_MS);
+    let answered = tokio::time::timeout(limit, next.run(request)).await;
+    answered.unwrap_or_else(|_| Problem::new(Code::OutcomeUnknown).into_response())
+}
+
 async fn no_path() -> Problem {
     Problem::new(Code::NotFound)
 }
@@ -91,11 +104,12 @@
     caller.for_team(&team)?;
     let expected = if_match(&headers)?;
     let document = Document::read_for(&text, Some(&team))?;
+    let by = caller.client;
     let change = PutDocument {
         document,
         text,
         expected,
-        by: caller.client,
+        by: by.clone(),
     };
     let accepted = app.control.put_document(change).await;
     let accepted = accepted.map_err(|refusal| {
@@ -105,7 +119,9 @@
         }
         problem
     })?;
-    let tag = etag(accepted.revision);
+    let revision = accepted.revision;
+    log::info!("event=document_accepted team={team} revision={revision} by={by:?}");
+    let tag = etag(revision);
     let answer: Json<DocumentAccepted> = Json(accepted);
     Ok(([(header::ETAG, tag)], answer).into_response())
 }
@@ -184,6 +200,7 @@
     if !answer.unknown.is_empty() {
         return Err(no_job(&name));
     }
+    log::info!("event=jobs_cancelled count=1 by={:?}", caller.client);
     Ok(Json(answer))
 }
 
@@ -199,7 +216,10 @@
         team: caller.scope(),
         jobs,
     };
-    Ok(Json(app.control.cancel(cancellation).await?))
+    let answer = app.control.cancel(cancellation).await?;
+    let count = answer.cancelled.len();
+    log::info!("event=jobs_cancelled count={count} by={:?}", caller.client);
+    Ok(Json(answer))
 }
 
 async fn hosts<C: Control>(Allowed(_): Allowed, State(app): Shared<C>) -> Answered<HostList> {
@@ -221,7 +241,13 @@
     Named(server): Named,
 ) -> Answered<ServerGone> {
     caller.for_operators()?;
-    Ok(Json(app.control.declare_gone(server, caller.client).await?))
+    let by = caller.client;
+    let answer = app.control.declare_gone(server, by.clone()).await?;
+    log::info!(
+        "event=server_declared_gone server={:?} by={by:?}",
+        answer.server
+    );
+    Ok(Json(answer))
 }
 
 /// Limits a list to what the caller may see.
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -6,7 +6,9 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use rustls::client::verify_server_name;
 use rustls::pki_types::ServerName;
+use rustls::server::ParsedCertificate;
 use snafu::{ResultExt, Snafu};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpStream, ToSocketAddrs};
@@ -98,6 +100,22 @@
         }
     }
 
+    /// Whether the other side showed a certificate that is valid for `name`; false without TLS.
+    ///
+    /// The handshake checks the name of a server, but not that of a client: an entry host that accepts a connection
+    /// asks here whether the peer is the one that it says it is.
+    #[must_use]
+    pub fn shows_name(&self, name: &ServerName<'_>) -> bool {
+        let Self::Tls(stream) = self else {
+            return false;
+        };
+        let shown = stream.get_ref().1.peer_certificates();
+        let parsed = shown
+            .and_then(<[_]>::first)
+            .and_then(|certificate| ParsedCertificate::try_from(certificate).ok());
+        parsed.is_some_and(|certificate| verify_server_name(&certificate, name).is_ok())
+    }
+
     /// Address of the other side.
     ///
     /// # Errors
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -315,6 +315,18 @@
     assert_eq!(unknown.headers["primrose-outcome"], "unknown");
 }
 
+/// Guards against a call that never ends because the rest of the program does not answer.
+#[tokio::test(start_paused = true)]
+async fn call_ends_without_an_answer() {
+    let directory = Directory::open();
+    let (fake, app) = app(&directory);
+    fake.0.is_hung.store(true, Ordering::SeqCst);
+    let calling = call(&app, "operator", "GET /v1/hosts", &[], "");
+    let limit = std::time::Duration::from_millis(20_000);
+    let reply = tokio::time::timeout(limit, calling).await.unwrap();
+    assert_eq!(reply.problem().code, Code::OutcomeUnknown);
+}
+
 /// Guards against an `OpenAPI` document that names calls that do not exist.
 #[tokio::test]
 async fn every_documented_operation_exists() {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -22,6 +22,7 @@
 pub struct State {
     pub store_is_down: AtomicBool,
     pub store_is_silent: AtomicBool,
+    pub is_hung: AtomicBool,
     /// Looks at jobs that are refused, since the host shuts down.
     pub refused_looks: AtomicU32,
     documents: Mutex<BTreeMap<SmolStr, (u64, String)>>,
@@ -196,6 +197,9 @@
     }
 
     async fn hosts(&self) -> Answer<HostList> {
+        if self.0.is_hung.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         let host = HostView {
             name: "poa-1".into(),
             failure_domain: "poa".into(),
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -153,6 +153,8 @@
         let (mut accepted, mut connected) = (accepted.unwrap(), connected.unwrap());
         connected.write_all(b"frame").await.unwrap();
         connected.flush().await.unwrap();
+        assert!(accepted.shows_name(&loopback_name()));
+        assert!(!accepted.shows_name(&server_name("127.0.0.2").unwrap()));
         let mut frame = [0; 5];
         accepted.read_exact(&mut frame).await.unwrap();
         assert_eq!(&frame, b"frame");
