--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use axum::Router;
+use axum::extract::DefaultBodyLimit;
 use axum::routing::{get, post};
 use fake::keys::Authority;
 use fake::{Directory, app, tokens};
@@ -37,7 +38,9 @@
     let length = |body: Result<axum::body::Bytes, axum::extract::rejection::BytesRejection>| async move {
         body.map(|body| body.len().to_string())
     };
-    Router::new().route("/", get(|| async { "ok" }).post(length))
+    Router::new()
+        .route("/", get(|| async { "ok" }).post(length))
+        .layer(DefaultBodyLimit::disable())
 }
 
 /// Everything that the listener answers until it closes the connection.
@@ -50,7 +53,8 @@
 
 async fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
-    stream.write_all(request.as_bytes()).await.unwrap();
+    // A listener that refuses may have closed the connection already.
+    let _ = stream.write_all(request.as_bytes()).await;
     rest(&mut stream).await
 }
 
@@ -149,6 +153,8 @@
         let (mut accepted, mut connected) = (accepted.unwrap(), connected.unwrap());
         connected.write_all(b"frame").await.unwrap();
         connected.flush().await.unwrap();
+        assert!(accepted.shows_name(&loopback_name()));
+        assert!(!accepted.shows_name(&server_name("127.0.0.2").unwrap()));
         let mut frame = [0; 5];
         accepted.read_exact(&mut frame).await.unwrap();
         assert_eq!(&frame, b"frame");
@@ -224,11 +230,12 @@
     assert!(auth.refresh().is_err());
     auth.caller(&headers("operator")).unwrap();
     let hash = primrosestack::auth::token_sha256("operator").to_uppercase();
-    std::fs::write(
-        &file,
-        format!("{{\"tokens\": [{{\"sha256\": \"{hash}\", \"operator\": true}}]}}"),
-    )
-    .unwrap();
+    // A hash with the same first bytes stands before that of the operator.
+    let near = format!("{}{}", &hash[..4], "0".repeat(60));
+    let entries = format!(
+        "{{\"sha256\": \"{near}\", \"team\": \"near\"}}, {{\"sha256\": \"{hash}\", \"operator\": true}}"
+    );
+    std::fs::write(&file, format!("{{\"tokens\": [{entries}]}}")).unwrap();
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert!(auth.caller(&headers("other")).is_err());
     assert!(auth.caller(&headers("operator")).unwrap().is_operator);
@@ -303,6 +310,42 @@
     );
 }
 
+/// Guards against bodies that together use more memory than one small host has.
+#[tokio::test]
+async fn bodies_are_limited_together() {
+    let limits = Limits {
+        body_bytes: 1_024,
+        bodies_bytes: 1_500,
+        ..Limits::default()
+    };
+    let listener = listen(echo(), None, limits).await;
+    let post = |length: usize| {
+        format!(
+            "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+        )
+    };
+    let mut slow = TcpStream::connect(listener.address()).await.unwrap();
+    let head = post(1_000).replace("connection: close", "expect: 100-continue");
+    slow.write_all(head.as_bytes()).await.unwrap();
+    // The listener asks for the body, so it has reserved the room for it.
+    slow.read_exact(&mut [0; 12]).await.unwrap();
+    let refused = exchange(listener.address(), &post(600)).await;
+    assert!(
+        refused.starts_with("HTTP/1.1 429 ") && refused.contains("primrose-outcome: not-run"),
+        "{refused}"
+    );
+    let small = exchange(listener.address(), &(post(4) + "abcd")).await;
+    assert!(small.ends_with('4'), "{small}");
+    drop(slow);
+    let body = "x".repeat(600);
+    while !exchange(listener.address(), &(post(600) + &body))
+        .await
+        .ends_with("600")
+    {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Guards against a TLS handshake without a time limit.
 #[tokio::test]
 async fn silent_handshake_ends() {
@@ -346,8 +389,7 @@
         stream.read_exact(&mut [0; 12]).await.unwrap();
         held.push(stream);
     }
-    let mut third = TcpStream::connect(listener.address()).await.unwrap();
-    assert_eq!(rest(&mut third).await, "");
+    assert_eq!(exchange(listener.address(), &closing("/")).await, "");
     held.pop();
     while !exchange(listener.address(), &closing("/"))
         .await
@@ -398,9 +440,13 @@
         near.write_all(b"x").await.unwrap();
         assert_eq!(idle.read_u8().await.unwrap(), b'x');
     }
-    let error = idle.read_u8().await.unwrap_err();
-    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+    let limit = Duration::from_millis(1_100);
+    let read = tokio::time::timeout(limit, idle.read_u8()).await.unwrap();
+    assert_eq!(read.unwrap_err().kind(), std::io::ErrorKind::TimedOut);
     idle.write_all(&[0; 16]).await.unwrap();
-    let error = idle.write_all(&[0; 1]).await.unwrap_err();
-    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+    let written = tokio::time::timeout(limit, idle.write_all(&[0; 1])).await;
+    assert_eq!(
+        written.unwrap().unwrap_err().kind(),
+        std::io::ErrorKind::TimedOut
+    );
 }
