--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -1,14 +1,14 @@
 //! How many request slots of a backend server are backed by reserved resources.
 //!
 //! Requests and batch tasks share a server. The slots that are open to requests are always covered by resources that
-//! batch may not use, so the two together never exceed the server. Growing takes room from batch at once; shrinking is
-//! slow, so that a pause in the load does not invite batch that would be evicted a moment later.
+//! batch may not use, so the two together never exceed the server. Growing takes room from batch at once; shrinking waits
+//! some seconds, so that a pause in the load does not invite batch that would be evicted a moment later.
 
 use crate::capacity::Resources;
 use crate::time::{DurationMs, MonoMs};
 
-/// Time of lower demand after which one slot is given back to batch.
-const SHRINK_AFTER: DurationMs = DurationMs(5_000);
+/// Demand counts for between one and two such periods, so that a pause in the load does not invite batch.
+const PERIOD: DurationMs = DurationMs(5_000);
 /// Slots kept free above the demand, so that a growing load does not wait for an eviction.
 const SPARE_SLOTS: u32 = 2;
 
@@ -44,7 +44,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Allotment {
     slots: u32,
-    lower_since: Option<MonoMs>,
+    period_began: MonoMs,
+    peak: u32,
+    last_peak: u32,
 }
 
 impl Allotment {
@@ -53,7 +55,9 @@
     pub fn open(config: AllotmentConfig) -> Self {
         Self {
             slots: config.min_slots,
-            lower_since: None,
+            period_began: MonoMs(0),
+            peak: 0,
+            last_peak: 0,
         }
     }
 
@@ -65,18 +69,14 @@
 
     /// Follows the demand: requests in execution and this server's share of those that wait.
     pub fn follow(&mut self, now: MonoMs, config: AllotmentConfig, demand_slots: u32) {
-        let wanted = demand_slots.saturating_add(SPARE_SLOTS);
-        let wanted = wanted.clamp(config.min_slots, config.max_slots);
-        if wanted >= self.slots {
-            self.slots = wanted;
-            self.lower_since = None;
-            return;
-        }
-        let since = *self.lower_since.get_or_insert(now);
-        if now.since(since) >= SHRINK_AFTER {
-            self.slots -= 1;
-            self.lower_since = Some(now);
+        if now.since(self.period_began) >= PERIOD {
+            self.period_began = now;
+            self.last_peak = self.peak;
+            self.peak = 0;
         }
+        self.peak = self.peak.max(demand_slots);
+        let wanted = self.peak.max(self.last_peak).saturating_add(SPARE_SLOTS);
+        self.slots = wanted.clamp(config.min_slots, config.max_slots);
     }
 
     /// What batch must leave free while `busy` requests are in execution.
