Let the first tasks of a job prove its declared memory

Cause: with memory declared 2 to 10 times too small, all tasks of a job were evicted, and again at each doubling.

Change: the other tasks of a job wait for its first ones while nothing is known of its kind or its declarations are doubted, for 45 s at most; memory grows 4 times at a time. The module pending.rs is split from placement.rs. The replay binds a job to one failure domain, as a job belongs to one shard.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lease;
 pub mod membership;
 pub mod ownership;
+mod pending;
 pub mod placement;
 pub mod prelude;
 pub mod queue;
--- /dev/null
+++ b/crates/core/src/pending.rs
@@ -0,0 +1,185 @@
+//! Pending tasks: from submission to the queue of their cell, and removal.
+
+use crate::choice::Waiting;
+use crate::fairness::ClientKey;
+use crate::ids::TaskId;
+use crate::placement::{Scheduler, TaskRequest};
+use crate::sizes::Held;
+use crate::time::{DurationMs, MonoMs};
+
+/// Where a known task is.
+pub(crate) enum Place {
+    Pending {
+        cell: u32,
+        urgent: bool,
+        urgent_at: Option<MonoMs>,
+        client: ClientKey,
+        order: u64,
+        sequence: u64,
+    },
+    /// Waits for the first tasks of its job.
+    Held,
+    Running(u32),
+}
+
+impl Scheduler {
+    /// Adds a pending task. A task that is known already is left as it is; remove an evicted one first.
+    pub fn submit(&mut self, now: MonoMs, request: TaskRequest) {
+        let TaskRequest {
+            task,
+            team,
+            client,
+            kind,
+            size: declared,
+            run_ms,
+            finish_by,
+            cell,
+        } = request;
+        if self.index.contains_key(&task) {
+            return;
+        }
+        let cell = self.cell_at(cell);
+        let client = self.accounts.hold(&team, &client);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let order = finish_by.map_or(u64::MAX, |time| time.0);
+        let waiting = Waiting {
+            task,
+            kind: self.interference.kind(&kind),
+            declared,
+            run_ms,
+            finish_by,
+            submitted: now,
+        };
+        let held = Held {
+            waiting,
+            client,
+            cell,
+            order,
+            sequence,
+        };
+        match self.sizes.admit(now, held) {
+            Some(admitted) => self.enqueue(admitted),
+            None => {
+                self.index.insert(task, Place::Held);
+            }
+        }
+    }
+
+    /// Lets tasks that were held back wait in the queues of their cells.
+    pub(crate) fn enqueue_all(&mut self, now: MonoMs, released: Vec<Held>) {
+        for held in released {
+            if let Some(admitted) = self.sizes.admit(now, held) {
+                self.enqueue(admitted);
+            }
+        }
+    }
+
+    /// Lets a task wait in the queue of their cell.
+    pub(crate) fn enqueue(&mut self, admitted: Held) {
+        let Held {
+            waiting,
+            client,
+            cell,
+            order,
+            sequence,
+        } = admitted;
+        let task = waiting.task;
+        let urgent_at = waiting
+            .finish_by
+            .map(|by| urgent_from(waiting.submitted, by, waiting.run_ms));
+        let found = &mut self.cells[cell as usize];
+        found
+            .normal
+            .push(&mut self.accounts, client, order, sequence, waiting);
+        if let Some(time) = urgent_at {
+            found.urgent_at.insert((time, task));
+        }
+        let place = Place::Pending {
+            cell,
+            urgent: false,
+            urgent_at,
+            client,
+            order,
+            sequence,
+        };
+        self.index.insert(task, place);
+        self.ready.insert(cell);
+    }
+
+    /// Forgets a task, pending or running, and frees what it had reserved.
+    pub fn remove(&mut self, now: MonoMs, task: TaskId) {
+        match self.index.remove(&task) {
+            None => {}
+            Some(Place::Running(at)) => self.end(now, at),
+            Some(Place::Held) => {
+                if let Some(held) = self.sizes.withdraw(task) {
+                    self.accounts.release(held.client);
+                }
+            }
+            Some(Place::Pending {
+                cell,
+                urgent,
+                urgent_at,
+                client,
+                order,
+                sequence,
+            }) => {
+                let found = &mut self.cells[cell as usize];
+                let queue = if urgent {
+                    &mut found.urgent
+                } else {
+                    &mut found.normal
+                };
+                queue.remove(&mut self.accounts, client, order, sequence);
+                if let Some(time) = urgent_at {
+                    found.urgent_at.remove(&(time, task));
+                }
+                found.end_drain(task);
+                self.accounts.release(client);
+                self.history.forget(task);
+                let released = self.sizes.left(now, task.job, false);
+                self.enqueue_all(now, released);
+            }
+        }
+    }
+
+    /// Moves tasks whose finish-by time comes near to the queue that is served first.
+    pub(crate) fn promote_urgent(&mut self, now: MonoMs, cell: u32) {
+        let found = &mut self.cells[cell as usize];
+        while let Some(&(time, task)) = found.urgent_at.first() {
+            if time > now {
+                return;
+            }
+            found.urgent_at.pop_first();
+            let Some(Place::Pending {
+                urgent,
+                urgent_at,
+                client,
+                order,
+                sequence,
+                ..
+            }) = self.index.get_mut(&task)
+            else {
+                continue;
+            };
+            *urgent = true;
+            *urgent_at = None;
+            let moved = found
+                .normal
+                .remove(&mut self.accounts, *client, *order, *sequence);
+            if let Some(waiting) = moved {
+                found
+                    .urgent
+                    .push(&mut self.accounts, *client, *order, *sequence, waiting);
+            }
+        }
+    }
+}
+
+/// From when a task with a finish-by time goes before others: when half of its time has passed, or earlier if three
+/// declared run times would no longer fit, since declarations are often too short.
+fn urgent_from(now: MonoMs, finish_by: MonoMs, run_ms: u64) -> MonoMs {
+    let half = now + DurationMs(finish_by.since(now).0 / 2);
+    half.min(finish_by - DurationMs(run_ms.saturating_mul(3)))
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,11 +6,12 @@
 use smol_str::SmolStr;
 
 use crate::capacity::Resources;
-use crate::choice::{Cell, Goals, Server, Waiting};
+use crate::choice::{Cell, Goals, Server};
 use crate::eviction::History;
-use crate::fairness::{Accounts, ClientKey};
+use crate::fairness::Accounts;
 use crate::ids::{ServerKey, TaskId};
 use crate::interference::Interference;
+use crate::pending::Place;
 use crate::queue::Class;
 use crate::running::Task;
 use crate::sizes::Sizes;
@@ -100,19 +101,6 @@
 /// Longest time for which a server is drained for one task.
 const DRAIN_MS: u64 = 300_000;
 
-/// Where a known task is.
-pub(crate) enum Place {
-    Pending {
-        cell: u32,
-        urgent: bool,
-        urgent_at: Option<MonoMs>,
-        client: ClientKey,
-        order: u64,
-        sequence: u64,
-    },
-    Running(u32),
-}
-
 /// Places batch tasks on the servers of one shard.
 pub struct Scheduler {
     pub(crate) goals: Goals,
@@ -122,12 +110,12 @@
     pub(crate) cells: Vec<Cell>,
     cell_names: BTreeMap<CellKey, u32>,
     /// Cells in which something may have become possible.
-    ready: BTreeSet<u32>,
+    pub(crate) ready: BTreeSet<u32>,
     cursor: u32,
     pub(crate) tasks: Vec<Option<Task>>,
     pub(crate) vacant: Vec<u32>,
     pub(crate) index: BTreeMap<TaskId, Place>,
-    sequence: u64,
+    pub(crate) sequence: u64,
     pub(crate) accounts: Accounts,
     pub(crate) interference: Interference,
     pub(crate) history: History,
@@ -238,88 +226,10 @@
         found.map_or(1_000, |&at| self.servers[at as usize].expected_permille())
     }
 
-    /// Adds a pending task. A task that is known already is left as it is; remove an evicted one first.
-    pub fn submit(&mut self, now: MonoMs, request: TaskRequest) {
-        let TaskRequest {
-            task,
-            team,
-            client,
-            kind,
-            size: declared,
-            run_ms,
-            finish_by,
-            cell,
-        } = request;
-        if self.index.contains_key(&task) {
-            return;
-        }
-        let cell = self.cell_at(cell);
-        let client = self.accounts.hold(&team, &client);
-        self.sequence += 1;
-        let sequence = self.sequence;
-        let order = finish_by.map_or(u64::MAX, |time| time.0);
-        let urgent_at = request
-            .finish_by
-            .map(|by| urgent_from(now, by, request.run_ms));
-        let waiting = Waiting {
-            task,
-            kind: self.interference.kind(&kind),
-            declared,
-            run_ms,
-            finish_by,
-            submitted: now,
-        };
-        let found = &mut self.cells[cell as usize];
-        found
-            .normal
-            .push(&mut self.accounts, client, order, sequence, waiting);
-        if let Some(time) = urgent_at {
-            found.urgent_at.insert((time, task));
-        }
-        let place = Place::Pending {
-            cell,
-            urgent: false,
-            urgent_at,
-            client,
-            order,
-            sequence,
-        };
-        self.index.insert(task, place);
-        self.ready.insert(cell);
-    }
-
-    /// Forgets a task, pending or running, and frees what it had reserved.
-    pub fn remove(&mut self, now: MonoMs, task: TaskId) {
-        match self.index.remove(&task) {
-            None => {}
-            Some(Place::Running(at)) => self.end(now, at),
-            Some(Place::Pending {
-                cell,
-                urgent,
-                urgent_at,
-                client,
-                order,
-                sequence,
-            }) => {
-                let found = &mut self.cells[cell as usize];
-                let queue = if urgent {
-                    &mut found.urgent
-                } else {
-                    &mut found.normal
-                };
-                queue.remove(&mut self.accounts, client, order, sequence);
-                if let Some(time) = urgent_at {
-                    found.urgent_at.remove(&(time, task));
-                }
-                found.end_drain(task);
-                self.accounts.release(client);
-                self.history.forget(task);
-            }
-        }
-    }
-
     /// Takes the next pending task in fair order that some open server of its cell can hold.
     pub fn next(&mut self, now: MonoMs) -> Option<Placement> {
+        let released = self.sizes.expired(now);
+        self.enqueue_all(now, released);
         while let Some(cell) = self.next_ready() {
             self.cursor = cell;
             if let Some(placement) = self.next_in(now, cell) {
@@ -379,6 +289,7 @@
                 found.urgent_at.remove(&(*time, waiting.task));
             }
             self.accounts.serve(client);
+            self.sizes.started(now, waiting.task.job);
             let size = self
                 .sizes
                 .size(waiting.task.job, waiting.declared, self.largest);
@@ -387,38 +298,6 @@
         None
     }
 
-    /// Moves tasks whose finish-by time comes near to the queue that is served first.
-    fn promote_urgent(&mut self, now: MonoMs, cell: u32) {
-        let found = &mut self.cells[cell as usize];
-        while let Some(&(time, task)) = found.urgent_at.first() {
-            if time > now {
-                return;
-            }
-            found.urgent_at.pop_first();
-            let Some(Place::Pending {
-                urgent,
-                urgent_at,
-                client,
-                order,
-                sequence,
-                ..
-            }) = self.index.get_mut(&task)
-            else {
-                continue;
-            };
-            *urgent = true;
-            *urgent_at = None;
-            let moved = found
-                .normal
-                .remove(&mut self.accounts, *client, *order, *sequence);
-            if let Some(waiting) = moved {
-                found
-                    .urgent
-                    .push(&mut self.accounts, *client, *order, *sequence, waiting);
-            }
-        }
-    }
-
     pub(crate) fn server_at(&self, key: ServerKey) -> Option<u32> {
         self.by_key.get(&key).copied()
     }
@@ -434,7 +313,7 @@
         self.ready.insert(cell);
     }
 
-    fn cell_at(&mut self, key: CellKey) -> u32 {
+    pub(crate) fn cell_at(&mut self, key: CellKey) -> u32 {
         let next = index_u32(self.cells.len());
         let at = *self.cell_names.entry(key).or_insert(next);
         if at == next {
@@ -444,13 +323,6 @@
     }
 }
 
-/// From when a task with a finish-by time goes before others: when half of its time has passed, or earlier if three
-/// declared run times would no longer fit, since declarations are often too short.
-fn urgent_from(now: MonoMs, finish_by: MonoMs, run_ms: u64) -> MonoMs {
-    let half = now + DurationMs(finish_by.since(now).0 / 2);
-    half.min(finish_by - DurationMs(run_ms.saturating_mul(3)))
-}
-
 pub(crate) fn index_u32(index: usize) -> u32 {
     u32::try_from(index).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -31,6 +31,10 @@
 /// memory for caches without needing it.
 const OUT_OF_MEMORY_PERMILLE: u32 = 3_000;
 
+/// Run time after which a report without lack of memory shows that the declared memory suffices; includes the lag of
+/// reports of up to 4 s, and the time that a task takes to fill its memory.
+const PROVEN_MS: u64 = 12_000;
+
 /// Lowest processor limit of a throttled task, as a part of its reservation: 1/4.
 const FLOOR_PARTS: u32 = 4;
 
@@ -184,6 +188,10 @@
         if !used.fits_in(task.declared) {
             self.sizes.seen(now, task.id.job, used);
         }
+        if now.since(task.started).0 >= PROVEN_MS && !task.held.at_memory_limit() {
+            let released = self.sizes.prove(now, task.id.job, task.kind, Some(used));
+            self.enqueue_all(now, released);
+        }
     }
 
     fn withhold(&mut self, now: MonoMs, at: u32, need: Resources) {
@@ -262,7 +270,7 @@
                 continue;
             }
             if held.used.memory_mib > held.reserved.memory_mib {
-                outgrown.push(candidate(now, task, 0.0));
+                outgrown.push((candidate(now, task, 0.0), task.kind));
                 continue;
             }
             if task.at_limit < REPORTS_AT_LIMIT {
@@ -271,7 +279,7 @@
             task.at_limit = 0;
             if held.at_memory_limit() {
                 if task.slowdown_permille >= OUT_OF_MEMORY_PERMILLE {
-                    outgrown.push(candidate(now, task, 0.0));
+                    outgrown.push((candidate(now, task, 0.0), task.kind));
                 }
                 continue;
             }
@@ -300,10 +308,9 @@
             task.limited = now;
             relief.push(throttle(task));
         }
-        for chosen in outgrown {
-            let mut larger = chosen.frees;
-            larger.memory_mib = larger.memory_mib.saturating_mul(2);
-            self.sizes.seen(now, chosen.task.job, larger);
+        for (chosen, kind) in outgrown {
+            let job = chosen.task.job;
+            self.sizes.out_of_memory(now, job, kind, chosen.frees);
             self.evict(now, chosen, relief);
         }
     }
--- a/crates/core/src/running.rs
+++ b/crates/core/src/running.rs
@@ -5,7 +5,8 @@
 use crate::fairness::ClientKey;
 use crate::ids::{ServerKey, TaskId};
 use crate::interference::KindKey;
-use crate::placement::{Place, Placement, Scheduler, TaskRequest, index_u32};
+use crate::pending::Place;
+use crate::placement::{Placement, Scheduler, TaskRequest, index_u32};
 use crate::time::{DurationMs, MonoMs};
 
 /// Run time charged to a client when a task starts; later time is charged as reports arrive, so that a wrong
@@ -51,6 +52,8 @@
             finish_by: request.finish_by,
             submitted: now,
         };
+        let released = self.sizes.adopted(now, request.task.job, waiting.kind);
+        self.enqueue_all(now, released);
         self.start(now, &waiting, client, at, request.size);
     }
 
@@ -134,9 +137,14 @@
         let millicores = u64::from(task.held.reserved.millicores);
         let back_within = self.accounts.sub_use(team, millicores);
         self.accounts.release(task.client);
-        if task.evicting.is_none() {
+        let comes_back = task.evicting.is_some();
+        let mut released = Vec::new();
+        if !comes_back {
             self.history.forget(task.id);
+            released = self.sizes.prove(now, task.id.job, task.kind, None);
         }
+        released.append(&mut self.sizes.left(now, task.id.job, comes_back));
+        self.enqueue_all(now, released);
         let server = &mut self.servers[task.server as usize];
         server.take_off(at, task.kind, &task.held);
         server.predict(&self.interference);
--- a/crates/core/src/sizes.rs
+++ b/crates/core/src/sizes.rs
@@ -1,10 +1,13 @@
 //! Sizes of jobs that outgrew their declaration, learned from their tasks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::capacity::Resources;
+use crate::choice::Waiting;
+use crate::fairness::ClientKey;
 use crate::ids::{JobId, TaskId};
-use crate::time::MonoMs;
+use crate::interference::KindKey;
+use crate::time::{DurationMs, MonoMs};
 
 /// Learned sizes are forgotten after this time without news.
 const KEPT_MS: u64 = 3_600_000;
@@ -12,6 +15,34 @@
 /// Time after which another task of the job may try a larger reservation.
 const TRIAL_MS: u64 = 60_000;
 
+/// Tasks of a job that may start before one of them has shown that its declared memory suffices: while nothing is known
+/// of the kind, and while its declarations are doubted. With a declaration that is too small, every task that started
+/// with it has to be evicted.
+const UNPROVEN_OF_NEW_KIND: u32 = 8;
+const UNPROVEN_OF_DOUBTED_KIND: u32 = 1;
+
+/// Jobs in a row that proved their declarations before the tasks of a kind start at once.
+const PROVEN_JOBS: u32 = 5;
+
+/// Time for which the declarations of a kind are doubted after a task ran out of its declared memory.
+const DOUBT_MS: u64 = 1_800_000;
+
+/// Longest time for which the other tasks of a job are held back after the last news of the first ones.
+const HOLD_MS: u64 = 45_000;
+
+/// Factor by which the memory of a job grows when a task ran out of it.
+const MEMORY_GROWTH: u32 = 4;
+
+/// A task that waits for the first ones of its job.
+pub(crate) struct Held {
+    pub(crate) waiting: Waiting,
+    pub(crate) client: ClientKey,
+    pub(crate) cell: u32,
+    pub(crate) order: u64,
+    pub(crate) sequence: u64,
+}
+
+#[derive(Default)]
 struct Learned {
     size: Resources,
     news: MonoMs,
@@ -20,6 +51,22 @@
     trial: Option<TaskId>,
     /// A trial showed that more processor time is not used.
     sated: bool,
+    /// A task ran out of its declared memory.
+    grown: bool,
+    /// A task ended, or ran for a while without lack of memory.
+    proven: bool,
+    /// Known tasks that are not held back.
+    admitted: u32,
+    held: BTreeMap<TaskId, Held>,
+    hold_until: MonoMs,
+}
+
+/// What the jobs of a kind have shown of their declarations.
+#[derive(Clone, Copy)]
+enum Trust {
+    /// Number of jobs in a row that proved their declarations.
+    Proven(u32),
+    DoubtedUntil(MonoMs),
 }
 
 /// What is known of the true sizes of jobs.
@@ -27,6 +74,9 @@
 pub(crate) struct Sizes {
     jobs: BTreeMap<JobId, Learned>,
     swept: MonoMs,
+    /// When held tasks are let go without proof; may name earlier times than the job's own.
+    holds: BTreeSet<(MonoMs, JobId)>,
+    kinds: BTreeMap<KindKey, Trust>,
 }
 
 impl Sizes {
@@ -44,6 +94,23 @@
         learned.size = learned.size.greater(used);
     }
 
+    /// Takes in that a task ran out of its reserved memory.
+    pub(crate) fn out_of_memory(
+        &mut self,
+        now: MonoMs,
+        job: JobId,
+        kind: KindKey,
+        reserved: Resources,
+    ) {
+        let until = now + DurationMs(DOUBT_MS);
+        self.kinds.insert(kind, Trust::DoubtedUntil(until));
+        self.open(now, job).grown = true;
+        let mut larger = reserved;
+        larger.memory_mib = larger.memory_mib.saturating_mul(MEMORY_GROWTH);
+        self.seen(now, job, larger);
+        self.hold(now, job);
+    }
+
     /// Whether a task may try a larger reservation; it is then the one that tries it.
     pub(crate) fn may_try(&mut self, now: MonoMs, task: TaskId) -> bool {
         let known = self.jobs.get(&task.job);
@@ -63,14 +130,126 @@
         self.open(now, job).sated = true;
     }
 
+    /// Admits a task of a job; if the job is unproven and enough of it are admitted, keeps the task back.
+    ///
+    /// Returns the task if it is admitted.
+    pub(crate) fn admit(&mut self, now: MonoMs, held: Held) -> Option<Held> {
+        let task = held.waiting.task;
+        let limit = match self.kinds.get(&held.waiting.kind) {
+            None => UNPROVEN_OF_NEW_KIND,
+            Some(Trust::Proven(jobs)) if *jobs < PROVEN_JOBS => UNPROVEN_OF_NEW_KIND,
+            Some(Trust::DoubtedUntil(until)) if *until > now => UNPROVEN_OF_DOUBTED_KIND,
+            Some(_) => u32::MAX,
+        };
+        let learned = self.open(now, task.job);
+        if learned.proven || learned.admitted < limit {
+            learned.admitted += 1;
+            return Some(held);
+        }
+        learned.held.insert(task, held);
+        None
+    }
+
+    /// Takes in that an admitted task starts, from when the others are held back for a limited time.
+    pub(crate) fn started(&mut self, now: MonoMs, job: JobId) {
+        let waits = self.jobs.get(&job);
+        if waits.is_some_and(|learned| !learned.held.is_empty()) {
+            self.hold(now, job);
+        }
+    }
+
+    /// Takes in that a task of a job showed its need of memory, or ended. Returns the tasks that were held back.
+    pub(crate) fn prove(
+        &mut self,
+        now: MonoMs,
+        job: JobId,
+        kind: KindKey,
+        used: Option<Resources>,
+    ) -> Vec<Held> {
+        let Some(learned) = self.jobs.get(&job) else {
+            return Vec::new();
+        };
+        if !learned.proven && !learned.grown {
+            let trust = self.kinds.entry(kind).or_insert(Trust::Proven(0));
+            match trust {
+                Trust::Proven(jobs) => *jobs = jobs.saturating_add(1),
+                Trust::DoubtedUntil(until) if *until <= now => *trust = Trust::Proven(1),
+                Trust::DoubtedUntil(_) => {}
+            }
+        }
+        self.release(now, job, used)
+    }
+
+    /// Ends the holding back of a job's tasks.
+    fn release(&mut self, now: MonoMs, job: JobId, used: Option<Resources>) -> Vec<Held> {
+        let Some(learned) = self.jobs.get_mut(&job) else {
+            return Vec::new();
+        };
+        if learned.proven {
+            return Vec::new();
+        }
+        learned.proven = true;
+        learned.news = now;
+        if let Some(used) = used {
+            // The need is known now, so the coarse growth before it is taken back.
+            let with_margin = used.memory_mib.saturating_add(used.memory_mib / 4);
+            learned.size.memory_mib = learned.size.memory_mib.min(with_margin);
+        }
+        std::mem::take(&mut learned.held).into_values().collect()
+    }
+
+    /// Takes in a task that was found running, whose job ran under an earlier owner.
+    pub(crate) fn adopted(&mut self, now: MonoMs, job: JobId, kind: KindKey) -> Vec<Held> {
+        self.open(now, job).admitted += 1;
+        self.prove(now, job, kind, None)
+    }
+
+    /// Forgets an admitted task. Returns the held tasks if none is left that could prove the job.
+    pub(crate) fn left(&mut self, now: MonoMs, job: JobId, comes_back: bool) -> Vec<Held> {
+        let Some(learned) = self.jobs.get_mut(&job) else {
+            return Vec::new();
+        };
+        learned.admitted = learned.admitted.saturating_sub(1);
+        if learned.admitted > 0 || comes_back {
+            return Vec::new();
+        }
+        self.release(now, job, None)
+    }
+
+    /// Forgets a held task.
+    pub(crate) fn withdraw(&mut self, task: TaskId) -> Option<Held> {
+        self.jobs.get_mut(&task.job)?.held.remove(&task)
+    }
+
+    /// The tasks that were held back for too long.
+    pub(crate) fn expired(&mut self, now: MonoMs) -> Vec<Held> {
+        let mut released = Vec::new();
+        while let Some(&(time, job)) = self.holds.first() {
+            if time > now {
+                break;
+            }
+            self.holds.pop_first();
+            let known = self.jobs.get(&job);
+            if known.is_some_and(|learned| learned.hold_until <= now) {
+                released.append(&mut self.release(now, job, None));
+            }
+        }
+        released
+    }
+
+    fn hold(&mut self, now: MonoMs, job: JobId) {
+        let until = now + DurationMs(HOLD_MS);
+        let learned = self.open(now, job);
+        if learned.proven {
+            return;
+        }
+        learned.hold_until = until;
+        self.holds.insert((until, job));
+    }
+
     fn open(&mut self, now: MonoMs, job: JobId) -> &mut Learned {
         self.sweep(now);
-        let learned = self.jobs.entry(job).or_insert(Learned {
-            size: Resources::default(),
-            news: now,
-            trial: None,
-            sated: false,
-        });
+        let learned = self.jobs.entry(job).or_default();
         learned.news = now;
         learned
     }
@@ -78,8 +257,9 @@
     fn sweep(&mut self, now: MonoMs) {
         if now.since(self.swept).0 >= KEPT_MS {
             self.swept = now;
-            self.jobs
-                .retain(|_, learned| now.since(learned.news).0 < KEPT_MS);
+            self.jobs.retain(|_, learned| {
+                !learned.held.is_empty() || now.since(learned.news).0 < KEPT_MS
+            });
         }
     }
 }
--- a/examples/replay/batch.rs
+++ b/examples/replay/batch.rs
@@ -96,7 +96,9 @@
         if self.parked.contains(&id.job) || task.cell.is_some() {
             return;
         }
-        let up = self.cells.iter().enumerate().filter(|(_, cell)| cell.up);
+        let home = id.job.0 as usize % self.batches.len();
+        let cells = self.cells.iter().enumerate();
+        let up = cells.filter(|(_, cell)| cell.up && cell.domain == home);
         let least = up.min_by_key(|(at, cell)| (cell.outstanding / cell.servers, *at));
         let Some((cell, _)) = least else {
             return;
