--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,6 +1,6 @@
 //! Waiting items in fair order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 
 use crate::fairness::{Accounts, ClientKey, ClientRank, TeamKey, TeamRank};
@@ -8,14 +8,16 @@
 struct ClientQueue<T> {
     rank: ClientRank,
     salt: u64,
-    items: BTreeMap<(u64, u64), T>,
+    /// By order and id. A deque, since most queues hold few items and a map takes a node of 1 KB for one.
+    items: VecDeque<((u64, u64), T)>,
 }
 
 struct TeamQueue<T> {
     rank: TeamRank,
     salt: u64,
     order: BTreeSet<ClientRank>,
-    clients: BTreeMap<ClientKey, ClientQueue<T>>,
+    /// Sorted by key.
+    clients: Vec<(ClientKey, ClientQueue<T>)>,
 }
 
 /// Which teams may be served.
@@ -66,7 +68,7 @@
     #[must_use]
     pub fn backlog(&self, accounts: &Accounts, client: ClientKey) -> usize {
         let team = self.teams.get(&accounts.team_of(client));
-        team.and_then(|team| team.clients.get(&client))
+        team.and_then(|team| team.queue(client))
             .map_or(0, |queue| queue.items.len())
     }
 
@@ -94,21 +96,27 @@
                 rank,
                 salt: id,
                 order: BTreeSet::new(),
-                clients: BTreeMap::new(),
+                clients: Vec::new(),
             }
         });
-        let queue = team.clients.entry(client).or_insert_with(|| {
-            let salt = id;
-            let rank = accounts.client_rank(client, salt);
-            team.order.insert(rank);
-            ClientQueue {
-                rank,
-                salt,
-                items: BTreeMap::new(),
+        let at = match team.find(client) {
+            Ok(at) => at,
+            Err(at) => {
+                let rank = accounts.client_rank(client, id);
+                team.order.insert(rank);
+                let queue = ClientQueue {
+                    rank,
+                    salt: id,
+                    items: VecDeque::new(),
+                };
+                team.clients.insert(at, (client, queue));
+                at
             }
-        });
+        };
+        let queue = &mut team.clients[at].1;
         let before = queue.items.len();
-        queue.items.insert((order, id), item);
+        let place = queue.items.partition_point(|one| one.0 < (order, id));
+        queue.items.insert(place, ((order, id), item));
         self.by_backlog.remove(&(before, client));
         self.by_backlog.insert((queue.items.len(), client));
         self.len += 1;
@@ -124,8 +132,11 @@
     ) -> Option<T> {
         let team_key = accounts.team_of(client);
         let team = self.teams.get_mut(&team_key)?;
-        let queue = team.clients.get_mut(&client)?;
-        let item = queue.items.remove(&(order, id))?;
+        let at = team.find(client).ok()?;
+        let queue = &mut team.clients[at].1;
+        let key = (order, id);
+        let place = queue.items.binary_search_by_key(&key, |one| one.0).ok()?;
+        let (_, item) = queue.items.remove(place)?;
         accounts.leave(client);
         let left = queue.items.len();
         self.by_backlog.remove(&(left + 1, client));
@@ -135,7 +146,7 @@
             return Some(item);
         }
         team.order.remove(&queue.rank);
-        team.clients.remove(&client);
+        team.clients.remove(at);
         if team.clients.is_empty() {
             self.order.remove(&team.rank);
             self.teams.remove(&team_key);
@@ -146,7 +157,7 @@
     /// Removes the last item of a client, as its order stands.
     pub fn remove_last(&mut self, accounts: &mut Accounts, client: ClientKey) -> Option<T> {
         let team = self.teams.get(&accounts.team_of(client))?;
-        let (&(order, id), _) = team.clients.get(&client)?.items.last_key_value()?;
+        let &((order, id), _) = team.queue(client)?.items.back()?;
         self.remove(accounts, client, order, id)
     }
 
@@ -207,6 +218,15 @@
 type Found = (ClientKey, (u64, u64));
 
 impl<T> TeamQueue<T> {
+    fn find(&self, client: ClientKey) -> Result<usize, usize> {
+        self.clients.binary_search_by_key(&client, |one| one.0)
+    }
+
+    fn queue(&self, client: ClientKey) -> Option<&ClientQueue<T>> {
+        let at = self.find(client).ok()?;
+        self.clients.get(at).map(|one| &one.1)
+    }
+
     fn first_fitting(
         &mut self,
         accounts: &Accounts,
@@ -220,7 +240,8 @@
                 Some(rank) => self.order.range(after(rank)).next().copied(),
             };
             let rank = next?;
-            let queue = self.clients.get_mut(&rank.2)?;
+            let at = self.find(rank.2).ok()?;
+            let queue = &mut self.clients[at].1;
             let current = accounts.client_rank(rank.2, queue.salt);
             if current != rank {
                 self.order.remove(&rank);
@@ -228,10 +249,10 @@
                 self.order.insert(current);
                 continue;
             }
-            let (&place, item) = queue.items.first_key_value()?;
+            let (place, item) = queue.items.front()?;
             *left -= 1;
             if fits(item) {
-                return Some((rank.2, place));
+                return Some((rank.2, *place));
             }
             passed = Some(rank);
         }
--- a/crates/core/src/running.rs
+++ b/crates/core/src/running.rs
@@ -138,12 +138,12 @@
         let back_within = self.accounts.sub_use(team, millicores);
         self.accounts.release(task.client);
         let comes_back = task.evicting.is_some();
-        let mut released = Vec::new();
         if !comes_back {
             self.history.forget(task.id);
-            released = self.sizes.prove(now, task.id.job, task.kind, None);
+            let released = self.sizes.prove(now, task.id.job, task.kind, None);
+            self.enqueue_all(now, released);
         }
-        released.append(&mut self.sizes.left(now, task.id.job, comes_back));
+        let released = self.sizes.left(now, task.id.job, comes_back);
         self.enqueue_all(now, released);
         let server = &mut self.servers[task.server as usize];
         server.take_off(at, task.kind, &task.held);
--- a/crates/core/src/sizes.rs
+++ b/crates/core/src/sizes.rs
@@ -213,6 +213,10 @@
         if learned.admitted > 0 || comes_back {
             return Vec::new();
         }
+        if learned.held.is_empty() && learned.size.is_none() && !learned.sated {
+            self.jobs.remove(&job);
+            return Vec::new();
+        }
         self.release(now, job, None)
     }
 
