--- a/crates/core/src/allotment.rs
+++ b/crates/core/src/allotment.rs
@@ -88,7 +88,11 @@
     /// Slots that may be open: covered by what batch must leave free and by what it does leave free.
     #[must_use]
     pub fn open_slots(&self, config: AllotmentConfig, withheld: Resources, left: Resources) -> u32 {
-        self.slots
-            .min(withheld.lesser(left).count_of(config.slot_size))
+        // Before a document says what a request needs, no slot can be covered.
+        if config.slot_size.is_none() {
+            return 0;
+        }
+        let covered = withheld.lesser(left);
+        self.slots.min(covered.count_of(config.slot_size))
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,8 +26,12 @@
 pub mod lease;
 pub mod membership;
 pub mod ownership;
+<<<<<<< HEAD
 pub mod peer_frame;
 pub mod peer_work;
+=======
+mod pending;
+>>>>>>> policy
 pub mod placement;
 pub mod prelude;
 pub mod queue;
