--- /dev/null
+++ b/crates/core/src/fork.rs
@@ -0,0 +1,97 @@
+//! Copies and prints a shard, so that a checker can follow several continuations of one state.
+
+use std::fmt;
+
+use crate::placement::Scheduler;
+use crate::shard::Shard;
+use crate::tasks::Phase;
+
+impl Clone for Shard {
+    /// Copies the shard. The scheduler of the copy knows the same servers and tasks but has learned nothing.
+    fn clone(&self) -> Self {
+        let mut copy = Self {
+            config: self.config.clone(),
+            host: self.host.clone(),
+            name: self.name.clone(),
+            now: self.now,
+            opened: self.opened,
+            unix_offset_ms: self.unix_offset_ms,
+            out: self.out.clone(),
+            last_op: self.last_op,
+            ops: self.ops.clone(),
+            budget: self.budget.clone(),
+            peers: self.peers.clone(),
+            role: self.role,
+            duty: self.duty.clone(),
+            seen: self.seen.clone(),
+            own: self.own.clone(),
+            recovery: self.recovery.clone(),
+            ledger: self.ledger.clone(),
+            fleet: self.fleet.clone(),
+            scheduler: Scheduler::open(self.config.objective, self.config.seed),
+            cells: self.cells.clone(),
+            quotas: self.quotas.clone(),
+            retries: self.retries.clone(),
+            failures: self.failures.clone(),
+            accepting: self.accepting.clone(),
+            claiming: self.claiming.clone(),
+            last_counter: self.last_counter,
+            shutting_down: self.shutting_down,
+        };
+        copy.refill_scheduler();
+        copy
+    }
+}
+
+impl Shard {
+    fn refill_scheduler(&mut self) {
+        for (team, weight) in &self.quotas {
+            self.scheduler.set_quota(team, *weight);
+        }
+        for (key, server) in self.fleet.iter() {
+            if server.journaled == crate::servers::Journaled::Yes {
+                self.scheduler.put_server(key, server.cell, server.size);
+                self.scheduler.set_open(key, server.open);
+            }
+        }
+        for (id, task) in self.ledger.open_tasks() {
+            let Some(request) = self.request(id) else {
+                continue;
+            };
+            match (task.phase, task.server) {
+                (Phase::Pending, _) => self.scheduler.submit(self.now, request),
+                (
+                    Phase::Starting | Phase::Running | Phase::Stopping | Phase::Evicting(_),
+                    Some(server),
+                ) => self.scheduler.adopt(self.now, &request, server),
+                _ => {}
+            }
+        }
+    }
+}
+
+impl fmt::Debug for Shard {
+    /// Prints everything that decides what the shard does next, except for the scheduler.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shard")
+            .field("host", &self.host)
+            .field("now", &self.now)
+            .field("ops", &self.ops)
+            .field("budget", &self.budget)
+            .field("peers", &self.peers)
+            .field("role", &self.role)
+            .field("duty", &self.duty)
+            .field("seen", &self.seen)
+            .field("own", &self.own)
+            .field("recovery", &self.recovery)
+            .field("ledger", &self.ledger)
+            .field("fleet", &self.fleet)
+            .field("cells", &self.cells)
+            .field("retries", &self.retries)
+            .field("accepting", &self.accepting)
+            .field("claiming", &self.claiming)
+            .field("last_counter", &self.last_counter)
+            .field("shutting_down", &self.shutting_down)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod eviction;
 pub mod fairness;
+pub mod fork;
 pub mod head;
 pub mod health;
 pub mod ids;
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -228,7 +228,7 @@
             .resume
             .as_ref()
             .is_none_or(|old| old.attempt <= attempt);
-        if !is_newer {
+        if !is_newer || task.phase == Phase::Ended {
             return;
         }
         task.resume = Some(Box::new(Resume {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -143,6 +143,12 @@
         self.command_epoch()
     }
 
+    /// Whether this host suspects another one, or knows that this incarnation is gone.
+    #[must_use]
+    pub fn suspects(&self, host: &HostId) -> bool {
+        self.suspected_since(host).is_some()
+    }
+
     /// The highest term that this host knows of; 0 if none.
     #[must_use]
     pub fn term(&self) -> u64 {
--- /dev/null
+++ b/crates/core/tests/units.rs
@@ -0,0 +1,174 @@
+//! Lease arithmetic, store budget, keys and the fixed division of work, one module at a time.
+
+use primrosestack_core::budget::{BACKOFF_MAX_MS, BACKOFF_MIN_MS, Backoff, Bucket, StoreBudget};
+use primrosestack_core::keys::{ANSWERS_MAX_BYTES, Keys};
+use primrosestack_core::lease::{
+    Authority, CONFIRM_MS, Grant, LEASE_MS, PROMISE_MS, lease_ended, release_ended, takeover_ended,
+};
+use primrosestack_core::prelude::*;
+use primrosestack_core::tasks::{RETENTION_MS, Resume, Task};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+const DRIFT_PPM: u64 = 10_000;
+
+/// Guards against waits that forget the drift of the clocks: each must be the figure of the design page.
+#[test]
+fn waits_include_the_drift() {
+    let at = MonoMs(1_000);
+    assert_eq!(lease_ended(at, DRIFT_PPM), MonoMs(1_000 + 10_200));
+    assert_eq!(
+        takeover_ended(at, DRIFT_PPM),
+        MonoMs(1_000 + 6_120 + 10_200)
+    );
+    assert_eq!(release_ended(at, DRIFT_PPM), MonoMs(1_000 + 1_530 + 10_200));
+}
+
+/// The same cases in every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    /// Guards against a margin that is too small: with clock rates that differ by up to the bound, a lease renewed by
+    /// the old owner as late as it may ends before the new owner's wait does.
+    #[test]
+    fn old_leases_end_before_the_new_owner_waits_no_more(
+        old_ppm in -5_000_i64..=5_000,
+        server_ppm in -5_000_i64..=5_000,
+        new_ppm in -5_000_i64..=5_000,
+        answered_after in 0_u64..5_000,
+    ) {
+        // Lengths on a local clock, in real microseconds.
+        let real = |local_ms: u64, ppm: i64| i128::from(local_ms) * 1_000_000_000 / i128::from(1_000_000 + ppm);
+        let renewed = real(CONFIRM_MS, old_ppm);
+        let lapsed = renewed + real(LEASE_MS, server_ppm);
+        let wait_ms = takeover_ended(MonoMs(0), DRIFT_PPM).0;
+        let waited = i128::from(answered_after) * 1_000 + real(wait_ms, new_ppm);
+        prop_assert!(lapsed <= waited);
+    }
+
+    /// Guards against a promise that the owner counts longer than the successor.
+    #[test]
+    fn a_promise_binds_the_successor_longest(owner_ppm in -5_000_i64..=5_000, successor_ppm in -5_000_i64..=5_000) {
+        let mut grant = Grant::default();
+        grant.give(MonoMs(0), 3, DRIFT_PPM);
+        let until = grant.lapses(3).expect("given").0;
+        let real = |local_ms: u64, ppm: i64| i128::from(local_ms) * 1_000_000_000 / i128::from(1_000_000 + ppm);
+        prop_assert!(real(PROMISE_MS, owner_ppm) <= real(until, successor_ppm));
+    }
+
+    /// Guards against a bucket that gives more than its rate.
+    #[test]
+    fn a_bucket_keeps_its_rate(rate in 1_u32..100, steps in proptest::collection::vec(0_u64..300, 1..200)) {
+        let mut bucket = Bucket::open(rate, MonoMs(0));
+        let mut now = MonoMs(0);
+        let mut taken = 0;
+        for step in steps {
+            now = now + DurationMs(step);
+            while bucket.take(now) {
+                taken += 1;
+            }
+        }
+        prop_assert!(taken <= u64::from(rate) + now.0 * u64::from(rate) / 1_000);
+    }
+
+    /// Guards against a back-off outside its bounds, which would bring a storm of calls when the store returns.
+    #[test]
+    fn back_off_stays_in_bounds(seed: u64, failures in 1_usize..40) {
+        let mut backoff = Backoff::open(seed);
+        let now = MonoMs(5_000);
+        for _ in 0..failures {
+            backoff.fail(now);
+        }
+        prop_assert!(!backoff.is_ready(now + DurationMs(BACKOFF_MIN_MS / 2 - 1)));
+        prop_assert!(backoff.is_ready(now + DurationMs(BACKOFF_MAX_MS)));
+        backoff.succeed();
+        prop_assert!(backoff.is_ready(now));
+    }
+}
+
+/// Guards against authority that outlives its proof.
+#[test_case(CONFIRM_MS - 1, true; "within the confirmation")]
+#[test_case(CONFIRM_MS, false; "at its end")]
+fn authority_ends_with_its_confirmation(after_ms: u64, expected: bool) {
+    let mut authority = Authority::default();
+    authority.confirm(MonoMs(100));
+    authority.confirm(MonoMs(50));
+    assert_eq!(authority.holds(MonoMs(100 + after_ms)), expected);
+}
+
+/// Guards against a promise that counts after another host may have become the successor.
+#[test]
+fn a_dropped_promise_gives_no_authority() {
+    let mut authority = Authority::default();
+    authority.promise(MonoMs(100), true);
+    assert!(authority.holds(MonoMs(1_000_000)));
+    authority.drop_promise();
+    assert!(!authority.holds(MonoMs(100)));
+}
+
+/// Guards against a permanent promise that lapses, or that binds another term.
+#[test]
+fn a_permanent_promise_binds_its_term_only() {
+    let mut grant = Grant::default();
+    grant.give_forever(3);
+    grant.give(MonoMs(0), 3, DRIFT_PPM);
+    assert!(grant.binds(MonoMs(u64::MAX), 3));
+    assert!(!grant.binds(MonoMs(0), 4));
+    grant.give(MonoMs(0), 4, DRIFT_PPM);
+    assert!(!grant.binds(MonoMs(2_000), 4));
+}
+
+/// Guards against taking the store for up while calls fail.
+#[test]
+fn the_budget_knows_since_when_the_store_answers() {
+    let mut budget = StoreBudget::open(1, 1, 1, MonoMs(0));
+    assert!(budget.take_write(MonoMs(0)));
+    assert!(!budget.take_write(MonoMs(0)), "one write a second");
+    budget.outcome(MonoMs(10), false);
+    assert_eq!(budget.up_since(), None);
+    assert!(!budget.take_read(MonoMs(10)), "back-off");
+    budget.outcome(MonoMs(500), true);
+    budget.outcome(MonoMs(600), true);
+    assert_eq!(budget.up_since(), Some(MonoMs(500)));
+}
+
+/// Guards against kept answers that take memory without bound, and against a repeat that is told a wrong answer.
+#[test]
+fn kept_answers_are_bounded() {
+    let mut keys = Keys::default();
+    let answer: std::sync::Arc<[u8]> = vec![0; 4_096].into();
+    let most = (ANSWERS_MAX_BYTES / 4_096) as u128;
+    for key in 0..=most {
+        keys.claim(RequestKey(key), MonoMs(0));
+        keys.answer(RequestKey(key), answer.clone(), MonoMs(0));
+    }
+    assert_eq!(keys.reply(RequestKey(0)), Some(KeyReply::Unknown));
+    assert!(matches!(
+        keys.reply(RequestKey(1)),
+        Some(KeyReply::Answered(_))
+    ));
+    keys.expire(MonoMs(RETENTION_MS - 1));
+    assert!(!keys.is_empty());
+    keys.expire(MonoMs(RETENTION_MS));
+    assert!(keys.is_empty());
+}
+
+/// Guards against a running task that takes more than 512 bytes: half of that is left to the scheduler. A vector may
+/// have twice the room that it uses.
+#[test]
+fn a_running_task_is_small() {
+    let task = size_of::<Task>();
+    let attempt = 2 * size_of::<(Attempt, TaskId)>();
+    let resume = size_of::<Resume>() + 64;
+    println!("{task} bytes per task, {attempt} in the server's list, {resume} for a checkpoint");
+    assert!(task + attempt + resume <= 256);
+}
