New work after a takeover starts at once; a lost commit that never arrived has a test

Only tasks that an earlier owner may have started wait for their cell. Tasks that wait for a quota are not moved between cells. A server that refuses a checkpoint keeps its task running. A server declared gone before a takeover stays gone.

--- a/crates/core/src/cells.rs
+++ b/crates/core/src/cells.rs
@@ -170,16 +170,22 @@
         let cells = self.cells.iter().filter(|(_, cell)| {
             cell.resolved && cell.pending.is_empty() && cell.free_millicores() > 0
         });
-        let open = cells.filter(|(key, _)| {
-            let mut servers = self.fleet.iter();
-            servers.any(|(_, server)| server.cell == **key && server.open)
-        });
+        let open = cells.filter(|(key, _)| self.has_open_server(**key));
         open.map(|(key, _)| *key).collect()
     }
 
+    fn has_open_server(&self, cell: CellKey) -> bool {
+        let mut servers = self.fleet.iter();
+        servers.any(|(_, server)| server.cell == cell && server.open)
+    }
+
+    /// Cells with pending tasks that cannot start there. Tasks that wait for their team's quota stay where they are.
     fn waiting_cells(&self, target: CellKey) -> Vec<CellKey> {
         let cells = self.cells.iter();
-        let waiting = cells.filter(|(key, cell)| **key != target && !cell.pending.is_empty());
+        let waiting = cells.filter(|(key, cell)| {
+            let is_stuck = cell.free_millicores() == 0 || !self.has_open_server(**key);
+            **key != target && !cell.pending.is_empty() && is_stuck
+        });
         waiting.map(|(key, _)| *key).collect()
     }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -244,18 +244,30 @@
 
     /// Queues a task of a job that was just accepted.
     pub(crate) fn queue_new(&mut self, id: TaskId) {
-        if self.is_active(id.job) {
-            self.queue(id);
+        if !self.is_active(id.job) {
+            return;
+        }
+        // The attempt 0 of this term marks the task as one that no earlier owner has started.
+        let attempt = Attempt {
+            term: self.own.term,
+            counter: 0,
+        };
+        if let Some(task) = self.ledger.task_mut(id) {
+            task.attempt = attempt;
         }
+        self.queue(id);
     }
 
-    /// Gives a task to the scheduler, or holds it while its cell is not resolved.
+    /// Gives a task to the scheduler, or holds it while its cell is not resolved and it is not certain that it runs
+    /// nowhere in it: it was neither accepted nor last started by this owner.
     fn queue(&mut self, id: TaskId) {
         let Some(request) = self.request(id) else {
             return;
         };
+        let attempt = self.ledger.task(id).map(|task| task.attempt);
+        let is_own = attempt.is_some_and(|attempt| attempt.term >= self.own.first_term);
         let cell = self.cells.entry(request.cell).or_default();
-        let phase = if cell.resolved {
+        let phase = if cell.resolved || is_own {
             cell.pending.insert(id);
             Phase::Pending
         } else {
@@ -345,9 +357,6 @@
     }
 
     pub(crate) fn checkpoint_answered(&mut self, id: TaskId, attempt: Attempt, reply: ServerReply) {
-        let ServerReply::Checkpointed { checkpoint } = reply else {
-            return;
-        };
         let Some(task) = self.ledger.task_mut(id) else {
             return;
         };
@@ -355,6 +364,14 @@
         if !is_asked || task.attempt != attempt {
             return;
         }
+        if reply == ServerReply::Refused {
+            // It cannot be checkpointed, so it is not evicted.
+            task.phase = Phase::Running;
+            return;
+        }
+        let ServerReply::Checkpointed { checkpoint } = reply else {
+            return;
+        };
         task.phase = Phase::Evicting(Eviction::Record);
         self.append(evicted_entry(id, attempt, &checkpoint));
     }
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -182,7 +182,9 @@
             .count();
         let members = self.fleet.iter().filter(|(_, server)| server.open).count();
         let is_faulty = blamed >= BLAMED_SERVERS
-            || (members < BLAMED_SERVERS && blamed >= members && failures.rounds >= ROUNDS_MAX);
+            || (members < BLAMED_SERVERS
+                && blamed >= members.max(1)
+                && failures.rounds >= ROUNDS_MAX);
         if is_faulty {
             self.park(job, ParkReason::FailsEverywhere);
         }
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -152,6 +152,8 @@
 pub struct Own {
     /// Term.
     pub term: u64,
+    /// Term in which this host became owner; it may have raised its term since.
+    pub first_term: u64,
     /// Revision of the head.
     pub revision: Revision,
     /// Sequence of the last commit.
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -1,9 +1,9 @@
 //! Recovery of a new owner: snapshot and tail first, then the claims of the servers.
 
-use crate::journal::{JournalError, read_entries};
+use crate::journal::{Entry, JournalError, read_entries};
 use crate::ownership::Role;
 use crate::prelude::*;
-use crate::servers::{Journaled, Standing};
+use crate::servers::{Journaled, Server};
 use crate::shard::{Call, Shard};
 use crate::snapshot::verify;
 use crate::tasks::{JobState, Ledger, Phase};
@@ -104,11 +104,15 @@
             if let Some(server) = self.fleet.get_mut(key) {
                 server.journaled = Journaled::Yes;
                 server.cell = journaled.cell;
-                server.standing = Standing::Member;
                 if server.size == Resources::default() {
                     server.size = journaled.size;
                 }
             }
+            if self.fleet.get(key).is_some_and(Server::is_gone) {
+                // Declared gone before this host became owner.
+                self.append(Entry::ServerGone(name.to_string()));
+                continue;
+            }
             self.register_server(key);
         }
         self.hold_tasks();
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -331,6 +331,7 @@
         self.own = Own {
             purge: unreleased.len() < head.unreleased.len(),
             term: head.term,
+            first_term: head.term,
             revision,
             sequence: head.sequence,
             successor: head.successor_id(),
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -256,6 +256,8 @@
     Unavailable,
     /// Swaps take effect and their answers are lost.
     LosesAnswers,
+    /// Swaps are lost on the way.
+    LosesCalls,
 }
 
 pub struct World {
@@ -388,12 +390,14 @@
                 let reply = if self.mode == StoreMode::Unavailable || self.is_cut(&name, "store") {
                     StoreReply::Unavailable
                 } else {
-                    let reply = self.store.call(&call);
                     let is_read = matches!(call, StoreCall::Read { .. });
-                    if self.mode == StoreMode::LosesAnswers && !is_read {
-                        StoreReply::Lost
-                    } else {
-                        reply
+                    match self.mode {
+                        StoreMode::LosesCalls if !is_read => StoreReply::Lost,
+                        StoreMode::LosesAnswers if !is_read => {
+                            self.store.call(&call);
+                            StoreReply::Lost
+                        }
+                        _ => self.store.call(&call),
                     }
                 };
                 self.queue.push_back((name, Event::Store { op, reply }));
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -7,6 +7,7 @@
 use primrosestack_core::prelude::*;
 use primrosestack_core::tasks::JobState;
 use primrosestack_core::view::{ServerState, TaskPhase};
+use test_case::test_case;
 
 /// Guards against an owner that never acquires a new shard, does not start accepted work, lets its leases lapse or
 /// does not record its end.
@@ -95,6 +96,21 @@
     assert_eq!(world.running_total(), 12);
 }
 
+/// Guards against new work that waits for a server which cannot be running it: after a takeover only tasks that an
+/// earlier owner may have started wait for a silent server of their rack.
+#[test]
+fn new_work_does_not_wait_for_a_silent_server() {
+    let mut world = opened(2, 2);
+    world.submit(job(1, 1));
+    world.lose_server("w1");
+    let owner = world.owner().expect("owned");
+    world.kill(&owner);
+    world.run_until(3_000, "a new owner", |world| world.owner().is_some());
+    world.submit(job(2, 1));
+    world.run(1_000);
+    assert_eq!(world.running(task(2, 0)), 1);
+}
+
 /// Guards against a lost server's task that is never resumed, or resumed while its lease may still run.
 #[test]
 fn resumes_work_of_a_lost_server_after_its_lease() {
@@ -277,22 +293,31 @@
     println!("{chunks} chunks, largest value {}", world.store.largest);
 }
 
-/// Guards against a commit whose answer is lost being taken as failed or applied twice.
-#[test]
-fn recognises_its_own_write_after_a_lost_answer() {
+/// Guards against a commit whose answer is lost being taken as failed or applied twice, and against one that never
+/// reached the store being taken as done.
+#[test_case(StoreMode::LosesAnswers, true; "the answer is lost")]
+#[test_case(StoreMode::LosesCalls, false; "the call is lost")]
+fn a_lost_commit_is_settled_by_a_read(mode: StoreMode, is_done: bool) {
     let mut world = opened(1, 1);
-    world.mode = StoreMode::LosesAnswers;
-    let reply = world.submit(job(1, 2));
-    assert!(matches!(reply, TokenReply::Accepted { new: true, .. }));
-    world.run(2_000);
-    assert_eq!(world.running_total(), 2);
-    assert_eq!(world.count("superseded"), 0);
+    world.mode = mode;
+    let owner = world.owner().expect("owned");
+    let token = Token(1);
+    let spec = job(1, 2);
+    world.send(&owner, Event::Submit { token, job: spec });
+    world.run(3_000);
+    assert_eq!(world.reply(token).is_some(), is_done);
+    assert_eq!(world.running_total(), if is_done { 2 } else { 0 });
     world.mode = StoreMode::Up;
-    world.run(2_000);
-    assert!(matches!(
-        world.submit(job(2, 1)),
-        TokenReply::Accepted { new: true, .. }
-    ));
+    world.run(4_000);
+    let accepted = Some(TokenReply::Accepted {
+        job: JobId(1),
+        new: true,
+    });
+    assert_eq!(world.reply(token), accepted);
+    world.kill(&owner);
+    world.run_until(6_000, "a new owner", World::is_claimed);
+    assert!(world.owner_shard().job(JobId(1)).is_some(), "committed");
+    assert_eq!(world.running_total(), 2);
 }
 
 /// Guards against a key whose request runs twice, an answer that is not kept, and keys kept for ever.
