--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -173,6 +173,33 @@
     assert!(world.is_claimed());
 }
 
+/// Guards against an owner that restarts a lost server's task while the successor, of which it has no promise, keeps
+/// that task alive at rank 1.
+#[test]
+fn without_a_promise_lost_work_is_not_restarted() {
+    let mut world = with_job(2, 2, 1);
+    let server = world.server_of(task(1, 0)).expect("runs");
+    let owner = world.owner().expect("owned");
+    let successor = world.successor();
+    world.cut_off(&successor, "store");
+    world.cut_off(&successor, &owner);
+    world.cut_off(&owner, &server);
+    let other = if server == "w0" { "w1" } else { "w0" };
+    world.cut_off(&successor, other);
+    let id = world.hosts[&owner].0.clone();
+    world.run(1_600);
+    world.send(
+        &successor,
+        Event::Suspicion {
+            host: id,
+            suspected: true,
+        },
+    );
+    world.run(40_000);
+    assert_eq!(world.server_of(task(1, 0)), Some(server));
+    assert!(world.owner_shard().holds_authority(MonoMs(world.now)));
+}
+
 /// Guards against tasks that run on without authority, and against work that is lost with it.
 #[test]
 fn lost_authority_saves_and_later_resumes_the_tasks() {
