--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A store, backend servers and entry hosts on one clock, for tests of the shard.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use primrosestack_core::event::Notice;
@@ -127,6 +127,8 @@
     pub attempts: BTreeMap<Attempt, Attempted>,
     pub forgotten: BTreeSet<Attempt>,
     pub fails_all: bool,
+    /// Epoch and owner of the latest command that was not refused.
+    obeyed: Option<(Epoch, HostId)>,
 }
 
 impl Backend {
@@ -163,6 +165,16 @@
         })
     }
 
+    /// Checks that a server obeys one owner at a time, whatever its fence does.
+    fn obey(&mut self, owner: &HostId, epoch: Epoch) {
+        if let Some((last, holder)) = &self.obeyed {
+            assert!(epoch >= *last, "went back from {last:?} to {epoch:?}");
+            let is_held = epoch > *last || owner == holder;
+            assert!(is_held, "two owners command under {epoch:?}");
+        }
+        self.obeyed = Some((epoch, owner.clone()));
+    }
+
     pub fn command(
         &mut self,
         now: u64,
@@ -179,6 +191,7 @@
         }
         self.highest = epoch;
         self.owner = Some(owner.clone());
+        self.obey(owner, epoch);
         match command {
             ServerCommand::Claim => self.report(now),
             ServerCommand::Renew {
@@ -286,6 +299,16 @@
     LosesCalls,
 }
 
+/// A message on its way. A call names its sender.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Store(HostId, OpId, StoreCall),
+    Server(HostId, OpId, SmolStr, Epoch, ServerCommand),
+    Peer(HostId, HostId, Event),
+    Answer(SmolStr, Event),
+}
+
+#[derive(Clone)]
 pub struct World {
     pub now: u64,
     pub store: Store,
@@ -294,9 +317,11 @@
     pub servers: BTreeMap<SmolStr, Backend>,
     /// Pairs of a host and a host, server or `store` that cannot talk.
     pub cut: BTreeSet<(SmolStr, SmolStr)>,
+    /// Whether calls over a cut link get no answer at all, rather than one that says so.
+    pub is_silent: bool,
     pub replies: Vec<(Token, TokenReply)>,
     pub notices: Vec<Notice>,
-    queue: VecDeque<(SmolStr, Event)>,
+    pub queue: Vec<Message>,
 }
 
 impl World {
@@ -309,9 +334,10 @@
             hosts: BTreeMap::new(),
             servers: BTreeMap::new(),
             cut: BTreeSet::new(),
+            is_silent: false,
             replies: Vec::new(),
             notices: Vec::new(),
-            queue: VecDeque::new(),
+            queue: Vec::new(),
         };
         for (at, name) in hosts.iter().enumerate() {
             let id = host(name, at as u64 + 1);
@@ -381,73 +407,105 @@
 
     /// Delivers an event and everything that follows from it at the same time.
     pub fn send(&mut self, name: &str, event: Event) {
-        self.queue.push_back((name.into(), event));
-        while let Some((name, event)) = self.queue.pop_front() {
-            let Some((id, shard)) = self.hosts.get_mut(&name) else {
-                continue;
-            };
-            let id = id.clone();
-            let mut actions = Vec::new();
-            shard.handle(MonoMs(self.now), event, &mut actions);
-            for action in actions {
-                self.perform(&id, action);
+        self.event(name, event);
+        while !self.queue.is_empty() {
+            if let Some((to, event)) = self.deliver(0) {
+                self.event(&to, event);
             }
         }
         self.check();
     }
 
-    fn is_cut(&self, a: &str, b: &str) -> bool {
-        self.cut.contains(&(a.into(), b.into())) || self.cut.contains(&(b.into(), a.into()))
+    /// Gives an event to a host and puts what it asks for on the way.
+    pub fn event(&mut self, name: &str, event: Event) {
+        let Some((id, shard)) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let id = id.clone();
+        let mut actions = Vec::new();
+        shard.handle(MonoMs(self.now), event, &mut actions);
+        for action in actions {
+            let message = match action {
+                Action::Store { op, call } => Message::Store(id.clone(), op, call),
+                Action::Command {
+                    op,
+                    name,
+                    epoch,
+                    command,
+                    ..
+                } => Message::Server(id.clone(), op, name, epoch, command),
+                Action::Reply { token, reply } => {
+                    self.replies.push((token, reply));
+                    continue;
+                }
+                Action::Log(notice) => {
+                    self.notices.push(notice);
+                    continue;
+                }
+                other => match to_peer(&id, other) {
+                    Some((to, event)) => Message::Peer(id.clone(), to, event),
+                    None => continue,
+                },
+            };
+            self.queue.push(message);
+        }
     }
 
-    fn send_to_peer(&mut self, from: &HostId, to: &HostId, event: Event) {
-        let is_there = self.hosts.get(&to.name).is_some_and(|(id, _)| id == to);
-        if is_there && !self.is_cut(&from.name, &to.name) {
-            self.queue.push_back((to.name.clone(), event));
-        }
+    pub fn is_cut(&self, a: &str, b: &str) -> bool {
+        self.cut.contains(&(a.into(), b.into())) || self.cut.contains(&(b.into(), a.into()))
     }
 
-    fn perform(&mut self, id: &HostId, action: Action) {
-        let name = id.name.clone();
-        match action {
-            Action::Store { op, call } => {
-                let reply = if self.mode == StoreMode::Unavailable || self.is_cut(&name, "store") {
-                    StoreReply::Unavailable
-                } else {
-                    let is_read = matches!(call, StoreCall::Read { .. });
-                    match self.mode {
-                        StoreMode::LosesCalls if !is_read => StoreReply::Lost,
-                        StoreMode::LosesAnswers if !is_read => {
-                            self.store.call(&call);
-                            StoreReply::Lost
-                        }
-                        _ => self.store.call(&call),
-                    }
-                };
-                self.queue.push_back((name, Event::Store { op, reply }));
+    /// Delivers a message; returns the answer of a call and who gets it.
+    pub fn deliver(&mut self, at: usize) -> Option<(SmolStr, Event)> {
+        match self.queue.remove(at) {
+            Message::Store(from, op, call) => {
+                let is_cut = self.is_cut(&from.name, "store");
+                if is_cut && self.is_silent {
+                    return None;
+                }
+                let reply = self.store_reply(&call, is_cut);
+                Some((from.name, Event::Store { op, reply }))
             }
-            Action::Command {
-                op,
-                name: server,
-                epoch,
-                command,
-                ..
-            } => {
-                let now = self.now;
-                let is_cut = self.is_cut(&name, &server);
+            Message::Server(from, op, server, epoch, command) => {
+                let is_cut = self.is_cut(&from.name, &server);
+                if is_cut && self.is_silent {
+                    return None;
+                }
                 let reply = match self.servers.get_mut(&server) {
-                    Some(backend) if !is_cut => backend.command(now, id, epoch, &command),
+                    Some(backend) if !is_cut => backend.command(self.now, &from, epoch, &command),
                     _ => ServerReply::Lost,
                 };
-                self.queue.push_back((name, Event::Server { op, reply }));
+                Some((from.name, Event::Server { op, reply }))
             }
-            Action::Reply { token, reply } => self.replies.push((token, reply)),
-            Action::Log(notice) => self.notices.push(notice),
-            other => {
-                if let Some((to, event)) = to_peer(id, other) {
-                    self.send_to_peer(id, &to, event);
-                }
+            Message::Peer(from, to, event) => {
+                let is_there = self.hosts.get(&to.name).is_some_and(|(id, _)| *id == to);
+                let arrives = is_there && !self.is_cut(&from.name, &to.name);
+                arrives.then_some((to.name, event))
+            }
+            Message::Answer(to, event) => Some((to, event)),
+        }
+    }
+
+    fn store_reply(&mut self, call: &StoreCall, is_cut: bool) -> StoreReply {
+        if is_cut || self.mode == StoreMode::Unavailable {
+            return StoreReply::Unavailable;
+        }
+        let is_read = matches!(call, StoreCall::Read { .. });
+        match self.mode {
+            StoreMode::LosesCalls if !is_read => StoreReply::Lost,
+            StoreMode::LosesAnswers if !is_read => {
+                self.store.call(call);
+                StoreReply::Lost
             }
+            _ => self.store.call(call),
+        }
+    }
+
+    /// Lets time pass without a tick.
+    pub fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        for backend in self.servers.values_mut() {
+            backend.lapse(self.now);
         }
     }
 
@@ -455,10 +513,7 @@
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
-            self.now += 100;
-            for backend in self.servers.values_mut() {
-                backend.lapse(self.now);
-            }
+            self.pass(100);
             let names: Vec<SmolStr> = self.hosts.keys().cloned().collect();
             for name in names {
                 self.send(&name, Event::Tick);
@@ -557,7 +612,8 @@
         found.map(|(name, _)| name.clone())
     }
 
-    fn check(&self) {
+    /// Fails if a task runs twice.
+    pub fn check(&self) {
         let mut seen = BTreeSet::new();
         for (name, backend) in &self.servers {
             for task in backend.running() {
--- a/crates/core/tests/exhaustive.rs
+++ b/crates/core/tests/exhaustive.rs
@@ -5,13 +5,10 @@
 
 use std::collections::HashMap;
 
-use common::{Backend, Store, config, host, job, server_name, size, task, to_peer};
+use common::{Message, World, job, server_name, size, task};
 use primrosestack_core::ids::stable_hash;
 use primrosestack_core::prelude::*;
-use primrosestack_core::shard::Shard;
-
-/// The first one is preferred by the hash and so owns the shard; the second one is its successor.
-const HOSTS: [&str; 2] = ["a", "c"];
+use smol_str::SmolStr;
 
 /// Clock steps: past a promise, past a confirmation, past a lease with the owner paused.
 const STEPS: [Choice; 3] = [
@@ -29,14 +26,6 @@
 /// Number of transitions, from the start of a scenario, in which faults happen.
 const WINDOW: u32 = 10;
 
-/// A message on its way.
-#[derive(Clone, Debug)]
-enum Message {
-    Store(usize, OpId, StoreCall),
-    Server(usize, OpId, usize, Epoch, ServerCommand),
-    Host(usize, Event),
-}
-
 /// One transition.
 #[derive(Clone, Copy, Debug)]
 enum Choice {
@@ -48,7 +37,8 @@
     Lose(usize),
     Kill(usize),
     Suspect(usize),
-    Evict(usize),
+    /// Latency-critical requests need the room of the task on server 0.
+    Evict,
     /// Time passes, with a tick at the chosen hosts.
     Step(u64, [bool; 2]),
     /// From now on a link loses everything.
@@ -61,7 +51,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Link {
     Store(usize),
-    Server(usize, usize),
+    /// Of a host and server 0.
+    Server(usize),
     Peer,
 }
 
@@ -76,129 +67,66 @@
 
 #[derive(Clone)]
 struct State {
-    now: u64,
-    shards: [Option<Shard>; 2],
-    store: Store,
-    servers: Vec<Backend>,
-    /// Latest command that each server accepted.
-    obeyed: Vec<Option<(Epoch, usize)>>,
-    messages: Vec<Message>,
-    cut: Vec<Link>,
+    world: World,
+    /// The owner at the start, and its designated successor.
+    names: [SmolStr; 2],
     limits: Limits,
 }
 
 impl State {
-    /// Host 0 owns the shard, host 1 is its successor, and the task runs on server 0.
+    /// Two hosts, and a task that runs on server 0.
     fn settled(servers: usize, limits: Limits) -> Self {
-        let now = 1_000;
-        let shards = [0, 1].map(|at| Some(Shard::new(config(&HOSTS), id(at), MonoMs(now))));
-        let mut state = Self {
-            now,
-            shards,
-            store: Store::default(),
-            servers: vec![Backend::default(); servers],
-            obeyed: vec![None; servers],
-            messages: Vec::new(),
-            cut: Vec::new(),
+        let mut world = World::open(&["a", "b"], servers, servers);
+        world.run_until(5_000, "claimed servers", World::is_claimed);
+        world.run(3_000);
+        world.submit(job(1, 1));
+        world.is_silent = true;
+        assert_eq!(world.server_of(task(1, 0)), Some(server_name(0)));
+        let names = [world.owner().expect("owned"), world.successor()];
+        Self {
+            world,
+            names,
             limits,
-        };
-        for at in 0..2 {
-            state.event(at, suspicion(1 - at, false));
-            for server in 0..servers {
-                let event = Event::Listed {
-                    server: server_name(server),
-                    rack: "r".into(),
-                    size: size(2_000),
-                    leaving: false,
-                };
-                state.event(at, event);
-            }
         }
-        state.settle(8);
-        let owner = state
-            .shards
-            .iter()
-            .position(|shard| shard.as_ref().is_some_and(Shard::is_owner));
-        let owner = owner.expect("owned");
-        let token = Token(1);
-        state.event(
-            owner,
-            Event::Submit {
-                token,
-                job: job(1, 1),
-            },
-        );
-        state.settle(4);
-        assert_eq!(owner, 0, "the hash prefers the first host");
-        assert_eq!(state.servers[0].running().count(), 1);
-        state
     }
 
-    fn settle(&mut self, ticks: u32) {
-        for _ in 0..ticks {
-            self.apply(Choice::Step(500, [true; 2]));
-            while !self.messages.is_empty() {
-                self.apply(Choice::Deliver(0));
-            }
-        }
+    /// Whether a host lives and does not suspect the other one.
+    fn trusts(&self, at: usize) -> bool {
+        let shard = self.world.hosts.get(&self.names[at]);
+        shard.is_some_and(|(_, shard)| !shard.suspects(&self.id(1 - at)))
     }
 
-    fn event(&mut self, at: usize, event: Event) {
-        let Some(shard) = &mut self.shards[at] else {
-            return;
-        };
-        let mut actions = Vec::new();
-        shard.handle(MonoMs(self.now), event, &mut actions);
-        for action in actions {
-            self.perform(at, action);
-        }
+    fn is_alive(&self, at: usize) -> bool {
+        self.world.hosts.contains_key(&self.names[at])
     }
 
-    fn perform(&mut self, at: usize, action: Action) {
-        let message = match action {
-            Action::Store { op, call } => Message::Store(at, op, call),
-            Action::Command {
-                op,
-                server,
-                epoch,
-                command,
-                ..
-            } => Message::Server(at, op, server.0 as usize, epoch, command),
-            other => match to_peer(&id(at), other) {
-                Some((_, event)) => Message::Host(1 - at, event),
-                None => return,
-            },
-        };
-        self.messages.push(message);
+    fn id(&self, at: usize) -> HostId {
+        let is_first = self.names[at] == "a";
+        common::host(&self.names[at], if is_first { 1 } else { 2 })
     }
 
     fn choices(&self) -> Vec<Choice> {
         let mut choices = Vec::new();
-        for at in 0..self.messages.len() {
+        for (at, message) in self.world.queue.iter().enumerate() {
             choices.push(Choice::Deliver(at));
             if self.limits.losses > 0 {
                 choices.push(Choice::Lose(at));
             }
-            let is_call = !matches!(self.messages[at], Message::Host(..));
+            let is_call = matches!(message, Message::Store(..) | Message::Server(..));
             if self.limits.holds > 0 && is_call {
                 choices.push(Choice::Hold(at));
             }
         }
         for at in 0..2 {
-            if self.shards[at].is_none() {
-                continue;
-            }
-            if self.limits.deaths > 0 {
+            if self.limits.deaths > 0 && self.is_alive(at) {
                 choices.push(Choice::Kill(at));
             }
-            let other = id(1 - at);
-            let shard = self.shards[at].as_ref();
-            if shard.is_some_and(|shard| !shard.suspects(&other)) {
+            if self.trusts(at) {
                 choices.push(Choice::Suspect(at));
             }
         }
         if self.limits.evictions > 0 {
-            choices.extend((0..self.servers.len()).map(Choice::Evict));
+            choices.push(Choice::Evict);
         }
         choices.extend(STEPS);
         choices
@@ -206,206 +134,145 @@
 
     /// What happens next when nothing goes wrong: the oldest message arrives, or time passes.
     fn expected(&self) -> Choice {
+        if !self.world.queue.is_empty() {
+            return Choice::Deliver(0);
+        }
+        let is_cut = self.world.is_cut(&self.names[0], &self.names[1]);
         for at in 0..2 {
-            let other = id(1 - at);
-            let is_heard = self.shards[1 - at].is_some() && !self.cut.contains(&Link::Peer);
-            let shard = self.shards[at].as_ref();
-            if !is_heard
-                && shard.is_some_and(|shard| !shard.suspects(&other))
-                && self.messages.is_empty()
-            {
+            if self.trusts(at) && (is_cut || !self.is_alive(1 - at)) {
                 return Choice::Suspect(at);
             }
         }
-        if self.messages.is_empty() {
-            return Choice::Step(STEP_MS, [true; 2]);
-        }
-        Choice::Deliver(0)
+        Choice::Step(STEP_MS, [true; 2])
     }
 
     /// What may go wrong at this point.
     fn faults(&self) -> Vec<Choice> {
-        let mut faults = vec![Choice::Evict(0), Choice::Cut(Link::Peer), Choice::Heal];
+        let mut faults = vec![Choice::Evict, Choice::Cut(Link::Peer), Choice::Heal];
         faults.extend(STEPS);
         for at in 0..2 {
             faults.extend([Choice::Kill(at), Choice::Cut(Link::Store(at))]);
-            faults.push(Choice::Cut(Link::Server(at, 0)));
+            faults.push(Choice::Cut(Link::Server(at)));
         }
-        match self.messages.first() {
+        match self.world.queue.first() {
             None => {}
-            Some(Message::Host(..)) => faults.push(Choice::Lose(0)),
+            Some(Message::Peer(..) | Message::Answer(..)) => faults.push(Choice::Lose(0)),
             Some(_) => faults.extend([Choice::Lose(0), Choice::Hold(0)]),
         }
-        if self.messages.len() > 1 {
+        if self.world.queue.len() > 1 {
             faults.push(Choice::Deliver(1));
         }
         faults
     }
 
-    fn is_cut(&self, message: &Message) -> bool {
-        let link = match message {
-            Message::Store(from, ..) => Link::Store(*from),
-            Message::Server(from, _, server, ..) => Link::Server(*from, *server),
-            Message::Host(_, Event::Store { .. } | Event::Server { .. }) => return false,
-            Message::Host(..) => Link::Peer,
-        };
-        self.cut.contains(&link)
-    }
-
     fn apply(&mut self, choice: Choice) {
+        let limits = &mut self.limits;
         match choice {
             Choice::Deliver(at) => {
-                if let Some(answer) = self.deliver(at) {
-                    self.event(answer.0, answer.1);
+                if let Some((to, event)) = self.world.deliver(at) {
+                    self.world.event(&to, event);
                 }
             }
             Choice::Hold(at) => {
-                self.limits.holds = self.limits.holds.saturating_sub(1);
-                if let Some((to, event)) = self.deliver(at) {
-                    self.messages.push(Message::Host(to, event));
+                limits.holds = limits.holds.saturating_sub(1);
+                if let Some((to, event)) = self.world.deliver(at) {
+                    self.world.queue.push(Message::Answer(to, event));
                 }
             }
             Choice::Lose(at) => {
-                self.limits.losses = self.limits.losses.saturating_sub(1);
-                self.messages.remove(at);
+                limits.losses = limits.losses.saturating_sub(1);
+                self.world.queue.remove(at);
             }
             Choice::Kill(at) => {
-                self.limits.deaths = self.limits.deaths.saturating_sub(1);
-                self.shards[at] = None;
+                limits.deaths = limits.deaths.saturating_sub(1);
+                self.world.hosts.remove(&self.names[at]);
             }
-            Choice::Cut(link) => self.cut.push(link),
-            Choice::Heal => {
-                self.cut.clear();
-                for at in 0..2 {
-                    if self.shards[1 - at].is_some() {
-                        self.event(at, suspicion(1 - at, false));
-                    }
-                }
+            Choice::Evict => {
+                limits.evictions = limits.evictions.saturating_sub(1);
+                let event = Event::Pressure {
+                    server: server_name(0),
+                    need: size(1_000),
+                };
+                self.both([true; 2], &event);
+            }
+            Choice::Suspect(at) => self.hear(at, true),
+            Choice::Cut(link) => {
+                let [owner, successor] = self.names.clone();
+                let link = match link {
+                    Link::Store(at) => (self.names[at].clone(), "store".into()),
+                    Link::Server(at) => (self.names[at].clone(), server_name(0)),
+                    Link::Peer => (owner, successor),
+                };
+                self.world.cut.insert(link);
             }
-            Choice::Suspect(at) => self.event(at, suspicion(1 - at, true)),
-            Choice::Evict(server) => {
-                self.limits.evictions = self.limits.evictions.saturating_sub(1);
-                for at in 0..2 {
-                    let server = server_name(server);
-                    let need = size(1_000);
-                    self.event(at, Event::Pressure { server, need });
+            Choice::Heal => {
+                self.world.cut.clear();
+                for at in (0..2)
+                    .filter(|at| self.is_alive(1 - *at))
+                    .collect::<Vec<_>>()
+                {
+                    self.hear(at, false);
                 }
             }
             Choice::Step(ms, ticks) => {
-                self.now += ms;
-                for server in &mut self.servers {
-                    server.lapse(self.now);
-                }
-                for at in (0..2).filter(|at| ticks[*at]) {
-                    self.event(at, Event::Tick);
-                }
+                self.world.pass(ms);
+                self.both(ticks, &Event::Tick);
             }
         }
     }
 
-    /// Delivers a message and returns the answer of a call.
-    fn deliver(&mut self, at: usize) -> Option<(usize, Event)> {
-        if self.is_cut(&self.messages[at]) {
-            self.messages.remove(at);
-            return None;
-        }
-        match self.messages.remove(at) {
-            Message::Store(from, op, call) => {
-                let reply = self.store.call(&call);
-                Some((from, Event::Store { op, reply }))
-            }
-            Message::Server(from, op, server, epoch, command) => {
-                let owner = id(from);
-                let reply = self.servers[server].command(self.now, &owner, epoch, &command);
-                if !matches!(reply, ServerReply::Fenced { .. }) {
-                    self.obey(server, epoch, from);
-                }
-                Some((from, Event::Server { op, reply }))
-            }
-            Message::Host(to, event) => {
-                self.event(to, event);
-                None
-            }
-        }
+    fn hear(&mut self, at: usize, suspected: bool) {
+        let host = self.id(1 - at);
+        let event = Event::Suspicion { host, suspected };
+        self.world.event(&self.names[at], event);
     }
 
-    /// A server obeys one owner at a time: epochs never fall, and an epoch belongs to one owner.
-    fn obey(&mut self, server: usize, epoch: Epoch, from: usize) {
-        if let Some((last, owner)) = self.obeyed[server] {
-            assert!(
-                epoch >= last,
-                "server {server} went back from {last:?} to {epoch:?}"
-            );
-            assert!(
-                epoch > last || owner == from,
-                "two owners commanded server {server} under {epoch:?}"
-            );
+    fn both(&mut self, which: [bool; 2], event: &Event) {
+        for at in (0..2).filter(|at| which[*at]) {
+            self.world.event(&self.names[at], event.clone());
         }
-        self.obeyed[server] = Some((epoch, from));
     }
 
     fn check(&self) {
-        let running: usize = self
-            .servers
-            .iter()
-            .map(|server| server.running().count())
-            .sum();
-        assert!(running <= 1, "{:?} runs {running} times", task(1, 0));
-        let epochs = self.shards.iter().flatten().filter_map(Shard::epoch);
-        let epochs: Vec<Epoch> = epochs.collect();
-        assert!(
-            epochs.len() < 2 || epochs[0] != epochs[1],
-            "two hosts command under {:?}",
-            epochs[0]
-        );
+        self.world.check();
+        let shards = self.world.hosts.values();
+        let epochs: Vec<Epoch> = shards.filter_map(|(_, shard)| shard.epoch()).collect();
+        let differ = epochs.len() < 2 || epochs[0] != epochs[1];
+        assert!(differ, "two hosts command under {epochs:?}");
     }
 
     /// After a run that ended with all links healed, the task runs, and from the committed checkpoint if there is one.
     fn check_settled(&self) {
-        let Some(owner) = self.shards.iter().flatten().find(|shard| shard.is_owner()) else {
-            assert!(
-                self.shards.iter().all(Option::is_none),
-                "nobody owns the shard"
-            );
+        let mut shards = self.world.hosts.values();
+        let Some((_, owner)) = shards.find(|(_, shard)| shard.is_owner()) else {
+            assert!(self.world.hosts.is_empty(), "nobody owns the shard");
             return;
         };
-        let attempts = self.servers.iter().flat_map(|server| &server.attempts);
-        let mut running = attempts.filter(|(_, attempted)| attempted.state == TaskState::Running);
-        let (attempt, attempted) = running.next().expect("the task runs in the end");
+        let servers = self.world.servers.values();
+        let mut attempts = servers.flat_map(|server| &server.attempts);
+        let running = attempts.find(|(_, attempted)| attempted.state == TaskState::Running);
+        let (attempt, attempted) = running.expect("the task runs in the end");
         let committed = owner.task(task(1, 0)).expect("open").checkpoint;
         let own = format!("c{}.{}", attempt.term, attempt.counter);
         if committed.as_deref() != Some(own.as_str()) {
-            assert_eq!(
-                attempted.resumed_from, committed,
-                "resumed from the committed checkpoint"
-            );
+            assert_eq!(attempted.resumed_from, committed);
         }
     }
 
     /// A hash of everything that decides what can follow.
     fn fingerprint(&self) -> u64 {
-        let world = (
-            self.now,
-            &self.store.revision,
-            &self.servers,
-            &self.messages,
+        let world = &self.world;
+        let outside = (
+            world.now,
+            world.store.revision,
+            &world.servers,
+            &world.queue,
         );
-        let text = format!("{world:?}{:?}{:?}", self.shards, self.limits);
+        let text = format!("{outside:?}{:?}{:?}", world.hosts, self.limits);
         stable_hash(text.as_bytes(), 0)
     }
 }
 
-fn id(at: usize) -> HostId {
-    host(HOSTS[at], at as u64 + 1)
-}
-
-fn suspicion(of: usize, suspected: bool) -> Event {
-    Event::Suspicion {
-        host: id(of),
-        suspected,
-    }
-}
-
 /// Follows continuations of a state.
 #[derive(Default)]
 struct Explorer {
@@ -472,8 +339,8 @@
     }
 
     fn follow(&mut self, state: &mut State, ms: u64) {
-        let end = state.now + ms;
-        while state.now < end {
+        let end = state.world.now + ms;
+        while state.world.now < end {
             let expected = state.expected();
             self.go(state, expected);
         }
@@ -533,20 +400,12 @@
     use Choice::{Cut, Kill};
     let scenarios: [&[Choice]; 7] = [
         &[],
-        &[Choice::Evict(0)],
+        &[Choice::Evict],
         &[Kill(0)],
-        &[Kill(0), Cut(Link::Server(1, 0))],
+        &[Kill(0), Cut(Link::Server(1))],
         &[Cut(Link::Store(0)), Cut(Link::Store(1))],
-        &[
-            Cut(Link::Peer),
-            Cut(Link::Store(1)),
-            Cut(Link::Server(0, 0)),
-        ],
-        &[
-            Cut(Link::Peer),
-            Cut(Link::Store(0)),
-            Cut(Link::Server(1, 0)),
-        ],
+        &[Cut(Link::Peer), Cut(Link::Store(1)), Cut(Link::Server(0))],
+        &[Cut(Link::Peer), Cut(Link::Store(0)), Cut(Link::Server(1))],
     ];
     for scenario in scenarios {
         let mut state = State::settled(2, Limits::default());
