--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cells;
 pub mod commit;
 pub mod dispatch;
+pub mod division;
 pub mod documents;
 pub mod event;
 pub mod eviction;
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -53,6 +53,11 @@
     }
 }
 
+pub fn accepted(id: u64, new: bool) -> TokenReply {
+    let job = JobId(id);
+    TokenReply::Accepted { job, new }
+}
+
 pub fn task(job: u64, index: u32) -> TaskId {
     TaskId {
         job: JobId(job),
@@ -91,22 +96,22 @@
                 }
                 self.writes += 1;
                 self.largest = self.largest.max(value.len());
-                self.revision += 1;
-                self.values
-                    .insert(key.clone(), (self.revision, value.clone()));
-                StoreReply::Written {
-                    revision: Revision(self.revision),
-                }
+                let value = (self.revision + 1, value.clone());
+                self.values.insert(key.clone(), value);
+                self.written()
             }
             StoreCall::Delete { key } => {
                 self.values.remove(key);
-                self.revision += 1;
-                StoreReply::Written {
-                    revision: Revision(self.revision),
-                }
+                self.written()
             }
         }
     }
+
+    fn written(&mut self) -> StoreReply {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        StoreReply::Written { revision }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -185,9 +190,8 @@
         self.lapse(now);
         let is_other = epoch == self.highest && self.owner.as_ref().is_some_and(|o| o != owner);
         if epoch < self.highest || is_other {
-            return ServerReply::Fenced {
-                highest: self.highest,
-            };
+            let highest = self.highest;
+            return ServerReply::Fenced { highest };
         }
         self.highest = epoch;
         self.owner = Some(owner.clone());
@@ -339,35 +343,16 @@
             notices: Vec::new(),
             queue: Vec::new(),
         };
-        for (at, name) in hosts.iter().enumerate() {
-            let id = host(name, at as u64 + 1);
-            let shard = Shard::new(config(hosts), id.clone(), MonoMs(world.now));
-            world.hosts.insert(id.name.clone(), (id, shard));
+        for (name, incarnation) in hosts.iter().zip(1..) {
+            world.start_host(name, incarnation, hosts);
         }
         for at in 0..servers {
             world.servers.insert(server_name(at), Backend::default());
-        }
-        for name in hosts {
-            world.introduce(name);
-        }
-        for at in 0..servers {
             world.list(at, rack, 8_000, false);
         }
         world
     }
 
-    fn introduce(&mut self, name: &str) {
-        let id = self.hosts[name].0.clone();
-        for (peer, other) in self.peers(name) {
-            let heard = |host: &HostId| Event::Suspicion {
-                host: host.clone(),
-                suspected: false,
-            };
-            self.send(&peer, heard(&id));
-            self.send(name, heard(&other));
-        }
-    }
-
     fn peers(&self, name: &str) -> Vec<(SmolStr, HostId)> {
         let peers = self.hosts.iter().filter(|(peer, _)| *peer != name);
         peers
@@ -557,8 +542,13 @@
     pub fn start_host(&mut self, name: &str, incarnation: u64, hosts: &[&str]) {
         let id = host(name, incarnation);
         let shard = Shard::new(config(hosts), id.clone(), MonoMs(self.now));
-        self.hosts.insert(id.name.clone(), (id, shard));
-        self.introduce(name);
+        self.hosts.insert(id.name.clone(), (id.clone(), shard));
+        let suspected = false;
+        for (peer, host) in self.peers(name) {
+            self.send(name, Event::Suspicion { host, suspected });
+            let host = id.clone();
+            self.send(&peer, Event::Suspicion { host, suspected });
+        }
     }
 
     pub fn submit(&mut self, spec: JobSpec) -> TokenReply {
@@ -579,6 +569,13 @@
         owner
     }
 
+    /// Latency-critical requests need the room of a task of 1,000 millicores.
+    pub fn press(&mut self, server: &SmolStr) {
+        let (owner, server) = (self.owner().expect("owned"), server.clone());
+        let need = size(1_000);
+        self.send(&owner, Event::Pressure { server, need });
+    }
+
     pub fn reply(&self, token: Token) -> Option<TokenReply> {
         let found = self.replies.iter().find(|(waiting, _)| *waiting == token);
         found.map(|(_, reply)| reply.clone())
@@ -680,11 +677,9 @@
         }
     }
 
-    pub fn attempts_of(&self, id: TaskId) -> Vec<Attempt> {
-        let attempts = self.servers.values().flat_map(|backend| &backend.attempts);
-        attempts
-            .filter(|(_, attempted)| attempted.task == id)
-            .map(|(attempt, _)| *attempt)
-            .collect()
+    pub fn all_attempts(&self) -> Vec<Attempt> {
+        let servers = self.servers.values();
+        let attempts = servers.flat_map(|server| server.attempts.keys());
+        attempts.copied().collect()
     }
 }
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -14,12 +14,7 @@
 #[test]
 fn acquires_and_runs_a_job() {
     let mut world = opened(2, 2);
-    let reply = world.submit(job(1, 3));
-    let accepted = TokenReply::Accepted {
-        job: JobId(1),
-        new: true,
-    };
-    assert_eq!(reply, accepted);
+    assert_eq!(world.submit(job(1, 3)), accepted(1, true));
     world.run(60_000);
     assert_eq!(world.running_total(), 3, "leases are renewed");
     for index in 0..3 {
@@ -41,8 +36,7 @@
 fn accepts_a_job_once() {
     let mut world = opened(1, 1);
     world.submit(job(1, 1));
-    let again = world.submit(job(1, 1));
-    assert!(matches!(again, TokenReply::Accepted { new: false, .. }));
+    assert_eq!(world.submit(job(1, 1)), accepted(1, false));
     world.run(1_000);
     assert_eq!(world.running_total(), 1);
     world.end(task(1, 0), &TaskState::Succeeded);
@@ -150,13 +144,11 @@
     world.submit(job(1, 1));
     world.run(3_000);
     let server = world.server_of(task(1, 0)).expect("runs");
-    let first = world.attempts_of(task(1, 0));
-    let owner = world.owner().expect("owned");
-    let need = size(1_000);
-    world.send(&owner, Event::Pressure { server, need });
+    let first = world.all_attempts();
+    world.press(&server);
     world.run(6_000);
     assert_eq!(world.running(task(1, 0)), 1);
-    let attempts = world.attempts_of(task(1, 0));
+    let attempts = world.all_attempts();
     assert_eq!(attempts.len(), 1, "resumed once: {attempts:?}");
     assert!(attempts[0] > first[0]);
     let mut backends = world.servers.values();
@@ -175,13 +167,10 @@
     world.run(3_000);
     world.mode = StoreMode::Unavailable;
     world.run(5_000);
-    let attempts = world.attempts_of(task(1, 0));
-    let owner = world.owner().expect("owned");
-    let server = server_name(0);
-    let need = size(1_000);
-    world.send(&owner, Event::Pressure { server, need });
+    let attempts = world.all_attempts();
+    world.press(&server_name(0));
     world.run(20_000);
-    assert_eq!(world.attempts_of(task(1, 0)), attempts);
+    assert_eq!(world.all_attempts(), attempts);
     assert_eq!(world.running(task(1, 0)), 1);
 }
 
@@ -278,11 +267,7 @@
     assert_eq!(world.running_total(), if is_done { 2 } else { 0 });
     world.mode = StoreMode::Up;
     world.run(4_000);
-    let accepted = Some(TokenReply::Accepted {
-        job: JobId(1),
-        new: true,
-    });
-    assert_eq!(world.reply(token), accepted);
+    assert_eq!(world.reply(token), Some(accepted(1, true)));
     world.kill(&owner);
     world.run_until(6_000, "a new owner", World::is_claimed);
     assert!(world.owner_shard().job(JobId(1)).is_some(), "committed");
@@ -335,10 +320,7 @@
     world.mode = StoreMode::Up;
     world.run(12_000);
     assert!(world.owner_shard().job(JobId(2)).is_none());
-    assert!(matches!(
-        world.submit(job(2, 1)),
-        TokenReply::Accepted { new: true, .. }
-    ));
+    assert_eq!(world.submit(job(2, 1)), accepted(2, true));
 }
 
 /// Guards against a server that fails everything and goes on to draw work, and against one that never returns.
@@ -403,3 +385,22 @@
     let key = world.owner_shard().server_key(&server).expect("known");
     assert_eq!(world.owner_shard().may_send(key, MonoMs(world.now)), None);
 }
+
+/// Guards against a job that waits for ever because the servers that could hold it have shrunk.
+#[test]
+fn parks_a_job_that_no_server_can_hold_any_more() {
+    let mut world = opened(1, 1);
+    world.submit(JobSpec {
+        size: size(6_000),
+        ..job(1, 2)
+    });
+    let state = |world: &World| world.owner_shard().job(JobId(1)).map(|job| job.state);
+    world.list(0, 1, 4_000, false);
+    world.run(1_000);
+    assert_eq!(state(&world), Some(JobState::Parked(ParkReason::TooLarge)));
+    world.end(task(1, 0), &TaskState::Succeeded);
+    world.list(0, 1, 8_000, false);
+    world.run(6_000);
+    assert_eq!(state(&world), Some(JobState::Active));
+    assert_eq!(world.running(task(1, 1)), 1);
+}
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -15,18 +15,11 @@
     world
 }
 
-fn all_attempts(world: &World) -> Vec<Attempt> {
-    let servers = world.servers.values();
-    servers
-        .flat_map(|server| server.attempts.keys().copied())
-        .collect()
-}
-
 /// Guards against a takeover that takes longer than 3 s, disturbs running tasks or forgets them.
 #[test]
 fn the_successor_takes_over_running_tasks() {
     let mut world = with_job(2, 2, 6);
-    let attempts = all_attempts(&world);
+    let attempts = world.all_attempts();
     let owner = world.owner().expect("owned");
     let successor = world.successor();
     world.kill(&owner);
@@ -37,11 +30,8 @@
     );
     assert_eq!(world.owner(), Some(successor));
     world.run(30_000);
-    assert_eq!(all_attempts(&world), attempts, "no task was restarted");
-    assert!(matches!(
-        world.submit(job(2, 1)),
-        TokenReply::Accepted { new: true, .. }
-    ));
+    assert_eq!(world.all_attempts(), attempts, "no task was restarted");
+    assert_eq!(world.submit(job(2, 1)), accepted(2, true));
 }
 
 /// Guards against a restart, after a takeover, of a task that may be running on a server that does not answer, and
@@ -114,7 +104,7 @@
 #[test]
 fn rank_1_keeps_tasks_alive_while_the_store_is_down() {
     let mut world = with_job(2, 2, 6);
-    let attempts = all_attempts(&world);
+    let attempts = world.all_attempts();
     let owner = world.owner().expect("owned");
     let successor = world.successor();
     world.mode = StoreMode::Unavailable;
@@ -132,7 +122,7 @@
     let epoch = world.shard(&successor).epoch().expect("commands");
     assert_eq!(epoch.rank, 1);
     world.run(60_000);
-    assert_eq!(all_attempts(&world), attempts);
+    assert_eq!(world.all_attempts(), attempts);
     assert_eq!(world.running_total(), 6);
     world.mode = StoreMode::Up;
     world.run_until(13_000, "a term of its own", |world| {
@@ -140,7 +130,7 @@
     });
     assert!(world.owner_shard().epoch().expect("commands").term > epoch.term);
     world.run(30_000);
-    assert_eq!(all_attempts(&world), attempts);
+    assert_eq!(world.all_attempts(), attempts);
 }
 
 /// Guards against an owner that goes on where a server obeys rank 1, instead of raising its term.
@@ -149,7 +139,7 @@
     let mut world = with_job(2, 2, 4);
     let owner = world.owner().expect("owned");
     let successor = world.successor();
-    let attempts = all_attempts(&world);
+    let attempts = world.all_attempts();
     let term = world.owner_shard().term();
     // The successor reaches the servers but neither the store nor the owner.
     world.cut_off(&successor, "store");
@@ -162,7 +152,7 @@
     });
     world.run(20_000);
     assert_eq!(world.owner(), Some(owner));
-    assert_eq!(all_attempts(&world), attempts);
+    assert_eq!(world.all_attempts(), attempts);
     assert_eq!(world.running_total(), 4);
     assert!(world.is_claimed());
 }
@@ -236,7 +226,7 @@
 #[test]
 fn shutdown_hands_the_shard_over() {
     let mut world = with_job(2, 2, 4);
-    let attempts = all_attempts(&world);
+    let attempts = world.all_attempts();
     let owner = world.owner().expect("owned");
     let successor = world.successor();
     world.send(&owner, Event::Shutdown);
@@ -258,7 +248,7 @@
     assert_eq!(world.owner(), Some(successor));
     world.hosts.remove(&owner);
     world.run(30_000);
-    assert_eq!(all_attempts(&world), attempts);
+    assert_eq!(world.all_attempts(), attempts);
 }
 
 /// Guards against a stop without the store that never ends or stops the tasks.
@@ -303,7 +293,7 @@
 #[test]
 fn a_preferred_host_gets_its_shard_back() {
     let mut world = with_job(2, 2, 4);
-    let attempts = all_attempts(&world);
+    let attempts = world.all_attempts();
     let owner = world.owner().expect("owned");
     world.kill(&owner);
     world.run_until(1_500, "claimed servers", World::is_claimed);
@@ -313,14 +303,14 @@
     }
     world.run(130_000);
     assert_eq!(world.owner(), Some(owner));
-    assert_eq!(all_attempts(&world), attempts);
+    assert_eq!(world.all_attempts(), attempts);
 }
 
 /// Guards against an owner that was paused past its leases and goes on commanding servers or commits afterwards.
 #[test]
 fn a_paused_owner_is_fenced_and_steps_down() {
     let mut world = with_job(2, 2, 4);
-    let attempts = all_attempts(&world);
+    let attempts = world.all_attempts();
     let owner = world.owner().expect("owned");
     let paused = world.hosts.remove(&owner).expect("lives");
     world.run(1_500);
@@ -345,5 +335,5 @@
     ));
     assert_eq!(world.owner(), successor);
     assert!(world.owner_shard().job(JobId(9)).is_none());
-    assert_eq!(all_attempts(&world), attempts);
+    assert_eq!(world.all_attempts(), attempts);
 }
--- a/crates/core/tests/units.rs
+++ b/crates/core/tests/units.rs
@@ -1,6 +1,7 @@
 //! Lease arithmetic, store budget, keys and the fixed division of work, one module at a time.
 
 use primrosestack_core::budget::{BACKOFF_MAX_MS, BACKOFF_MIN_MS, Backoff, Bucket, StoreBudget};
+use primrosestack_core::division::{shard_of_job, shard_of_key, shard_of_rack};
 use primrosestack_core::keys::{ANSWERS_MAX_BYTES, Keys};
 use primrosestack_core::lease::{
     Authority, CONFIRM_MS, Grant, LEASE_MS, PROMISE_MS, lease_ended, release_ended, takeover_ended,
@@ -25,6 +26,11 @@
     assert_eq!(release_ended(at, DRIFT_PPM), MonoMs(1_000 + 1_530 + 10_200));
 }
 
+/// A length on a clock that is fast by `ppm`, in real microseconds.
+fn real(local_ms: u64, ppm: i64) -> i128 {
+    i128::from(local_ms) * 1_000_000_000 / i128::from(1_000_000 + ppm)
+}
+
 /// The same cases in every run.
 fn fixed() -> ProptestConfig {
     ProptestConfig {
@@ -46,8 +52,6 @@
         new_ppm in -5_000_i64..=5_000,
         answered_after in 0_u64..5_000,
     ) {
-        // Lengths on a local clock, in real microseconds.
-        let real = |local_ms: u64, ppm: i64| i128::from(local_ms) * 1_000_000_000 / i128::from(1_000_000 + ppm);
         let renewed = real(CONFIRM_MS, old_ppm);
         let lapsed = renewed + real(LEASE_MS, server_ppm);
         let wait_ms = takeover_ended(MonoMs(0), DRIFT_PPM).0;
@@ -61,7 +65,6 @@
         let mut grant = Grant::default();
         grant.give(MonoMs(0), 3, DRIFT_PPM);
         let until = grant.lapses(3).expect("given").0;
-        let real = |local_ms: u64, ppm: i64| i128::from(local_ms) * 1_000_000_000 / i128::from(1_000_000 + ppm);
         prop_assert!(real(PROMISE_MS, owner_ppm) <= real(until, successor_ppm));
     }
 
@@ -172,3 +175,19 @@
     println!("{task} bytes per task, {attempt} in the server's list, {resume} for a checkpoint");
     assert!(task + attempt + resume <= 256);
 }
+
+/// Guards against shards that get no racks or all of them, and against a division that depends on the process.
+#[test]
+fn racks_are_spread_over_the_shards() {
+    let mut racks = [0; 9];
+    for rack in 0..900 {
+        racks[shard_of_rack(&format!("rack-{rack}"), 9) as usize] += 1;
+    }
+    assert!(
+        racks.iter().all(|count| (70..=130).contains(count)),
+        "{racks:?}"
+    );
+    assert_eq!(shard_of_rack("rack-0", 9), shard_of_rack("rack-0", 9));
+    assert_eq!(shard_of_rack("rack-0", 0), 0);
+    assert!(shard_of_job(JobId(1), 9) < 9 && shard_of_key(RequestKey(1), 9) < 9);
+}
