--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,11 +4,11 @@
 //! socket, takes a lock or draws a random number, so tests, replay and fuzzing drive exactly the code that ships.
 
 pub mod admission;
+pub mod attempts;
 pub mod budget;
 pub mod capacity;
 pub mod cells;
 pub mod commit;
-pub mod dispatch;
 pub mod division;
 pub mod documents;
 pub mod event;
