--- a/examples/capacity.rs
+++ b/examples/capacity/shell.rs
@@ -1,37 +1,28 @@
-//! Measures the slopes of `docs/CAPACITY.md`.
-//!
-//! `cargo run --release --example capacity` measures all; a word after `--` selects the slopes whose names contain it.
-//! To add a slope, write a function that returns a [`Slope`] and name it in [`MEASURES`].
+//! Slopes of the services.
 
 use std::hint::black_box;
-use std::time::Instant;
 
 use primrosestack::burn::{BYTES_PER_SERVICE, Burn};
-use primrosestack::logs::{self, Line};
+use primrosestack::document::Document;
+use primrosestack::logs::Line;
 use primrosestack::metrics::{Metrics, Outcome, RequestRecord, TEAM_LIMIT};
 use primrosestack_core::event::{Report, ServerCommand, ServerReply, TaskReport, TaskState};
 use primrosestack_core::ids::{Attempt, Epoch, HostId, JobId, Stamp, TaskId};
 use primrosestack_core::prelude::Resources;
 use primrosestack_core::time::{DurationMs, MonoMs};
 
-type Failure = Box<dyn std::error::Error>;
+use crate::{Failure, Measure, Slope, growth, json_bytes, resident_bytes, time_ns};
 
-/// One measured figure.
-struct Slope {
-    value: f64,
-    unit: &'static str,
-    /// What was repeated, so that the figure can be judged.
-    basis: String,
-}
-
-/// Name in the table of `docs/CAPACITY.md`, and the function that measures it.
-type Measure = (&'static str, fn() -> Result<Slope, Failure>);
-
-/// Memory comes first, since measurements of time leave freed pages behind, which growth would then reuse.
-const MEASURES: [Measure; 14] = [
+/// Slopes of memory.
+pub const MEMORY: [Measure; 4] = [
     ("process_bytes_at_start", process_bytes),
     ("burn_bytes_per_service", burn_bytes),
     ("metrics_bytes_per_team", metrics_bytes),
+    ("parsed_document_bytes", parsed_document_bytes),
+];
+
+/// Slopes of time and of messages.
+pub const OTHERS: [Measure; 12] = [
     ("burn_ns_per_request", burn_time),
     ("burn_json_bytes_per_service", burn_json_bytes),
     ("log_ns_per_line", log_time),
@@ -42,66 +33,10 @@
     ("renew_json_bytes_per_task", renew_per_task),
     ("report_json_bytes_base", report_base),
     ("report_json_bytes_per_task", report_per_task),
+    ("report_parse_ns_per_task", report_parse_time),
     ("start_json_bytes", start_bytes),
 ];
 
-fn main() -> Result<(), Failure> {
-    let wanted = std::env::args().nth(1).unwrap_or_default();
-    logs::open_to("info", std::io::sink())?;
-    println!("{:<30} {:>12}  {:<16} basis", "slope", "value", "unit");
-    for (name, measure) in MEASURES {
-        if !name.contains(&wanted) {
-            continue;
-        }
-        let slope = measure()?;
-        let Slope { value, unit, basis } = slope;
-        println!("{name:<30} {value:>12.1}  {unit:<16} {basis}");
-    }
-    Ok(())
-}
-
-/// Mean time of one call in nanoseconds, best of five rounds, which leaves out interruptions.
-fn time_ns(calls: u32, mut call: impl FnMut(u32)) -> Result<Slope, Failure> {
-    if calls == 0 {
-        return Err("no calls to measure".into());
-    }
-    let mut best = f64::INFINITY;
-    for _ in 0..5 {
-        let start = Instant::now();
-        for number in 0..calls {
-            call(number);
-        }
-        let round = start.elapsed().as_secs_f64() * 1e9 / f64::from(calls);
-        best = best.min(round);
-    }
-    Ok(Slope {
-        value: best,
-        unit: "ns",
-        basis: format!("best of 5 rounds of {calls}"),
-    })
-}
-
-/// Resident memory of this process in bytes, from `/proc/self/statm`.
-fn resident_bytes() -> Result<f64, Failure> {
-    let text = std::fs::read_to_string("/proc/self/statm")?;
-    let pages = text.split(' ').nth(1).ok_or("statm has no second field")?;
-    Ok(pages.parse::<f64>()? * 4_096.0)
-}
-
-/// Growth of resident memory while `fill` builds and keeps `count` elements, per element.
-fn growth<T>(count: u32, fill: impl FnOnce() -> Result<T, Failure>) -> Result<Slope, Failure> {
-    let before = resident_bytes()?;
-    let kept = fill()?;
-    let after = resident_bytes()?;
-    // Freed pages would be reused by a later measurement, whose growth would then be too small.
-    std::mem::forget(black_box(kept));
-    Ok(Slope {
-        value: (after - before) / f64::from(count),
-        unit: "bytes",
-        basis: format!("resident growth over {count}"),
-    })
-}
-
 fn process_bytes() -> Result<Slope, Failure> {
     Ok(Slope {
         value: resident_bytes()?,
@@ -269,15 +204,6 @@
     json_bytes(&envelope)
 }
 
-fn json_bytes(value: &impl serde::Serialize) -> Result<Slope, Failure> {
-    let bytes = serde_json::to_vec(value)?.len();
-    Ok(Slope {
-        value: f64::from(u32::try_from(bytes)?),
-        unit: "bytes",
-        basis: "body only, without HTTP headers".to_owned(),
-    })
-}
-
 fn renew(tasks: u32) -> Result<Slope, Failure> {
     command_bytes(&ServerCommand::Renew {
         stamp: Stamp(UP_MS),
@@ -288,6 +214,10 @@
 }
 
 fn report(tasks: u32) -> Result<Slope, Failure> {
+    json_bytes(&report_of(tasks))
+}
+
+fn report_of(tasks: u32) -> ServerReply {
     let one = |index| TaskReport {
         task: task(index),
         attempt: attempt(u64::from(index)),
@@ -296,12 +226,22 @@
         used: size(),
         slowdown_permille: 1_050,
     };
-    json_bytes(&ServerReply::Report(Report {
+    ServerReply::Report(Report {
         stamp: Stamp(UP_MS),
         boot_id: 0x9e37_79b9_7f4a_7c15,
         tasks: (0..tasks).map(one).collect(),
         request_slowdown_permille: 1_020,
-    }))
+    })
+}
+
+fn report_parse_time() -> Result<Slope, Failure> {
+    let text = serde_json::to_vec(&report_of(20))?;
+    let mut slope = time_ns(20_000, |_| {
+        black_box(serde_json::from_slice::<ServerReply>(&text).ok());
+    })?;
+    slope.value /= 20.0;
+    slope.basis.push_str(" reports of 20 tasks");
+    Ok(slope)
 }
 
 /// Bytes per task over 20 tasks, the mean of a server at the design size.
@@ -340,3 +280,14 @@
         resume: None,
     })
 }
+
+fn parsed_document_bytes() -> Result<Slope, Failure> {
+    let text = include_str!("../documents/fichaluz.jsonc");
+    let mut slope = growth(5_000, || {
+        let read = |_| Document::read(text).map_err(|_| "the example document has faults".into());
+        (0..5_000).map(read).collect::<Result<Vec<_>, Failure>>()
+    })?;
+    let basis = format!("{}, without the text of {} bytes", slope.basis, text.len());
+    slope.basis = basis;
+    Ok(slope)
+}
