--- a/examples/capacity/shell.rs
+++ b/examples/capacity/shell.rs
@@ -231,6 +231,7 @@
         boot_id: 0x9e37_79b9_7f4a_7c15,
         tasks: (0..tasks).map(one).collect(),
         request_slowdown_permille: 1_020,
+        requests_running: 0,
     })
 }
 
