--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -160,6 +160,14 @@
     if summary.rows.iter().any(is_marked) {
         text.push_str("* a host began counting within the window; older requests are missing\n");
     }
+    let mut from = format!("data from {} entry hosts:", summary.answered.len());
+    for host in &summary.answered {
+        put(
+            &mut from,
+            format_args!(" {} ({})", host.name, host.failure_domain),
+        );
+    }
+    put(&mut text, format_args!("{from}\n"));
     for note in &summary.notes {
         put(&mut text, format_args!("note: {note}\n"));
     }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -12,16 +12,18 @@
 /// Log target of this program; lines of libraries have other targets and are dropped, since they are not `key=value`.
 const TARGET: &str = "primrosestack";
 
-/// Notices of the core that need an operator's attention, sorted.
-const WARNINGS: [&str; 8] = [
-    "authority_lost",
-    "commit_conflict",
-    "deposed",
-    "fenced",
-    "parked",
-    "quarantined",
-    "server_lost",
-    "unresolved",
+/// Notices of the core about faults that the program cannot handle itself, sorted.
+pub const ERRORS: [&str; 3] = ["authority_lost", "head_reverted", "head_unreadable"];
+
+/// Notices of the core about something unusual that the program handles, sorted.
+pub const WARNINGS: [&str; 7] = [
+    "handover_failed",
+    "journal_unreadable",
+    "rank_1_begun",
+    "server_lapsed",
+    "server_quarantined",
+    "stray_attempt",
+    "superseded",
 ];
 
 /// Why logging could not be opened.
@@ -198,6 +200,9 @@
 /// Level at which a notice of the core is written.
 #[must_use]
 pub fn notice_level(notice: &Notice) -> Level {
+    if ERRORS.binary_search(&notice.event).is_ok() {
+        return Level::Error;
+    }
     if WARNINGS.binary_search(&notice.event).is_ok() {
         return Level::Warn;
     }
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -195,6 +195,7 @@
     ];
     assert_eq!(summary.missing, expected);
     assert_eq!(exit_code(&summary), EXIT_PARTIAL);
+    assert!(table(&summary).contains("data from 1 entry hosts: fe-1 (poa)\n"));
     let page = burn_html::render(&summary, "now");
     for sentence in expected {
         assert!(table(&summary).contains(sentence), "{sentence}");
