--- a/examples/capacity/core.rs
+++ b/examples/capacity/core.rs
@@ -5,7 +5,9 @@
 
 use primrosestack_core::digest::Document;
 use primrosestack_core::documents::Documents;
+use primrosestack_core::event::JobSpec;
 use primrosestack_core::ids::{JobId, ServerKey, TaskId};
+use primrosestack_core::journal::{self, Accepted, CellRun, Ended, Entry, ServerEntry};
 use primrosestack_core::peer_frame::{self, Body, DocumentDigest, Heartbeat, Promise, ShardClaim};
 use primrosestack_core::placement::{CellKey, Objective, Scheduler, TaskRequest, TaskUsage};
 use primrosestack_core::prelude::Resources;
@@ -23,10 +25,13 @@
 ];
 
 /// Slopes of time and of messages.
-pub const OTHERS: [Measure; 7] = [
+pub const OTHERS: [Measure; 10] = [
     ("heartbeat_bytes", heartbeat_bytes),
     ("digest_bytes", digest_bytes),
     ("promise_bytes", promise_bytes),
+    ("ended_record_bytes", ended_record_bytes),
+    ("accepted_record_bytes", accepted_record_bytes),
+    ("server_record_bytes", server_record_bytes),
     ("heartbeat_ns", heartbeat_time),
     ("digest_ns", digest_time),
     ("placement_ns", placement_time),
@@ -97,6 +102,59 @@
     Ok(bytes(value, "without length prefix"))
 }
 
+fn record_bytes(entry: Entry, basis: &str) -> Result<Slope, Failure> {
+    let mut out = Vec::new();
+    journal::write_entry(entry, &mut out);
+    Ok(bytes(f64::from(u32::try_from(out.len())?), basis))
+}
+
+fn ended_record_bytes() -> Result<Slope, Failure> {
+    // Job 0 would take no bytes.
+    let first = TaskId {
+        job: JobId(0x9e37_79b9_7f4a_7c15),
+        index: 19,
+    };
+    let entry = Entry::Ended(Ended {
+        first: first.into(),
+        tasks: 1,
+    });
+    record_bytes(entry, "one task")
+}
+
+fn accepted_record_bytes() -> Result<Slope, Failure> {
+    let request = request(0);
+    let spec = JobSpec {
+        id: JobId(0x9e37_79b9_7f4a_7c15),
+        team: request.team,
+        client: request.client,
+        kind: request.kind,
+        tasks: TASKS_PER_JOB,
+        size: request.size,
+        run_ms: request.run_ms,
+        finish_by_unix_ms: 1_800_000_000_000,
+    };
+    let cells = vec![CellRun {
+        cell: 3,
+        tasks: TASKS_PER_JOB,
+    }];
+    record_bytes(
+        Entry::Accepted(Accepted::of(&spec, cells)),
+        "job of 20 tasks in one cell",
+    )
+}
+
+fn server_record_bytes() -> Result<Slope, Failure> {
+    let entry = Entry::ServerAdded(ServerEntry {
+        name: "worker-0123".into(),
+        rack: "rack-012".into(),
+        cell: 3,
+        millicores: 64_000,
+        memory_mib: 238_000,
+        accelerators: 0,
+    });
+    record_bytes(entry, "one server")
+}
+
 fn frame_time(with_digest: bool) -> Result<Slope, Failure> {
     let body = heartbeat(with_digest);
     let mut slope = time_ns(50_000, |_| {
