--- a/src/host.rs
+++ b/src/host.rs
@@ -181,7 +181,7 @@
         let shards = Shards::spawn(ShardsOptions {
             host: self.host.clone(),
             failure_domain: self.failure_domain(),
-            shards: shard_count(settings, hosts.len()),
+            shards: settings.shards.max(1),
             hosts,
             clock_drift_ppm: settings.clock_drift_ppm,
             store_writes_per_s: settings.store_writes_per_s,
@@ -437,13 +437,6 @@
     names
 }
 
-fn shard_count(settings: &Settings, hosts: usize) -> u32 {
-    if settings.shards > 0 {
-        return settings.shards;
-    }
-    u32::try_from(hosts).unwrap_or(u32::MAX)
-}
-
 fn known_hosts(settings: &Settings) -> Vec<KnownHost> {
     let peers = settings.peers.iter().map(|peer| KnownHost {
         failure_domain: peer.failure_domain.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -160,7 +160,7 @@
     /// What one sender may cost a listener.
     #[serde(default)]
     pub limits: Limits,
-    /// Number of shards of the failure domain; 0 means one per entry host.
+    /// Number of shards of the failure domain, the same on all its hosts; 0 means 1.
     #[serde(default)]
     #[schemars(range(max = 1024))]
     pub shards: u32,
