--- a/crates/core/src/peer_work.rs
+++ b/crates/core/src/peer_work.rs
@@ -1,6 +1,7 @@
 //! Messages of the peer link that carry callers' work: requests and batch jobs sent on to another entry host.
 
 use prost::Message;
+use snafu::{Snafu, ensure};
 
 use crate::ids::RequestKey;
 
@@ -253,11 +254,53 @@
     pub parked: u32,
 }
 
+/// Why an answer was discarded. Its connection is closed and the outcome of the request is unknown.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AnswerError {
+    /// It answers another request.
+    #[snafu(display("answer to request {received:?} arrived for request {expected:?}"))]
+    OtherRequest {
+        /// Identity of the waiting request.
+        expected: String,
+        /// Identity in the answer.
+        received: String,
+    },
+    /// Its body is not as long as announced.
+    #[snafu(display("answer to request {request:?} has {received} of {announced} bytes"))]
+    Broken {
+        /// Identity of the request.
+        request: String,
+        /// Length announced, in bytes.
+        announced: u64,
+        /// Length received, in bytes.
+        received: u64,
+    },
+}
+
 impl RequestAnswer {
-    /// Whether the body is as long as announced; otherwise it must not be passed on.
-    #[must_use]
-    pub fn is_whole(&self) -> bool {
-        self.announced_bytes == self.body.len() as u64
+    /// Checks that this is the whole answer to the waiting request; only then may it be passed on.
+    ///
+    /// # Errors
+    ///
+    /// `OtherRequest` if it echoes another identity, `Broken` if its body is not as long as announced.
+    pub fn check(&self, waiting: &str) -> Result<(), AnswerError> {
+        ensure!(
+            self.request == waiting,
+            OtherRequestSnafu {
+                expected: waiting,
+                received: &self.request,
+            }
+        );
+        let received = self.body.len() as u64;
+        ensure!(
+            self.announced_bytes == received,
+            BrokenSnafu {
+                request: &self.request,
+                announced: self.announced_bytes,
+                received,
+            }
+        );
+        Ok(())
     }
 }
 
--- a/crates/core/tests/peer_frame.rs
+++ b/crates/core/tests/peer_frame.rs
@@ -3,8 +3,8 @@
 use primrosestack_core::digest::Digest;
 use primrosestack_core::ids::RequestKey;
 use primrosestack_core::peer_frame::{
-    Body, DocumentDigest, FrameError, Heartbeat, Hello, Key, Promise, RequestAnswer, accept,
-    decode, encode,
+    AnswerError, Body, DocumentDigest, FrameError, Heartbeat, Hello, Key, Promise, RequestAnswer,
+    accept, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -54,17 +54,24 @@
     ));
 }
 
-/// Guards against part of an answer that passes for the whole.
+/// Guards against part of an answer, or the answer to another request, that passes for the whole answer.
 #[test]
-fn a_short_body_is_not_whole() {
+fn only_the_whole_answer_to_the_request_passes() {
     let mut answer = RequestAnswer {
+        request: "r1".to_owned(),
         announced_bytes: 3,
         body: vec![1, 2],
         ..RequestAnswer::default()
     };
-    assert!(!answer.is_whole());
+    let short = answer.check("r1");
+    assert!(matches!(
+        short,
+        Err(AnswerError::Broken { received: 2, .. })
+    ));
     answer.body.push(3);
-    assert!(answer.is_whole());
+    assert_eq!(answer.check("r1"), Ok(()));
+    let other = answer.check("r2");
+    assert!(matches!(other, Err(AnswerError::OtherRequest { .. })));
 }
 
 proptest! {
--- /dev/null
+++ b/examples/faults/links.rs
@@ -0,0 +1,258 @@
+//! Links between hosts and the store and backend servers.
+
+use primrosestack_core::peer_frame::RequestAnswer;
+use primrosestack_core::prelude::*;
+use rand::Rng;
+
+use crate::checks::{Checked, Started, body_of, require};
+use crate::host::{HOST_NAMES, Input, Purpose};
+use crate::network::{STORE, server_node};
+use crate::schedule::{Fault, SECOND_US};
+use crate::server::{Course, End, progress};
+use crate::world::{Order, Wake, World};
+
+const STORE_TIMEOUT_US: u64 = 1_500_000;
+const COMMAND_TIMEOUT_US: u64 = 1_000_000;
+
+impl World {
+    pub(crate) fn send_store(
+        &mut self,
+        host: usize,
+        id: &HostId,
+        purpose: Purpose,
+        call: &StoreCall,
+    ) {
+        if let Purpose::Shard(shard, op) = purpose {
+            let event = Event::Store {
+                op,
+                reply: StoreReply::Lost,
+            };
+            self.push_answer(
+                STORE_TIMEOUT_US,
+                host,
+                id.incarnation,
+                (shard, op, 0),
+                event,
+            );
+        }
+        let refused = self.network.cut(host, STORE) && self.network.random.random_ratio(1, 2);
+        if refused {
+            self.stored(
+                host,
+                id.incarnation,
+                purpose,
+                StoreReply::Unavailable,
+                2_000,
+            );
+            return;
+        }
+        for delay_us in self.network.transit(host, STORE) {
+            let delay_us = delay_us + self.network.store_delay_us();
+            let wake = Wake::Store(host, id.incarnation, purpose.clone(), call.clone());
+            self.push_after(delay_us, wake);
+        }
+    }
+
+    pub(crate) fn store_call(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        purpose: Purpose,
+        call: &StoreCall,
+    ) {
+        let down = self.network.any(|fault| matches!(fault, Fault::StoreDown));
+        let mute = self.network.any(|fault| matches!(fault, Fault::StoreMute));
+        if down {
+            if self.network.random.random_ratio(1, 2) {
+                self.stored(host, incarnation, purpose, StoreReply::Unavailable, 500);
+            }
+            return;
+        }
+        let reply = self.store.call(call);
+        if mute && self.network.random.random_ratio(3, 4) {
+            return;
+        }
+        for delay_us in self.network.transit(STORE, host) {
+            let delay_us = delay_us + self.network.store_delay_us();
+            self.stored(host, incarnation, purpose.clone(), reply.clone(), delay_us);
+        }
+    }
+
+    fn stored(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        purpose: Purpose,
+        reply: StoreReply,
+        delay_us: u64,
+    ) {
+        if let Purpose::Shard(shard, op) = purpose {
+            let event = Event::Store { op, reply };
+            self.push_answer(delay_us, host, incarnation, (shard, op, 0), event);
+            return;
+        }
+        let input = Input::Stored(purpose, reply);
+        self.push_after(delay_us, Wake::Input(host, Some(incarnation), input));
+    }
+
+    fn push_answer(
+        &mut self,
+        delay_us: u64,
+        host: usize,
+        incarnation: u64,
+        (shard, op, term): (usize, OpId, u64),
+        event: Event,
+    ) {
+        let input = Input::Answer {
+            shard,
+            op,
+            term,
+            event,
+        };
+        self.push_after(delay_us, Wake::Input(host, Some(incarnation), input));
+    }
+
+    pub(crate) fn send_command(&mut self, id: &HostId, order: &Order) -> Checked {
+        if let ServerCommand::Start { task, .. } = &order.command {
+            self.checks
+                .start_sent(self.now_us, id, order.server, *task)?;
+        }
+        let event = Event::Server {
+            op: order.op,
+            reply: ServerReply::Lost,
+        };
+        let answer = (order.shard, order.op, order.epoch.term);
+        self.push_answer(
+            COMMAND_TIMEOUT_US,
+            order.host,
+            id.incarnation,
+            answer,
+            event,
+        );
+        for delay_us in self.network.transit(order.host, server_node(order.server)) {
+            self.push_after(delay_us, Wake::Command(id.clone(), order.clone()));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn command(&mut self, by: &HostId, order: &Order) -> Checked {
+        self.sweep();
+        let at = order.server;
+        if !self.servers[at].up {
+            return Ok(());
+        }
+        if let ServerCommand::Renew { acknowledged, .. } = &order.command {
+            // Counted before the server performs it, since the server then forgets the attempts.
+            let runs = &self.servers[at].runs;
+            for attempt in acknowledged {
+                if let Some(run) = runs.get(attempt) {
+                    self.checks.acknowledged(run.task, *attempt);
+                }
+            }
+        }
+        let course = self.course(at, &order.command);
+        let now_us = self.now_us;
+        let reply = self.servers[at].command(now_us, order.epoch, by, &order.command, course);
+        self.note(|| format!("server {at} answers {reply:?} to {:?}", order.command));
+        self.after_command(order, &reply)?;
+        for delay_us in self.network.transit(server_node(at), order.host) {
+            let event = Event::Server {
+                op: order.op,
+                reply: reply.clone(),
+            };
+            let answer = (order.shard, order.op, order.epoch.term);
+            self.push_answer(delay_us, order.host, by.incarnation, answer, event);
+        }
+        Ok(())
+    }
+
+    fn after_command(&mut self, order: &Order, reply: &ServerReply) -> Checked {
+        let server = &self.servers[order.server];
+        match (&order.command, reply) {
+            (
+                ServerCommand::Start {
+                    task,
+                    attempt,
+                    resume,
+                    ..
+                },
+                ServerReply::Done,
+            ) => {
+                self.checks.started(&Started {
+                    server: order.server,
+                    task: *task,
+                    attempt: *attempt,
+                    resume: resume.as_ref(),
+                })?;
+                let load = server.load();
+                require(load.fits_in(server.size), "overfilled", || {
+                    format!("server {} holds {load:?}", order.server)
+                })
+            }
+            (ServerCommand::Stop { attempt }, ServerReply::Done) => {
+                if let Some(run) = server.runs.get(attempt)
+                    && run.end == Some(End::Stopped)
+                {
+                    let checkpoint = run.checkpoint.as_ref();
+                    let done = checkpoint.map(|name| progress(Some(name)));
+                    self.checks.ended(run.task, *attempt, End::Stopped, done);
+                }
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn course(&self, server: usize, command: &ServerCommand) -> Course {
+        let faulty = self
+            .network
+            .any(|fault| matches!(fault, Fault::Faulty(faulty) if *faulty == server));
+        let job = match command {
+            ServerCommand::Start { task, .. } => usize::try_from(task.job.0).unwrap_or_default(),
+            _ => 0,
+        };
+        let plan = &self.schedule.jobs[job];
+        Course {
+            work_ms: if faulty { 50 } else { plan.work_ms },
+            fails: faulty || plan.fails,
+        }
+    }
+
+    pub(crate) fn request(
+        &mut self,
+        by: &HostId,
+        server: usize,
+        epoch: Epoch,
+        request: String,
+        key: u64,
+    ) -> Checked {
+        if !self.servers[server].up {
+            return Ok(());
+        }
+        let body = body_of(key).into_bytes();
+        let Some(answer) = self.servers[server].request(epoch, by, &request, body) else {
+            return Ok(());
+        };
+        self.checks.request_run(key)?;
+        let delay_us = self.network.random.random_range(1_000..8 * SECOND_US);
+        self.push_after(delay_us, Wake::Answer(by.clone(), request, answer));
+        Ok(())
+    }
+
+    /// An answer arrives; sometimes on a connection on which another request waits by now.
+    pub(crate) fn answer(&mut self, by: &HostId, request: String, answer: RequestAnswer) {
+        let host = HOST_NAMES.iter().position(|(name, _)| *name == by.name);
+        let Some(host) = host else {
+            return;
+        };
+        let Some(process) = &self.hosts[host].process else {
+            return;
+        };
+        let other = process.waiting.keys().find(|other| **other != request);
+        let swapped = other.cloned();
+        let confused = self.network.random.random_ratio(1, 2);
+        let waiting = swapped.filter(|_| confused).unwrap_or(request);
+        let input = Input::Request(waiting, answer);
+        self.push_after(1, Wake::Input(host, Some(by.incarnation), input));
+    }
+}
