--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,440 +1,416 @@
-//! Starting, evicting and stopping attempts, and what happens to a task when its attempt is over.
-
-use crate::lease::LEASE_MS;
-use crate::ownership::Role;
-use crate::placement::{Placement, Relief, TaskRequest};
-use crate::prelude::*;
-use crate::shard::{Call, Shard};
-use crate::tasks::{Eviction, JobState, Phase, evicted_entry};
-
-/// Most starts that one event causes; it bounds the time and the actions of one call.
-const STARTS_MAX: usize = 512;
-
-/// Share of its processor time that a task keeps when it is throttled because it cannot be evicted, as a divisor.
-const THROTTLE_DIVISOR: u32 = 4;
-
-impl Shard {
-    /// Periodic work on tasks.
-    pub(crate) fn tick_tasks(&mut self) {
-        self.tick_commit();
-        self.pump_snapshot();
-        self.ledger.expire(self.now);
-        self.save_on_lost_authority();
-        self.retry_due();
-        self.rebind();
-        self.place();
-    }
+//! Choice of the backend server, or of another failure domain, for a latency-critical request.
+//!
+//! Slots are hard limits. Waiting requests are kept in fair order within a bound, and a request that cannot start
+//! before its deadline is refused with the time after which a retry makes sense.
 
-    fn retry_due(&mut self) {
-        while let Some(&(due, task)) = self.retries.first() {
-            if self.now < due {
-                return;
-            }
-            self.retries.pop_first();
-            let is_held = self
-                .ledger
-                .task(task)
-                .is_some_and(|task| task.phase == Phase::Held);
-            if is_held {
-                self.requeue(task);
-                self.place_elsewhere(task.job);
-            }
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::SmolStr;
+
+use crate::fairness::{Accounts, ClientKey};
+use crate::ids::ServerKey;
+use crate::queue::{Class, FairQueue};
+use crate::slots::{InFlight, Slots};
+use crate::time::{DurationMs, MonoMs};
+
+/// Assumed slot time of a kind before its first answer, in milliseconds.
+const FIRST_SERVICE_MS: u64 = 50;
+
+/// Weight of one answer in the mean slot time of a kind: 1/16.
+const SERVICE_SHIFT: u32 = 4;
+
+/// Shortest time after which a refused request may be retried.
+const MIN_RETRY_AFTER_MS: u64 = 100;
+
+/// Bounds of a dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatcherConfig {
+    /// Requests that may wait.
+    pub queue_limit: usize,
+    /// Time over which a returned server gets back all its slots, in milliseconds.
+    pub slow_start_ms: u64,
+    /// Breaks ties and draws the two candidates.
+    pub seed: u64,
+}
+
+impl DispatcherConfig {
+    /// Usual bounds: 256 waiting requests and a slow start of 2 s.
+    #[must_use]
+    pub fn with_seed(seed: u64) -> Self {
+        Self {
+            queue_limit: 256,
+            slow_start_ms: 2_000,
+            seed,
         }
     }
+}
 
-    /// Asks for checkpoints when authority is lost: the leases are about to lapse, and the tasks will resume from what
-    /// is saved now.
-    fn save_on_lost_authority(&mut self) {
-        let holds = self.own.authority.holds(self.now);
-        let is_lost = self.own.had_authority && !holds;
-        self.own.had_authority = holds;
-        if !is_lost {
-            return;
-        }
-        self.log("authority_lost", None, &self.host.name.clone());
-        for key in self.fleet.keys() {
-            let attempts = self.fleet.get(key).map(|server| server.attempts.clone());
-            for (attempt, task) in attempts.unwrap_or_default() {
-                let call = Call::Checkpoint(key, task, attempt);
-                self.command(call, key, ServerCommand::Checkpoint { attempt });
-            }
+/// A request that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Unique in the dispatcher.
+    pub id: u64,
+    /// Team of the client.
+    pub team: SmolStr,
+    /// Client on whose behalf it runs.
+    pub client: SmolStr,
+    /// Service and operation, the unit in which slot times are learned.
+    pub kind: SmolStr,
+    /// Time by which it must have been answered.
+    pub deadline: MonoMs,
+    /// Already spilled from another failure domain, and not spilled again.
+    pub spilled: bool,
+}
+
+/// Why a request was refused. No byte of it reached a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The queue is full, and no other client has more in it.
+    QueueFull,
+    /// It cannot start before its deadline.
+    DeadlineTooNear,
+    /// No server is open.
+    NoServer,
+}
+
+/// A request that was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The request.
+    pub id: u64,
+    /// Cause.
+    pub reason: RefusalReason,
+    /// Time after which a retry makes sense, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// What becomes of an offered request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// A slot is taken; send it now.
+    Send(ServerKey),
+    /// It waits; [`Dispatcher::next`] or [`Dispatcher::refused`] names it later.
+    Queued,
+    /// Send it to this failure domain.
+    Spill(SmolStr),
+    /// It was not run.
+    Refused(Refusal),
+}
+
+/// A waiting request that got a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Dispatched {
+    /// The request.
+    pub id: u64,
+    /// The server, whose slot is taken.
+    pub server: ServerKey,
+}
+
+/// A link to another failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Measured round trip in milliseconds.
+    pub round_trip_ms: u64,
+    /// Price of one spilled request, as the milliseconds of waiting that it is worth.
+    pub price_ms: u64,
+    /// Expected wait at the other side, as it last said, in milliseconds.
+    pub wait_ms: u64,
+    /// Whether the other side can be reached and has room.
+    pub open: bool,
+}
+
+struct Waiting {
+    request: Request,
+    kind: u32,
+}
+
+/// Requests in, servers out, for the backend servers of one owner.
+pub struct Dispatcher {
+    config: DispatcherConfig,
+    accounts: Accounts,
+    queue: FairQueue<Waiting>,
+    /// Deadline, id and client of each waiting request.
+    deadlines: BTreeSet<(MonoMs, u64, ClientKey)>,
+    slots: Slots,
+    kinds: BTreeMap<SmolStr, u32>,
+    /// Mean slot time by kind, in 1/1024 ms.
+    service: Vec<u64>,
+    links: BTreeMap<SmolStr, Link>,
+    refused: Vec<Refusal>,
+    draws: u64,
+}
+
+impl Dispatcher {
+    /// Opens a dispatcher without servers.
+    #[must_use]
+    pub fn open(config: DispatcherConfig) -> Self {
+        Self {
+            config,
+            accounts: Accounts::open(config.seed),
+            queue: FairQueue::default(),
+            deadlines: BTreeSet::new(),
+            slots: Slots::open(config.slow_start_ms, config.seed),
+            kinds: BTreeMap::new(),
+            service: Vec::new(),
+            links: BTreeMap::new(),
+            refused: Vec::new(),
+            draws: 0,
         }
     }
 
-    /// Starts pending tasks as long as the scheduler finds room.
-    pub(crate) fn place(&mut self) {
-        let may_start = self.role == Role::Owner
-            && self.own.heir.is_none()
-            && self.own.authority.holds(self.now);
-        if !may_start {
-            return;
-        }
-        for _ in 0..STARTS_MAX {
-            let Some(placement) = self.scheduler.next(self.now) else {
-                return;
-            };
-            self.start(placement);
-        }
+    /// Sets the quota of a team, the weight of its share.
+    pub fn set_quota(&mut self, team: &str, weight: u32) {
+        self.accounts.set_quota(team, weight);
     }
 
-    fn start(&mut self, placement: Placement) {
-        let Placement {
-            task: id,
-            server: key,
-            reserved,
-        } = placement;
-        let is_pending = self
-            .ledger
-            .task(id)
-            .is_some_and(|task| task.phase == Phase::Pending);
-        let stamp = self.fleet.get(key).map(|server| server.stamp);
-        let (true, Some(stamp)) = (is_pending, stamp) else {
-            self.scheduler.remove(self.now, id);
-            return;
-        };
-        self.last_counter += 1;
-        let attempt = Attempt {
-            term: self.own.term,
-            counter: self.last_counter,
-        };
-        let mut resume = None;
-        let mut cell = None;
-        if let Some(task) = self.ledger.task_mut(id) {
-            task.phase = Phase::Starting;
-            task.server = Some(key);
-            task.attempt = attempt;
-            task.start_stamp = stamp;
-            task.confirmed_op = OpId(0);
-            resume = task.resume.as_ref().map(|resume| resume.checkpoint.clone());
-            cell = Some(task.cell);
-        }
-        if let Some(cell) = cell.and_then(|cell| self.cells.get_mut(&cell)) {
-            cell.pending.remove(&id);
-        }
-        let now = self.now;
-        if let Some(server) = self.fleet.get_mut(key) {
-            server.add_attempt(attempt, id);
-            server.health.started(now);
-        }
-        self.update_open(key);
-        let Some(spec) = self.ledger.jobs.get(&id.job).map(|job| job.spec.clone()) else {
-            return;
-        };
-        let command = ServerCommand::Start {
-            stamp,
-            lease_ms: LEASE_MS,
-            task: id,
-            attempt,
-            kind: spec.kind.clone(),
-            size: reserved,
-            run_ms: spec.run_ms,
-            resume,
-        };
-        self.command(Call::Start(key, id, attempt), key, command);
+    /// Adds a server with all its slots usable at once, or changes its number of slots.
+    pub fn put_server(&mut self, now: MonoMs, key: ServerKey, slots: u32) {
+        self.slots.put(now, key, slots);
     }
 
-    pub(crate) fn start_answered(
-        &mut self,
-        key: ServerKey,
-        id: TaskId,
-        attempt: Attempt,
-        reply: &ServerReply,
-    ) {
-        match reply {
-            ServerReply::Done => self.start_confirmed(id, attempt),
-            ServerReply::Refused => self.start_refused(key, id, attempt, true),
-            // The attempt may run; reports or the end of its lease will tell.
-            _ => self.ask_report(key),
+    /// Forgets a server and its requests in flight.
+    pub fn remove_server(&mut self, now: MonoMs, key: ServerKey) {
+        for ended in self.slots.remove(now, key) {
+            self.accounts.release(ended.client);
         }
     }
 
-    fn start_confirmed(&mut self, id: TaskId, attempt: Attempt) {
-        let last_op = OpId(self.last_op);
-        let Some(task) = self.ledger.task_mut(id) else {
-            return;
-        };
-        if task.attempt != attempt || task.phase != Phase::Starting {
-            return;
-        }
-        task.phase = Phase::Running;
-        task.confirmed_op = last_op;
+    /// Opens or closes a server for new requests; an opened one gets its slots back over the slow start.
+    pub fn open_server(&mut self, now: MonoMs, key: ServerKey, open: bool) {
+        self.slots.set_open(now, key, open);
     }
 
-    /// The server certainly did not start an attempt.
-    pub(crate) fn start_refused(
-        &mut self,
-        key: ServerKey,
-        id: TaskId,
-        attempt: Attempt,
-        blames_server: bool,
-    ) {
-        let phase = self.ledger.task(id).filter(|task| task.attempt == attempt);
-        let phase = phase.map(|task| task.phase);
-        if !matches!(phase, Some(Phase::Starting | Phase::Stopping)) {
-            return;
-        }
-        if !blames_server || phase == Some(Phase::Stopping) {
-            self.requeue(id);
-            return;
-        }
-        let retry = self.start_failed(key, id.job, false);
-        self.hold_until(id, retry);
+    /// Takes in a slowdown of requests on a server, learned elsewhere, in thousandths.
+    pub fn set_slowdown(&mut self, now: MonoMs, key: ServerKey, permille: u32) {
+        self.slots.set_slowdown(now, key, permille);
     }
 
-    /// Takes a task off its server and out of the scheduler.
-    pub(crate) fn detach(&mut self, id: TaskId) {
-        let Some(task) = self.ledger.task_mut(id) else {
-            return;
-        };
-        if task.phase == Phase::Ended {
-            return;
-        }
-        let server = task.server.take();
-        let attempt = task.attempt;
-        let is_parked = task.phase == Phase::Parked;
-        self.scheduler.remove(self.now, id);
-        if let Some(server) = server.and_then(|key| self.fleet.get_mut(key)) {
-            server.drop_attempt(attempt, id);
-        }
-        if !is_parked {
-            self.leave_cell(id);
-        }
+    /// Sets what is known of the link to a failure domain.
+    pub fn set_link(&mut self, failure_domain: &str, link: Link) {
+        self.links.insert(SmolStr::new(failure_domain), link);
     }
 
-    /// Puts a task whose attempt is certainly over back to the pending ones, or into its final state.
-    pub(crate) fn requeue(&mut self, id: TaskId) {
-        self.detach(id);
-        match self.ledger.jobs.get(&id.job).map(|job| job.state) {
-            None | Some(JobState::Ended) => {}
-            Some(JobState::Cancelled) => self.ledger.finish(id, self.now),
-            Some(JobState::Parked(_)) => {
-                if let Some(task) = self.ledger.task_mut(id) {
-                    task.phase = Phase::Parked;
-                }
-            }
-            Some(JobState::Active) => {
-                self.enter_cell(id);
-                self.queue(id);
-            }
-        }
+    /// Requests in flight and slots of the open servers.
+    #[must_use]
+    pub fn load(&self) -> (u64, u64) {
+        (self.slots.busy(), self.slots.open_slots())
     }
 
-    /// Holds a task whose attempt is over until a later time.
-    pub(crate) fn hold_until(&mut self, id: TaskId, due: MonoMs) {
-        if !self.is_active(id.job) {
-            self.requeue(id);
-            return;
-        }
-        self.detach(id);
-        self.enter_cell(id);
-        if let Some(task) = self.ledger.task_mut(id) {
-            task.phase = Phase::Held;
-        }
-        self.retries.insert((due, id));
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
     }
 
-    fn enter_cell(&mut self, id: TaskId) {
-        let size = self.size_of(id).unwrap_or_default();
-        let Some(key) = self.ledger.task(id).map(|task| task.cell) else {
-            return;
+    /// Time that a request of this kind would wait for a slot if all requests were of this kind, in milliseconds.
+    #[must_use]
+    pub fn expected_wait_ms(&self, kind: &str) -> u64 {
+        let service_ms = match self.kinds.get(kind) {
+            Some(&at) => self.service[at as usize] / 1024,
+            None => FIRST_SERVICE_MS,
         };
-        let cell = self.cells.entry(key).or_default();
-        cell.demand_millicores += u64::from(size.millicores);
+        let ahead = self.queue.len() as u64 + 1;
+        service_ms * ahead / self.slots.open_slots().max(1)
     }
 
-    /// Queues a task of a job that was just accepted.
-    pub(crate) fn queue_new(&mut self, id: TaskId) {
-        if self.is_active(id.job) {
-            self.queue(id);
+    /// Takes a request in.
+    pub fn offer(&mut self, now: MonoMs, request: Request) -> Offer {
+        self.slots.advance(now);
+        let kind = self.kind_at(&request.kind);
+        if self.queue.is_empty()
+            && let Some(server) = self.slots.choose(request.id)
+        {
+            let client = self.accounts.hold(&request.team, &request.client);
+            self.take_slot(now, server, request.id, kind, client);
+            return Offer::Send(server);
+        }
+        let wait_ms = self.expected_wait_ms(&request.kind);
+        if !request.spilled
+            && let Some(domain) = self.spill_to(wait_ms)
+        {
+            return Offer::Spill(domain);
+        }
+        if self.slots.open_slots() == 0 {
+            return Offer::Refused(Self::refusal(request.id, RefusalReason::NoServer, wait_ms));
         }
+        if now + DurationMs(wait_ms) >= request.deadline {
+            let reason = RefusalReason::DeadlineTooNear;
+            return Offer::Refused(Self::refusal(request.id, reason, wait_ms));
+        }
+        self.enqueue(request, kind, wait_ms)
     }
 
-    /// Gives a task to the scheduler, or holds it while its cell is not resolved.
-    fn queue(&mut self, id: TaskId) {
-        let Some(request) = self.request(id) else {
-            return;
-        };
-        let cell = self.cells.entry(request.cell).or_default();
-        let phase = if cell.resolved {
-            cell.pending.insert(id);
-            Phase::Pending
-        } else {
-            cell.held.push(id);
-            Phase::Held
-        };
-        if let Some(task) = self.ledger.task_mut(id) {
-            task.phase = phase;
-        }
-        if phase == Phase::Pending {
-            self.scheduler.submit(self.now, request);
+    /// Takes the next waiting request that gets a slot; to be called until it returns `None`.
+    pub fn next(&mut self, now: MonoMs) -> Option<Dispatched> {
+        self.expire(now);
+        if self.queue.is_empty() {
+            return None;
         }
+        self.slots.advance(now);
+        self.draws += 1;
+        let server = self.slots.choose(self.draws)?;
+        let accounts = &mut self.accounts;
+        let (client, waiting) = self.queue.take(accounts, Class::Any, 1, |_| true)?;
+        let id = waiting.request.id;
+        self.deadlines
+            .remove(&(waiting.request.deadline, id, client));
+        self.take_slot(now, server, id, waiting.kind, client);
+        Some(Dispatched { id, server })
     }
 
-    /// What the scheduler needs to know of a task.
-    pub(crate) fn request(&self, id: TaskId) -> Option<TaskRequest> {
-        let job = self.ledger.jobs.get(&id.job)?;
-        let task = job.tasks.get(id.index as usize)?;
-        let spec = &job.spec;
-        let finish_by = match (spec.finish_by_unix_ms, self.unix_offset_ms) {
-            (0, _) | (_, None) => None,
-            (unix_ms, Some(offset_ms)) => Some(MonoMs(unix_ms.saturating_sub(offset_ms))),
-        };
-        Some(TaskRequest {
-            task: id,
-            team: spec.team.clone(),
-            client: spec.client.clone(),
-            kind: spec.kind.clone(),
-            size: spec.size,
-            run_ms: spec.run_ms,
-            finish_by,
-            cell: task.cell,
-        })
+    /// Takes the waiting requests that were refused since the last call.
+    pub fn refused(&mut self, now: MonoMs) -> Vec<Refusal> {
+        self.expire(now);
+        std::mem::take(&mut self.refused)
     }
 
-    /// Latency-critical requests need room on a server.
-    pub(crate) fn pressure(&mut self, name: &str, need: Resources) {
-        if self.role != Role::Owner {
-            return;
-        }
-        let Some(key) = self.fleet.key(name) else {
-            return;
-        };
-        for relief in self.scheduler.relieve(self.now, key, need) {
-            match relief {
-                Relief::Throttle { task, millicores } => self.throttle(task, millicores),
-                Relief::Evict { task } if !self.budget.is_down() => self.evict(task),
-                Relief::Evict { task } => {
-                    // Without the store the checkpoint could not be recorded.
-                    let size = self.size_of(task).unwrap_or_default();
-                    self.throttle(task, size.millicores / THROTTLE_DIVISOR);
-                }
-            }
-        }
+    /// Earliest deadline of a waiting request, at which [`Dispatcher::refused`] should be called.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<MonoMs> {
+        self.deadlines.first().map(|&(deadline, ..)| deadline)
     }
 
-    fn throttle(&mut self, id: TaskId, millicores: u32) {
-        let Some(task) = self.ledger.task(id) else {
-            return;
-        };
-        let (Some(key), attempt) = (task.server, task.attempt) else {
-            return;
-        };
-        let command = ServerCommand::Throttle {
-            attempt,
-            millicores,
-        };
-        self.command(Call::Throttle(key), key, command);
+    /// Withdraws a waiting request, as its caller is gone. Returns whether it was waiting.
+    pub fn withdraw(&mut self, id: u64, deadline: MonoMs) -> bool {
+        let from = (deadline, id, ClientKey::FIRST);
+        let found = self.deadlines.range(from..).next().copied();
+        match found {
+            Some((at, found_id, client)) if at == deadline && found_id == id => {
+                self.drop_waiting(at, id, client);
+                true
+            }
+            _ => false,
+        }
     }
 
-    /// Begins to evict a running task: checkpoint, record, stop.
-    pub(crate) fn evict(&mut self, id: TaskId) {
-        let Some(task) = self.ledger.task_mut(id) else {
-            return;
-        };
-        let (Some(key), Phase::Running) = (task.server, task.phase) else {
+    /// Frees the slot of a request that ended after `service_ms`; `failed` if the server failed it.
+    pub fn finished(
+        &mut self,
+        now: MonoMs,
+        server: ServerKey,
+        id: u64,
+        service_ms: u64,
+        failed: bool,
+    ) {
+        let Some(ended) = self.slots.finish(now, server, id, failed) else {
             return;
         };
-        task.phase = Phase::Evicting(Eviction::Checkpoint);
-        let attempt = task.attempt;
-        self.ask_checkpoint(key, id, attempt);
+        if !failed {
+            self.learn(now, server, ended.kind, service_ms);
+        }
+        if service_ms > ended.charged_ms {
+            let extra_ms = service_ms - ended.charged_ms;
+            self.accounts.charge(ended.client, extra_ms);
+        } else {
+            let saved_ms = ended.charged_ms - service_ms;
+            self.accounts.refund(ended.client, saved_ms);
+        }
+        self.accounts.release(ended.client);
     }
 
-    pub(crate) fn ask_checkpoint(&mut self, key: ServerKey, id: TaskId, attempt: Attempt) {
-        let call = Call::Checkpoint(key, id, attempt);
-        self.command(call, key, ServerCommand::Checkpoint { attempt });
+    fn learn(&mut self, now: MonoMs, server: ServerKey, kind: u32, service_ms: u64) {
+        let mean = &mut self.service[kind as usize];
+        let sample = service_ms.saturating_mul(1024);
+        let permille = (sample.saturating_mul(1_000) / (*mean).max(1)).clamp(500, 20_000);
+        *mean = *mean - (*mean >> SERVICE_SHIFT) + (sample >> SERVICE_SHIFT);
+        let permille = u32::try_from(permille).unwrap_or(20_000);
+        self.slots.learn(now, server, permille);
     }
 
-    pub(crate) fn checkpoint_answered(&mut self, id: TaskId, attempt: Attempt, reply: ServerReply) {
-        let ServerReply::Checkpointed { checkpoint } = reply else {
-            return;
-        };
-        let Some(task) = self.ledger.task_mut(id) else {
-            return;
+    fn take_slot(&mut self, now: MonoMs, server: ServerKey, id: u64, kind: u32, client: ClientKey) {
+        let charged_ms = self.service[kind as usize] / 1024;
+        self.accounts.serve(client);
+        self.accounts.charge(client, charged_ms);
+        let request = InFlight {
+            id,
+            kind,
+            client,
+            charged_ms,
         };
-        let is_asked = task.phase == Phase::Evicting(Eviction::Checkpoint);
-        if !is_asked || task.attempt != attempt {
-            return;
-        }
-        task.phase = Phase::Evicting(Eviction::Record);
-        self.append(evicted_entry(id, attempt, &checkpoint));
+        self.slots.take(now, server, request);
     }
 
-    /// An `Evicted` record is committed.
-    pub(crate) fn evicted(&mut self, id: TaskId) {
-        let Some(task) = self.ledger.task_mut(id) else {
-            return;
-        };
-        match task.phase {
-            Phase::Evicting(Eviction::Record) => {
-                task.phase = Phase::Evicting(Eviction::Stop);
-                if let Some(key) = task.server {
-                    let attempt = task.attempt;
-                    self.stop_attempt(key, attempt);
-                }
-            }
-            Phase::Evicting(Eviction::Stopped) => self.requeue(id),
-            _ => {}
+    fn kind_at(&mut self, kind: &SmolStr) -> u32 {
+        if let Some(&at) = self.kinds.get(kind) {
+            return at;
         }
+        let at = u32::try_from(self.service.len()).unwrap_or(u32::MAX);
+        self.service.push(FIRST_SERVICE_MS * 1024);
+        self.kinds.insert(kind.clone(), at);
+        at
     }
 
-    pub(crate) fn stop_attempt(&mut self, key: ServerKey, attempt: Attempt) {
-        self.command(Call::Stop(key), key, ServerCommand::Stop { attempt });
+    /// The failure domain with the least wait, if the wait here exceeds twice its round trip plus its price.
+    fn spill_to(&self, wait_ms: u64) -> Option<SmolStr> {
+        let open = self.links.iter().filter(|(_, link)| link.open);
+        let better = open.filter(|(_, link)| {
+            let cost_ms = link.round_trip_ms * 2 + link.price_ms;
+            wait_ms > cost_ms + link.wait_ms
+        });
+        let best = better.min_by_key(|(_, link)| link.wait_ms + link.round_trip_ms + link.price_ms);
+        best.map(|(domain, _)| domain.clone())
     }
 
-    /// A `Bound` record is committed.
-    pub(crate) fn bound(&mut self, id: TaskId) {
-        let is_waiting = self
-            .ledger
-            .task(id)
-            .is_some_and(|task| task.phase == Phase::Held && task.server.is_none());
-        if !is_waiting {
-            return;
-        }
-        if self.is_active(id.job) {
-            self.queue(id);
-            return;
+    fn enqueue(&mut self, request: Request, kind: u32, wait_ms: u64) -> Offer {
+        let id = request.id;
+        let client = self.accounts.hold(&request.team, &request.client);
+        if self.queue.len() >= self.config.queue_limit {
+            let own = self.queue.backlog(&self.accounts, client);
+            match self.queue.longest() {
+                Some((longest, len)) if len > own + 1 => self.displace(longest, wait_ms),
+                _ => {
+                    self.accounts.release(client);
+                    let reason = RefusalReason::QueueFull;
+                    return Offer::Refused(Self::refusal(id, reason, wait_ms));
+                }
+            }
         }
-        self.requeue(id);
+        let order = request.deadline.0;
+        self.deadlines.insert((request.deadline, id, client));
+        let waiting = Waiting { request, kind };
+        self.queue
+            .push(&mut self.accounts, client, order, id, waiting);
+        Offer::Queued
     }
 
-    /// The cancellation of a task's job is committed.
-    pub(crate) fn cancel_task(&mut self, id: TaskId) {
-        let Some(task) = self.ledger.task_mut(id) else {
+    /// Refuses the last waiting request of the client that has most of them.
+    fn displace(&mut self, client: ClientKey, wait_ms: u64) {
+        let Some(waiting) = self.queue.remove_last(&mut self.accounts, client) else {
             return;
         };
-        match task.phase {
-            Phase::Ended | Phase::Ending => {}
-            Phase::Held if task.server.is_none() && task.attempt == Attempt::default() => {
-                self.cancel_held(id);
-            }
-            Phase::Held | Phase::Pending | Phase::Parked | Phase::Evicting(Eviction::Stopped) => {
-                self.requeue(id);
-            }
-            Phase::Starting | Phase::Running | Phase::Evicting(_) | Phase::Stopping => {
-                task.phase = Phase::Stopping;
-                let attempt = task.attempt;
-                if let Some(key) = task.server {
-                    self.stop_attempt(key, attempt);
-                }
+        let id = waiting.request.id;
+        self.deadlines
+            .remove(&(waiting.request.deadline, id, client));
+        self.accounts.release(client);
+        let refusal = Self::refusal(id, RefusalReason::QueueFull, wait_ms);
+        self.refused.push(refusal);
+    }
+
+    fn expire(&mut self, now: MonoMs) {
+        while let Some(&(deadline, id, client)) = self.deadlines.first() {
+            if deadline > now {
+                return;
             }
+            let wait_ms = self.drop_waiting(deadline, id, client);
+            let refusal = Self::refusal(id, RefusalReason::DeadlineTooNear, wait_ms);
+            self.refused.push(refusal);
         }
     }
 
-    /// A held task of a cell that is not resolved may be running somewhere; its state is settled with the cell.
-    fn cancel_held(&mut self, id: TaskId) {
-        let cell = self.ledger.task(id).map(|task| task.cell);
-        let cell = cell.and_then(|cell| self.cells.get(&cell));
-        if cell.is_none_or(|cell| cell.resolved) {
-            self.requeue(id);
-        }
+    fn drop_waiting(&mut self, deadline: MonoMs, id: u64, client: ClientKey) -> u64 {
+        self.deadlines.remove(&(deadline, id, client));
+        let removed = self
+            .queue
+            .remove(&mut self.accounts, client, deadline.0, id);
+        self.accounts.release(client);
+        removed.map_or(0, |waiting| self.expected_wait_ms(&waiting.request.kind))
     }
 
-    /// A server is leaving: its tasks resume elsewhere from a checkpoint.
-    pub(crate) fn leave(&mut self, key: ServerKey) {
-        self.cell_sizes_changed();
-        let attempts = self.fleet.get(key).map(|server| server.attempts.clone());
-        for (_, task) in attempts.unwrap_or_default() {
-            self.evict(task);
+    fn refusal(id: u64, reason: RefusalReason, wait_ms: u64) -> Refusal {
+        Refusal {
+            id,
+            reason,
+            retry_after_ms: wait_ms.max(MIN_RETRY_AFTER_MS),
         }
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -136,8 +136,14 @@
     pub boot_id: u64,
     /// Running attempts, and ended ones not yet acknowledged.
     pub tasks: Vec<TaskReport>,
-    /// Observed slowdown of latency-critical requests in thousandths, by kind.
+    /// Observed slowdown of latency-critical requests in thousandths.
     pub request_slowdown_permille: u32,
+    /// Latency-critical requests in execution, those of earlier owners included.
+    #[serde(default)]
+    pub requests_running: u32,
+    /// Sum of the sizes with which the running attempts were started.
+    #[serde(default)]
+    pub tasks_size: Resources,
 }
 
 /// Answer of a backend server to a command.
@@ -381,6 +387,13 @@
         /// How much batch should give back.
         need: Resources,
     },
+    /// Keeps an amount of a server free for latency-critical requests, in place of the amount kept before.
+    Withhold {
+        /// The server's name.
+        server: SmolStr,
+        /// What batch must not use.
+        amount: Resources,
+    },
     /// The process is asked to stop; the shard is handed over.
     Shutdown,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,17 +3,21 @@
 //! Typed events and a monotonic time go in, typed actions come out. Nothing in this crate reads a clock, opens a
 //! socket, takes a lock or draws a random number, so tests, replay and fuzzing drive exactly the code that ships.
 
-pub mod admission;
+pub mod allotment;
+pub mod attempts;
 pub mod budget;
 pub mod capacity;
 pub mod cells;
+mod choice;
 pub mod commit;
 pub mod digest;
 pub mod dispatch;
+pub mod division;
 pub mod documents;
 pub mod event;
 pub mod eviction;
 pub mod fairness;
+pub mod fork;
 pub mod head;
 pub mod health;
 pub mod ids;
@@ -26,12 +30,19 @@
 pub mod ownership;
 pub mod peer_frame;
 pub mod peer_work;
+mod pending;
 pub mod placement;
 pub mod prelude;
+pub mod queue;
 pub mod recovery;
+mod relief;
 pub mod reports;
+pub mod retry;
+mod running;
 pub mod servers;
 pub mod shard;
+mod sizes;
+mod slots;
 pub mod snapshot;
 pub mod takeover;
 pub mod tasks;
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -74,6 +74,18 @@
         self.choose_successor_of(&self.host.name, true)
     }
 
+    /// A living host that could succeed this one, if possible another one than a successor that gives no promises.
+    pub(crate) fn choose_other_successor(&self) -> Option<HostId> {
+        let mute = self
+            .own
+            .successor
+            .as_ref()
+            .filter(|_| self.is_successor_mute());
+        let mute = mute.map_or("", |host| host.name.as_str());
+        let other = self.choose_successor_of(mute, true);
+        other.or_else(|| self.choose_successor())
+    }
+
     /// A living host that could succeed `owner`.
     pub(crate) fn choose_successor_of(&self, owner: &str, without_self: bool) -> Option<HostId> {
         let mut candidates: Vec<HostId> = self.peers.heard().collect();
@@ -111,7 +123,7 @@
 
     /// Reads the head unless a read is outstanding or the budget forbids it.
     pub(crate) fn read_head(&mut self) {
-        let takeover_sent = self.ops.values().any(|op| op.call == Call::Takeover);
+        let takeover_sent = self.store_ops.values().any(|op| op.call == Call::Takeover);
         if self.duty.reading || takeover_sent || !self.budget.take_read(self.now) {
             return;
         }
@@ -193,6 +205,7 @@
     fn observe(&mut self, sent: MonoMs, revision: Revision, head: Head) {
         let known_term = self.seen.as_ref().map_or(0, |seen| seen.term);
         if head.term < known_term {
+            self.duty.next_read = self.now + DurationMs(CONFIRM_READ_MS);
             return;
         }
         let is_settled = self
@@ -331,6 +344,7 @@
         self.own = Own {
             purge: unreleased.len() < head.unreleased.len(),
             term: head.term,
+            first_term: head.term,
             revision,
             sequence: head.sequence,
             successor: head.successor_id(),
@@ -343,6 +357,7 @@
                 takeover_ended(self.now, drift_ppm)
             },
             since: self.now,
+            promised: self.now,
             confirmed: sent,
             ..Own::default()
         };
@@ -371,6 +386,7 @@
     /// Forgets everything that belongs to a role that has ended.
     pub(crate) fn reset(&mut self) {
         self.ops.clear();
+        self.store_ops.clear();
         self.duty.reading = false;
         self.ledger = Ledger::default();
         self.recovery = Recovery::default();
@@ -399,7 +415,7 @@
         let is_entitled = seen.successor.as_ref() == Some(&self.host)
             && self.duty.released < term
             && !self.duty.grant.binds(self.now, term);
-        if !is_due || !is_entitled || !self.budget.is_down() || self.duty.rank_1.is_some() {
+        if !is_due || !is_entitled || !self.is_store_stuck() || self.duty.rank_1.is_some() {
             return;
         }
         self.duty.rank_1 = Some(term);
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -6,6 +6,7 @@
 
 use crate::journal::ParkReason;
 use crate::ownership::Role;
+use crate::placement::Objective;
 use crate::prelude::*;
 use crate::servers::Server;
 use crate::shard::Shard;
@@ -143,6 +144,12 @@
         self.command_epoch()
     }
 
+    /// Whether this host suspects another one, or knows that this incarnation is gone.
+    #[must_use]
+    pub fn suspects(&self, host: &HostId) -> bool {
+        self.suspected_since(host).is_some()
+    }
+
     /// The highest term that this host knows of; 0 if none.
     #[must_use]
     pub fn term(&self) -> u64 {
@@ -189,6 +196,24 @@
         })
     }
 
+    /// What batch has reserved on a server.
+    #[must_use]
+    pub fn reserved(&self, server: ServerKey) -> Resources {
+        let reserved = self.scheduler.reserved(server);
+        reserved.map_or_else(Resources::default, |(reserved, _)| reserved)
+    }
+
+    /// What batch must leave free for requests on a server.
+    #[must_use]
+    pub fn withheld(&self, server: ServerKey) -> Resources {
+        self.scheduler.withheld(server)
+    }
+
+    /// Sets the weights of the goals.
+    pub fn set_objective(&mut self, objective: Objective) {
+        self.scheduler.set_objective(objective);
+    }
+
     fn state_of(&self, server: &Server) -> ServerState {
         let epoch = self.command_epoch();
         if server.is_leaving() {
