--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -314,19 +314,24 @@
         self.relieve(key, need);
     }
 
-    /// Keeps an amount of a server free for latency-critical requests.
+    /// Keeps an amount of a server free for latency-critical requests. It is remembered for the next term of this
+    /// host.
     pub(crate) fn withhold(&mut self, name: &str, amount: Resources) {
-        if self.role != Role::Owner {
-            return;
-        }
         let Some(key) = self.fleet.key(name) else {
             return;
         };
+        if let Some(server) = self.fleet.get_mut(key) {
+            server.withheld = amount;
+        }
+        if self.role != Role::Owner {
+            return;
+        }
         self.scheduler.set_withheld(key, amount);
         self.relieve(key, Resources::default());
     }
 
-    fn relieve(&mut self, key: ServerKey, need: Resources) {
+    /// Takes the measures that give `need` back, and those that the latest report made due.
+    pub(crate) fn relieve(&mut self, key: ServerKey, need: Resources) {
         for relief in self.scheduler.relieve(self.now, key, need) {
             match relief {
                 Relief::Throttle { task, millicores } => self.throttle(task, millicores),
--- a/crates/core/src/cells.rs
+++ b/crates/core/src/cells.rs
@@ -98,7 +98,9 @@
         let Some(server) = self.fleet.get(key) else {
             return;
         };
+        let withheld = server.withheld;
         self.scheduler.put_server(key, server.cell, server.size);
+        self.scheduler.set_withheld(key, withheld);
         self.cell_sizes_changed();
     }
 
--- a/crates/core/src/fork.rs
+++ b/crates/core/src/fork.rs
@@ -52,6 +52,7 @@
         for (key, server) in self.fleet.iter() {
             if server.journaled == crate::servers::Journaled::Yes {
                 self.scheduler.put_server(key, server.cell, server.size);
+                self.scheduler.set_withheld(key, server.withheld);
                 self.scheduler.set_open(key, server.open);
             }
         }
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -56,6 +56,8 @@
     pub cell: CellKey,
     /// What it can hold for batch.
     pub size: Resources,
+    /// What batch must leave free for latency-critical requests.
+    pub withheld: Resources,
     /// Whether it stays.
     pub standing: Standing,
     /// Whether the journal names it.
@@ -179,6 +181,7 @@
                 name: std::mem::take(&mut server.name),
                 rack: std::mem::take(&mut server.rack),
                 size: server.size,
+                withheld: server.withheld,
                 standing: server.standing,
                 ..Server::default()
             };
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -211,6 +211,7 @@
 
     /// Sets the weights of the goals.
     pub fn set_objective(&mut self, objective: Objective) {
+        self.config.objective = objective;
         self.scheduler.set_objective(objective);
     }
 
