--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -13,6 +13,10 @@
 /// Share of its processor time that a task keeps when it is throttled because it cannot be evicted, as a divisor.
 const THROTTLE_DIVISOR: u32 = 4;
 
+/// Time for which a task waits for the report of an earlier attempt that succeeded, before it may start again. Some
+/// reports arrive in it, unless that server is lost.
+const OVERTAKEN_HOLD: DurationMs = DurationMs(15_000);
+
 impl Shard {
     /// Periodic work on tasks.
     pub(crate) fn tick_tasks(&mut self) {
@@ -142,8 +146,8 @@
     ) {
         match reply {
             ServerReply::Done => self.start_confirmed(id, attempt),
-            ServerReply::Refused => self.start_refused(key, id, attempt, true),
-            // The attempt may run; reports or the end of its lease will tell.
+            // The attempt may run, also after a refusal: a repeated copy of the command is refused while the first one
+            // took effect. Reports or the end of its lease will tell.
             _ => self.ask_report(key),
         }
     }
@@ -214,11 +218,22 @@
             }
             Some(JobState::Active) => {
                 self.enter_cell(id);
-                self.queue(id);
+                if self.overtaken.remove(&id) {
+                    self.hold(id, self.now + OVERTAKEN_HOLD);
+                } else {
+                    self.queue(id);
+                }
             }
         }
     }
 
+    fn hold(&mut self, id: TaskId, due: MonoMs) {
+        if let Some(task) = self.ledger.task_mut(id) {
+            task.phase = Phase::Held;
+        }
+        self.retries.insert((due, id));
+    }
+
     /// Holds a task whose attempt is over until a later time.
     pub(crate) fn hold_until(&mut self, id: TaskId, due: MonoMs) {
         if !self.is_active(id.job) {
@@ -227,10 +242,7 @@
         }
         self.detach(id);
         self.enter_cell(id);
-        if let Some(task) = self.ledger.task_mut(id) {
-            task.phase = Phase::Held;
-        }
-        self.retries.insert((due, id));
+        self.hold(id, due);
     }
 
     fn enter_cell(&mut self, id: TaskId) {
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -306,6 +306,9 @@
         let Some(flight) = self.own.flight.take() else {
             return;
         };
+        // A late answer to a copy of this commit must not be taken for the answer to the next one.
+        self.store_ops
+            .retain(|_, outstanding| outstanding.call != Call::Commit);
         if flight.owner != self.host {
             self.handed_over(flight);
             return;
--- a/crates/core/src/fork.rs
+++ b/crates/core/src/fork.rs
@@ -33,6 +33,7 @@
             cells: self.cells.clone(),
             quotas: self.quotas.clone(),
             retries: self.retries.clone(),
+            overtaken: self.overtaken.clone(),
             failures: self.failures.clone(),
             accepting: self.accepting.clone(),
             claiming: self.claiming.clone(),
@@ -91,6 +92,7 @@
             .field("fleet", &self.fleet)
             .field("cells", &self.cells)
             .field("retries", &self.retries)
+            .field("overtaken", &self.overtaken)
             .field("accepting", &self.accepting)
             .field("claiming", &self.claiming)
             .field("last_counter", &self.last_counter)
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::journal::{Entry, ParkReason, Parked};
+use crate::placement::CellKey;
 use crate::prelude::*;
 use crate::shard::Shard;
 use crate::tasks::{JobState, Phase};
@@ -17,7 +18,7 @@
 const BLAMED_SERVERS: usize = 3;
 
 /// Rounds of failures after which a job is parked in a shard with fewer servers than that.
-const ROUNDS_MAX: u32 = 10;
+const ROUNDS_MAX: u32 = 4;
 
 /// Time between two probes of a quarantined server, in milliseconds.
 pub const PROBE_MS: u64 = 30_000;
@@ -180,7 +181,7 @@
         let blamed = servers
             .filter(|key| self.runs_others_well(**key, job))
             .count();
-        let members = self.fleet.iter().filter(|(_, server)| server.open).count();
+        let members = self.open_servers_of(job);
         let is_faulty = blamed >= BLAMED_SERVERS
             || (members < BLAMED_SERVERS
                 && blamed >= members.max(1)
@@ -190,6 +191,16 @@
         }
     }
 
+    /// Number of open servers of the cells that a job's tasks are bound to; it can fail on no more than these.
+    fn open_servers_of(&self, job: JobId) -> usize {
+        let tasks = self.ledger.jobs.get(&job).map(|job| &job.tasks);
+        let tasks = tasks.into_iter().flatten();
+        let cells: BTreeSet<CellKey> = tasks.map(|task| task.cell).collect();
+        let open = self.fleet.iter().filter(|(_, server)| server.open);
+        open.filter(|(_, server)| cells.contains(&server.cell))
+            .count()
+    }
+
     /// Whether a server is not itself suspected: since its last success no job failed there that fails only there.
     fn runs_others_well(&self, key: ServerKey, job: JobId) -> bool {
         let Some(server) = self.fleet.get(key) else {
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -66,6 +66,12 @@
         sent.is_some_and(|sent| now < sent + DurationMs(CONFIRM_MS))
     }
 
+    /// Whether a store confirmation was sent at `time` or later, which proves that no other term existed up to then.
+    #[must_use]
+    pub fn is_confirmed_since(&self, time: MonoMs) -> bool {
+        self.confirmed.is_some_and(|sent| sent >= time)
+    }
+
     /// Whether a promise is valid. It proves that the successor has used rank 1 of the term at no time up to now,
     /// since a holder of rank 1 gives no promise.
     #[must_use]
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -140,10 +140,11 @@
         let is_newer = listed.attempt > task.attempt;
         let is_over = matches!(task.phase, Phase::Ended | Phase::Ending);
         // The attempt ended before its lease was taken as lapsed.
-        let ended_unseen = task.server.is_none()
-            && task.attempt == listed.attempt
-            && listed.state == TaskState::Succeeded;
-        if is_current {
+        let has_succeeded = listed.state == TaskState::Succeeded;
+        let ended_unseen = task.server.is_none() && has_succeeded;
+        if has_succeeded && !is_current && !is_over && task.server.is_some() {
+            self.overtake(listed.task);
+        } else if is_current {
             self.current_attempt(origin, listed);
         } else if !is_over && (is_newer || ended_unseen) {
             self.adopt(origin, &listed);
@@ -153,6 +154,21 @@
         }
     }
 
+    /// An earlier attempt of a task turns out to have succeeded. The current one is stopped and keeps its reservation
+    /// until then; the success is not acknowledged, so that the next report lists it again.
+    fn overtake(&mut self, id: TaskId) {
+        let Some(task) = self.ledger.task_mut(id) else {
+            return;
+        };
+        task.phase = Phase::Stopping;
+        let attempt = task.attempt;
+        let server = task.server;
+        self.overtaken.insert(id);
+        if let Some(key) = server {
+            self.stop_attempt(key, attempt);
+        }
+    }
+
     /// An attempt that is not the current one of a task: it is stopped, or forgotten if it has ended.
     fn settle_stray(&mut self, key: ServerKey, listed: &TaskReport) {
         if listed.state == TaskState::Running {
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -350,7 +350,13 @@
         if server.lapsed || !server.is_silent(self.now) || !self.excludes_rank_1() {
             return;
         }
-        if self.lapse_at(server).is_none_or(|at| self.now < at) {
+        let Some(lapse_at) = self.lapse_at(server).filter(|at| self.now >= *at) else {
+            return;
+        };
+        // A promise excludes the successor only. Another host may have taken over and may renew leases on a server
+        // that this host cannot reach, so the store has to show that there was no other term.
+        if !self.own.authority.is_confirmed_since(lapse_at) {
+            self.read_head();
             return;
         }
         self.lapse(key);
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -120,6 +120,8 @@
     pub(crate) cells: BTreeMap<CellKey, Cell>,
     pub(crate) quotas: BTreeMap<SmolStr, u32>,
     pub(crate) retries: Retries,
+    /// Tasks whose current attempt is being stopped because an earlier one succeeded.
+    pub(crate) overtaken: BTreeSet<TaskId>,
     pub(crate) failures: BTreeMap<JobId, JobFailures>,
     pub(crate) accepting: BTreeMap<JobId, Vec<Token>>,
     pub(crate) claiming: BTreeSet<RequestKey>,
@@ -157,6 +159,7 @@
             cells: BTreeMap::new(),
             quotas: BTreeMap::new(),
             retries: Retries::new(),
+            overtaken: BTreeSet::new(),
             failures: BTreeMap::new(),
             accepting: BTreeMap::new(),
             claiming: BTreeSet::new(),
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -397,6 +397,7 @@
         }
         self.cells.clear();
         self.retries.clear();
+        self.overtaken.clear();
         self.failures.clear();
         self.accepting.clear();
         self.claiming.clear();
--- a/examples/faults/server.rs
+++ b/examples/faults/server.rs
@@ -285,6 +285,8 @@
             boot_id: self.boot_id,
             tasks,
             request_slowdown_permille: 1_000,
+            requests_running: 0,
+            tasks_size: Resources::default(),
         }
     }
 }
