Leave out single wild reports; place evicted tasks first

Change: the median of three reports is smoothed; a task evicted before goes before the others of its client.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -90,6 +90,8 @@
     pub(crate) expected: f32,
     /// Smoothed reported slowdown of requests in thousandths; 0 before the first report.
     pub(crate) seen_permille: u32,
+    /// The two reports before the next one.
+    pub(crate) last_permille: [u32; 2],
     /// Requests are slowed beyond the limit here, and are expected to go elsewhere.
     pub(crate) slowed: bool,
     pub(crate) pressure: Hysteresis,
@@ -112,6 +114,7 @@
             use_by_kind: Vec::new(),
             expected: 0.0,
             seen_permille: 0,
+            last_permille: [0; 2],
             slowed: false,
             pressure: Hysteresis::default(),
             acted: MonoMs(0),
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -42,7 +42,12 @@
         let client = self.accounts.hold(&team, &client);
         self.sequence += 1;
         let sequence = self.sequence;
-        let order = finish_by.map_or(u64::MAX, |time| time.0);
+        // An evicted task had its turn already, so it goes before the other tasks of its client.
+        let order = if self.history.count(task) > 0 {
+            0
+        } else {
+            finish_by.map_or(u64::MAX, |time| time.0)
+        };
         let waiting = Waiting {
             task,
             kind: self.interference.kind(&kind),
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -429,10 +429,14 @@
     fn see(&mut self, permille: u32, limit: f32) {
         if self.seen_permille == 0 {
             self.seen_permille = permille;
-        } else {
-            let kept = self.seen_permille - (self.seen_permille >> SEEN_SHIFT);
-            self.seen_permille = kept + (permille >> SEEN_SHIFT);
+            self.last_permille = [permille; 2];
         }
+        let [before, last] = self.last_permille;
+        self.last_permille = [last, permille];
+        // The median of three leaves out a single wild report, which smoothing alone would keep for several reports.
+        let median = before.min(last).max(before.max(last).min(permille));
+        let kept = self.seen_permille - (self.seen_permille >> SEEN_SHIFT);
+        self.seen_permille = kept + (median >> SEEN_SHIFT);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
