--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -34,12 +34,12 @@
 }
 
 impl DispatcherConfig {
-    /// Usual bounds: 256 waiting requests and a slow start of 10 s.
+    /// Usual bounds: 256 waiting requests and a slow start of 2 s.
     #[must_use]
     pub fn with_seed(seed: u64) -> Self {
         Self {
             queue_limit: 256,
-            slow_start_ms: 10_000,
+            slow_start_ms: 2_000,
             seed,
         }
     }
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -54,7 +54,7 @@
 impl Server {
     /// Slots that may be used at `now`.
     fn usable(&self, now: MonoMs, slow_start_ms: u64) -> u32 {
-        if !self.open {
+        if !self.open || self.slots == 0 {
             return 0;
         }
         if self.failures >= FAILURES_TO_CLOSE {
@@ -67,7 +67,7 @@
         let grown = u64::from(self.slots) * passed_ms / slow_start_ms.max(1);
         u32::try_from(grown)
             .unwrap_or(self.slots)
-            .clamp(1, self.slots.max(1))
+            .clamp(1, self.slots)
     }
 
     fn busy(&self) -> u32 {
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,687 @@
+//! A store, backend servers and entry hosts on one clock, for tests of the shard.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use primrosestack_core::event::Notice;
+use primrosestack_core::placement::Objective;
+use primrosestack_core::prelude::*;
+use primrosestack_core::shard::{Shard, ShardConfig};
+use smol_str::{SmolStr, ToSmolStr};
+
+pub fn host(name: &str, incarnation: u64) -> HostId {
+    HostId {
+        name: name.into(),
+        incarnation,
+    }
+}
+
+pub fn config(hosts: &[&str]) -> ShardConfig {
+    ShardConfig {
+        failure_domain: "fd".into(),
+        number: 0,
+        hosts: hosts.iter().map(ToSmolStr::to_smolstr).collect(),
+        objective: Objective {
+            latency_permille: 400,
+            throughput_permille: 400,
+            eviction_permille: 200,
+        },
+        seed: 7,
+        clock_drift_ppm: 10_000,
+    }
+}
+
+pub fn size(millicores: u32) -> Resources {
+    Resources {
+        millicores,
+        memory_mib: millicores,
+        accelerators: 0,
+    }
+}
+
+pub fn job(id: u64, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId(id),
+        team: "team".into(),
+        client: "client".into(),
+        kind: "kind".into(),
+        tasks,
+        size: size(1_000),
+        run_ms: 60_000,
+        finish_by_unix_ms: 0,
+    }
+}
+
+pub fn accepted(id: u64, new: bool) -> TokenReply {
+    let job = JobId(id);
+    TokenReply::Accepted { job, new }
+}
+
+pub fn task(job: u64, index: u32) -> TaskId {
+    TaskId {
+        job: JobId(job),
+        index,
+    }
+}
+
+/// The store; answers at once.
+#[derive(Clone, Default)]
+pub struct Store {
+    pub values: BTreeMap<SmolStr, (u64, Arc<[u8]>)>,
+    pub revision: u64,
+    pub writes: u64,
+    pub largest: usize,
+}
+
+impl Store {
+    pub fn call(&mut self, call: &StoreCall) -> StoreReply {
+        match call {
+            StoreCall::Read { key } => {
+                let found = self.values.get(key).cloned();
+                let (revision, value) = found.unwrap_or((0, Arc::from(Vec::new())));
+                StoreReply::Value {
+                    revision: Revision(revision),
+                    value,
+                }
+            }
+            StoreCall::Swap {
+                key,
+                expected,
+                value,
+            } => {
+                let present = self.values.get(key).map_or(0, |(revision, _)| *revision);
+                if present != expected.0 {
+                    return StoreReply::Conflict;
+                }
+                self.writes += 1;
+                self.largest = self.largest.max(value.len());
+                let value = (self.revision + 1, value.clone());
+                self.values.insert(key.clone(), value);
+                self.written()
+            }
+            StoreCall::Delete { key } => {
+                self.values.remove(key);
+                self.written()
+            }
+        }
+    }
+
+    fn written(&mut self) -> StoreReply {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        StoreReply::Written { revision }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Attempted {
+    pub task: TaskId,
+    pub lease_end: u64,
+    pub state: TaskState,
+    pub checkpoint: Option<SmolStr>,
+    pub resumed_from: Option<SmolStr>,
+}
+
+/// A backend server that follows the assumptions of section 11.
+#[derive(Clone, Debug, Default)]
+pub struct Backend {
+    pub highest: Epoch,
+    pub owner: Option<HostId>,
+    pub boot_id: u64,
+    pub attempts: BTreeMap<Attempt, Attempted>,
+    pub forgotten: BTreeSet<Attempt>,
+    pub fails_all: bool,
+    /// Epoch and owner of the latest command that was not refused.
+    obeyed: Option<(Epoch, HostId)>,
+}
+
+impl Backend {
+    /// Stops attempts whose lease has lapsed.
+    pub fn lapse(&mut self, now: u64) {
+        for attempt in self.attempts.values_mut() {
+            if attempt.state == TaskState::Running && now >= attempt.lease_end {
+                attempt.state = TaskState::Stopped;
+            }
+        }
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = TaskId> {
+        let attempts = self.attempts.values();
+        attempts
+            .filter(|attempt| attempt.state == TaskState::Running)
+            .map(|attempt| attempt.task)
+    }
+
+    fn report(&self, now: u64) -> ServerReply {
+        let tasks = self.attempts.iter().map(|(attempt, attempted)| TaskReport {
+            task: attempted.task,
+            attempt: *attempt,
+            state: attempted.state.clone(),
+            checkpoint: attempted.checkpoint.clone(),
+            used: Resources::default(),
+            slowdown_permille: 1_000,
+        });
+        ServerReply::Report(Report {
+            stamp: Stamp(now),
+            boot_id: self.boot_id,
+            tasks: tasks.collect(),
+            request_slowdown_permille: 1_000,
+            requests_running: 0,
+            tasks_size: Resources::default(),
+        })
+    }
+
+    /// Checks that a server obeys one owner at a time, whatever its fence does.
+    fn obey(&mut self, owner: &HostId, epoch: Epoch) {
+        if let Some((last, holder)) = &self.obeyed {
+            assert!(epoch >= *last, "went back from {last:?} to {epoch:?}");
+            let is_held = epoch > *last || owner == holder;
+            assert!(is_held, "two owners command under {epoch:?}");
+        }
+        self.obeyed = Some((epoch, owner.clone()));
+    }
+
+    pub fn command(
+        &mut self,
+        now: u64,
+        owner: &HostId,
+        epoch: Epoch,
+        command: &ServerCommand,
+    ) -> ServerReply {
+        self.lapse(now);
+        let is_other = epoch == self.highest && self.owner.as_ref().is_some_and(|o| o != owner);
+        if epoch < self.highest || is_other {
+            let highest = self.highest;
+            return ServerReply::Fenced { highest };
+        }
+        self.highest = epoch;
+        self.owner = Some(owner.clone());
+        self.obey(owner, epoch);
+        match command {
+            ServerCommand::Claim => self.report(now),
+            ServerCommand::Renew {
+                stamp,
+                lease_ms,
+                attempts,
+                acknowledged,
+            } => {
+                for attempt in attempts {
+                    if let Some(attempted) = self.attempts.get_mut(attempt) {
+                        attempted.lease_end = attempted.lease_end.max(stamp.0 + lease_ms);
+                    }
+                }
+                for attempt in acknowledged {
+                    self.attempts.remove(attempt);
+                    self.forgotten.insert(*attempt);
+                }
+                self.report(now)
+            }
+            ServerCommand::Start {
+                stamp,
+                lease_ms,
+                task,
+                attempt,
+                resume,
+                ..
+            } => {
+                let lease_end = stamp.0 + lease_ms;
+                let is_known =
+                    self.attempts.contains_key(attempt) || self.forgotten.contains(attempt);
+                if is_known || now >= lease_end || stamp.0 > now {
+                    return ServerReply::Refused;
+                }
+                let state = if self.fails_all {
+                    TaskState::Failed { code: 1 }
+                } else {
+                    TaskState::Running
+                };
+                let attempted = Attempted {
+                    task: *task,
+                    lease_end,
+                    state,
+                    checkpoint: resume.clone(),
+                    resumed_from: resume.clone(),
+                };
+                self.attempts.insert(*attempt, attempted);
+                ServerReply::Done
+            }
+            ServerCommand::Checkpoint { attempt } => match self.attempts.get_mut(attempt) {
+                Some(attempted) if attempted.state == TaskState::Running => {
+                    let checkpoint: SmolStr =
+                        format!("c{}.{}", attempt.term, attempt.counter).into();
+                    attempted.checkpoint = Some(checkpoint.clone());
+                    ServerReply::Checkpointed { checkpoint }
+                }
+                _ => ServerReply::Refused,
+            },
+            ServerCommand::Throttle { .. } => ServerReply::Done,
+            ServerCommand::Stop { attempt } => {
+                if let Some(attempted) = self.attempts.get_mut(attempt)
+                    && attempted.state == TaskState::Running
+                {
+                    attempted.state = TaskState::Stopped;
+                }
+                ServerReply::Done
+            }
+        }
+    }
+}
+
+/// The message that an action sends to another entry host.
+pub fn to_peer(me: &HostId, action: Action) -> Option<(HostId, Event)> {
+    let (owner, from) = (me.clone(), me.clone());
+    Some(match action {
+        Action::AskPromise { to, term, sent } => (to, Event::PromiseAsked { owner, term, sent }),
+        Action::Promise {
+            to,
+            term,
+            sent,
+            forever,
+        } => (
+            to,
+            Event::Promised {
+                from,
+                term,
+                sent,
+                forever,
+            },
+        ),
+        Action::TellTerm { to, term, owner } => (to, Event::TermSeen { owner, term }),
+        Action::AskRelease { to, term } => (to, Event::ReleaseAsked { owner, term }),
+        Action::Release { to, term } => (to, Event::Released { from, term }),
+        _ => return None,
+    })
+}
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMode {
+    Up,
+    Unavailable,
+    /// Swaps take effect and their answers are lost.
+    LosesAnswers,
+    /// Swaps are lost on the way.
+    LosesCalls,
+}
+
+/// A message on its way. A call names its sender.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Store(HostId, OpId, StoreCall),
+    Server(HostId, OpId, SmolStr, Epoch, ServerCommand),
+    Peer(HostId, HostId, Event),
+    Answer(SmolStr, Event),
+}
+
+#[derive(Clone)]
+pub struct World {
+    pub now: u64,
+    pub store: Store,
+    pub mode: StoreMode,
+    pub hosts: BTreeMap<SmolStr, (HostId, Shard)>,
+    pub servers: BTreeMap<SmolStr, Backend>,
+    /// Pairs of a host and a host, server or `store` that cannot talk.
+    pub cut: BTreeSet<(SmolStr, SmolStr)>,
+    /// Whether calls over a cut link get no answer at all, rather than one that says so.
+    pub is_silent: bool,
+    pub replies: Vec<(Token, TokenReply)>,
+    pub notices: Vec<Notice>,
+    pub queue: Vec<Message>,
+}
+
+impl World {
+    /// Entry hosts that hear each other, and `servers` servers in racks of `rack`.
+    pub fn open(hosts: &[&str], servers: usize, rack: usize) -> Self {
+        let mut world = Self {
+            now: 1_000,
+            store: Store::default(),
+            mode: StoreMode::Up,
+            hosts: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            is_silent: false,
+            replies: Vec::new(),
+            notices: Vec::new(),
+            queue: Vec::new(),
+        };
+        for (name, incarnation) in hosts.iter().zip(1..) {
+            world.start_host(name, incarnation, hosts);
+        }
+        for at in 0..servers {
+            world.servers.insert(server_name(at), Backend::default());
+            world.list(at, rack, 8_000, false);
+        }
+        world
+    }
+
+    fn peers(&self, name: &str) -> Vec<(SmolStr, HostId)> {
+        let peers = self.hosts.iter().filter(|(peer, _)| *peer != name);
+        peers
+            .map(|(peer, (id, _))| (peer.clone(), id.clone()))
+            .collect()
+    }
+
+    pub fn list(&mut self, at: usize, rack: usize, millicores: u32, leaving: bool) {
+        let names: Vec<SmolStr> = self.hosts.keys().cloned().collect();
+        for name in names {
+            let event = Event::Listed {
+                server: server_name(at),
+                rack: format!("r{}", at / rack).into(),
+                size: size(millicores),
+                leaving,
+            };
+            self.send(&name, event);
+        }
+    }
+
+    pub fn shard(&self, name: &str) -> &Shard {
+        &self.hosts[name].1
+    }
+
+    /// The host that owns the shard and has recovered.
+    pub fn owner(&self) -> Option<SmolStr> {
+        let mut hosts = self.hosts.iter();
+        let found =
+            hosts.find(|(_, (_, shard))| shard.epoch().is_some_and(|epoch| epoch.rank == 0));
+        found.map(|(name, _)| name.clone())
+    }
+
+    pub fn owner_shard(&self) -> &Shard {
+        let owner = self.owner().expect("some host owns the shard");
+        self.shard(&owner)
+    }
+
+    /// Delivers an event and everything that follows from it at the same time.
+    pub fn send(&mut self, name: &str, event: Event) {
+        self.event(name, event);
+        while !self.queue.is_empty() {
+            if let Some((to, event)) = self.deliver(0) {
+                self.event(&to, event);
+            }
+        }
+        self.check();
+    }
+
+    /// Gives an event to a host and puts what it asks for on the way.
+    pub fn event(&mut self, name: &str, event: Event) {
+        let Some((id, shard)) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let id = id.clone();
+        let mut actions = Vec::new();
+        shard.handle(MonoMs(self.now), event, &mut actions);
+        for action in actions {
+            let message = match action {
+                Action::Store { op, call } => Message::Store(id.clone(), op, call),
+                Action::Command {
+                    op,
+                    name,
+                    epoch,
+                    command,
+                    ..
+                } => Message::Server(id.clone(), op, name, epoch, command),
+                Action::Reply { token, reply } => {
+                    self.replies.push((token, reply));
+                    continue;
+                }
+                Action::Log(notice) => {
+                    self.notices.push(notice);
+                    continue;
+                }
+                other => match to_peer(&id, other) {
+                    Some((to, event)) => Message::Peer(id.clone(), to, event),
+                    None => continue,
+                },
+            };
+            self.queue.push(message);
+        }
+    }
+
+    pub fn is_cut(&self, a: &str, b: &str) -> bool {
+        self.cut.contains(&(a.into(), b.into())) || self.cut.contains(&(b.into(), a.into()))
+    }
+
+    /// Delivers a message; returns the answer of a call and who gets it.
+    pub fn deliver(&mut self, at: usize) -> Option<(SmolStr, Event)> {
+        match self.queue.remove(at) {
+            Message::Store(from, op, call) => {
+                let is_cut = self.is_cut(&from.name, "store");
+                if is_cut && self.is_silent {
+                    return None;
+                }
+                let reply = self.store_reply(&call, is_cut);
+                Some((from.name, Event::Store { op, reply }))
+            }
+            Message::Server(from, op, server, epoch, command) => {
+                let is_cut = self.is_cut(&from.name, &server);
+                if is_cut && self.is_silent {
+                    return None;
+                }
+                let reply = match self.servers.get_mut(&server) {
+                    Some(backend) if !is_cut => backend.command(self.now, &from, epoch, &command),
+                    _ => ServerReply::Lost,
+                };
+                Some((from.name, Event::Server { op, reply }))
+            }
+            Message::Peer(from, to, event) => {
+                let is_there = self.hosts.get(&to.name).is_some_and(|(id, _)| *id == to);
+                let arrives = is_there && !self.is_cut(&from.name, &to.name);
+                arrives.then_some((to.name, event))
+            }
+            Message::Answer(to, event) => Some((to, event)),
+        }
+    }
+
+    fn store_reply(&mut self, call: &StoreCall, is_cut: bool) -> StoreReply {
+        if is_cut || self.mode == StoreMode::Unavailable {
+            return StoreReply::Unavailable;
+        }
+        let is_read = matches!(call, StoreCall::Read { .. });
+        match self.mode {
+            StoreMode::LosesCalls if !is_read => StoreReply::Lost,
+            StoreMode::LosesAnswers if !is_read => {
+                self.store.call(call);
+                StoreReply::Lost
+            }
+            _ => self.store.call(call),
+        }
+    }
+
+    /// Lets time pass without a tick.
+    pub fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        for backend in self.servers.values_mut() {
+            backend.lapse(self.now);
+        }
+    }
+
+    /// Advances the clock in steps of 100 ms with a tick at every host.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.pass(100);
+            let names: Vec<SmolStr> = self.hosts.keys().cloned().collect();
+            for name in names {
+                self.send(&name, Event::Tick);
+            }
+        }
+    }
+
+    /// Advances the clock until `done` holds; fails after `limit_ms`.
+    pub fn run_until(&mut self, limit_ms: u64, what: &str, done: impl Fn(&Self) -> bool) -> u64 {
+        let start = self.now;
+        while !done(self) {
+            assert!(
+                self.now < start + limit_ms,
+                "not within {limit_ms} ms: {what}"
+            );
+            self.run(100);
+        }
+        self.now - start
+    }
+
+    /// Removes a host; the others suspect it after `PROMISE_MS`.
+    pub fn kill(&mut self, name: &str) -> HostId {
+        let (id, _) = self.hosts.remove(name).expect("the host lives");
+        self.run(1_500);
+        self.suspect(&id);
+        id
+    }
+
+    /// All other hosts suspect a host.
+    pub fn suspect(&mut self, id: &HostId) {
+        for (peer, _) in self.peers(&id.name) {
+            self.suspect_at(&peer, id);
+        }
+    }
+
+    pub fn suspect_at(&mut self, name: &str, id: &HostId) {
+        let (host, suspected) = (id.clone(), true);
+        self.send(name, Event::Suspicion { host, suspected });
+    }
+
+    pub fn start_host(&mut self, name: &str, incarnation: u64, hosts: &[&str]) {
+        let id = host(name, incarnation);
+        let shard = Shard::new(config(hosts), id.clone(), MonoMs(self.now));
+        self.hosts.insert(id.name.clone(), (id.clone(), shard));
+        let suspected = false;
+        for (peer, host) in self.peers(name) {
+            self.send(name, Event::Suspicion { host, suspected });
+            let host = id.clone();
+            self.send(&peer, Event::Suspicion { host, suspected });
+        }
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) -> TokenReply {
+        let owner = self.owner().expect("some host owns the shard");
+        let token = Token(self.replies.len() as u64 + 1_000);
+        self.send(&owner, Event::Submit { token, job: spec });
+        self.run_until(2_000, "a reply", |world| world.reply(token).is_some());
+        self.reply(token).expect("replied")
+    }
+
+    /// Submits jobs `1..=count` of one task each, at once, and returns the owner.
+    pub fn submit_many(&mut self, count: u64) -> SmolStr {
+        let owner = self.owner().expect("some host owns the shard");
+        for id in 1..=count {
+            let (token, job) = (Token(id), job(id, 1));
+            self.send(&owner, Event::Submit { token, job });
+        }
+        owner
+    }
+
+    /// Latency-critical requests need the room of a task of 1,000 millicores.
+    pub fn press(&mut self, server: &SmolStr) {
+        let (owner, server) = (self.owner().expect("owned"), server.clone());
+        let need = size(1_000);
+        self.send(&owner, Event::Pressure { server, need });
+    }
+
+    pub fn reply(&self, token: Token) -> Option<TokenReply> {
+        let found = self.replies.iter().find(|(waiting, _)| *waiting == token);
+        found.map(|(_, reply)| reply.clone())
+    }
+
+    /// Number of attempts of a task that run now.
+    pub fn running(&self, id: TaskId) -> usize {
+        let running = self.servers.values().flat_map(Backend::running);
+        running.filter(|task| *task == id).count()
+    }
+
+    pub fn running_total(&self) -> usize {
+        self.servers
+            .values()
+            .map(|backend| backend.running().count())
+            .sum()
+    }
+
+    /// Ends all running attempts of a task.
+    pub fn end(&mut self, id: TaskId, state: &TaskState) {
+        let attempts = self
+            .servers
+            .values_mut()
+            .flat_map(|backend| backend.attempts.values_mut());
+        for attempt in attempts {
+            if attempt.task == id && attempt.state == TaskState::Running {
+                attempt.state = state.clone();
+            }
+        }
+    }
+
+    /// Name of the server that runs a task.
+    pub fn server_of(&self, id: TaskId) -> Option<SmolStr> {
+        let mut servers = self.servers.iter();
+        let found = servers.find(|(_, backend)| backend.running().any(|task| task == id));
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Fails if a task runs twice.
+    pub fn check(&self) {
+        let mut seen = BTreeSet::new();
+        for (name, backend) in &self.servers {
+            for task in backend.running() {
+                assert!(seen.insert(task), "{task:?} runs twice, also at {name}");
+            }
+        }
+    }
+
+    pub fn count(&self, event: &str) -> usize {
+        self.notices
+            .iter()
+            .filter(|notice| notice.event == event)
+            .count()
+    }
+}
+
+pub fn server_name(at: usize) -> SmolStr {
+    format!("w{at}").into()
+}
+
+pub const HOSTS: [&str; 3] = ["a", "b", "c"];
+
+/// A world with three entry hosts, an owner and all servers claimed.
+pub fn opened(servers: usize, rack: usize) -> World {
+    let mut world = World::open(&HOSTS, servers, rack);
+    world.run_until(5_000, "an owner with claimed servers", World::is_claimed);
+    world.run(3_000);
+    world
+}
+
+impl World {
+    /// Whether an owner has claimed every server that still runs.
+    pub fn is_claimed(&self) -> bool {
+        let Some(owner) = self.owner() else {
+            return false;
+        };
+        let shard = self.shard(&owner);
+        let mut servers = self.servers.keys();
+        servers.all(|name| {
+            let key = shard.server_key(name);
+            self.is_cut(&owner, name)
+                || key.is_some_and(|key| shard.may_send(key, MonoMs(self.now)).is_some())
+        })
+    }
+
+    pub fn successor(&self) -> SmolStr {
+        let successor = self.owner_shard().successor();
+        successor.expect("a successor is designated").name.clone()
+    }
+
+    pub fn cut_off(&mut self, a: &str, b: &str) {
+        self.cut.insert((a.into(), b.into()));
+    }
+
+    /// Cuts a server off from every entry host.
+    pub fn lose_server(&mut self, server: &str) {
+        for name in HOSTS {
+            self.cut_off(name, server);
+        }
+    }
+
+    pub fn all_attempts(&self) -> Vec<Attempt> {
+        let servers = self.servers.values();
+        let attempts = servers.flat_map(|server| server.attempts.keys());
+        attempts.copied().collect()
+    }
+}
--- /dev/null
+++ b/src/members.rs
@@ -0,0 +1,204 @@
+//! Membership and service documents of one process: heartbeats, digests, the watch and edits.
+
+use std::sync::Arc;
+
+use primrosestack_core::digest::Document;
+use primrosestack_core::documents::{DomainRevision, EditError};
+use primrosestack_core::event::Event;
+use primrosestack_core::membership::{Load, MemberState, MemberView, MembershipConfig};
+use smol_str::SmolStr;
+use snafu::Snafu;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::clock::Clock;
+use crate::docstore::Listing;
+use crate::document;
+use crate::gossip;
+use crate::peer::{Peers, Received};
+use crate::store::Store;
+
+const COMMANDS: usize = 1_024;
+
+/// Why the members service did not do what it was asked.
+#[derive(Debug, Snafu)]
+pub enum MembersError {
+    /// The service has stopped.
+    #[snafu(display("the members service has stopped"))]
+    Stopped,
+    /// The process has just started and asks its peers for documents first.
+    #[snafu(display("documents are still being received from peers"))]
+    Joining,
+    /// The edit lost a race.
+    #[snafu(display("{source}"))]
+    Edit {
+        /// Cause, with the current revision.
+        source: EditError,
+    },
+}
+
+/// A document in force, parsed.
+#[derive(Clone)]
+pub struct InForce {
+    /// Team.
+    pub team: SmolStr,
+    /// Revision.
+    pub revision: u64,
+    /// Text as accepted.
+    pub text: Arc<str>,
+    /// Content.
+    pub content: Arc<document::Document>,
+}
+
+/// What the other services see.
+#[derive(Clone, Default)]
+pub struct View {
+    /// Whether documents were received and the process may serve.
+    pub serving: bool,
+    /// Other entry hosts, by name.
+    pub members: Vec<MemberView>,
+    /// Documents in force, by team.
+    pub documents: Vec<InForce>,
+    /// Revision of each team's document in each failure domain, as far as known.
+    pub domains: Vec<(SmolStr, Vec<DomainRevision>)>,
+}
+
+impl View {
+    /// The document of a team.
+    #[must_use]
+    pub fn document(&self, team: &str) -> Option<&InForce> {
+        let found = self
+            .documents
+            .binary_search_by(|one| one.team.as_str().cmp(team));
+        found.ok().map(|at| &self.documents[at])
+    }
+
+    /// Live members of a failure domain.
+    pub fn live<'a>(&'a self, failure_domain: &'a str) -> impl Iterator<Item = &'a MemberView> {
+        self.members.iter().filter(move |member| {
+            member.failure_domain == failure_domain && member.state == MemberState::Live
+        })
+    }
+}
+
+pub(crate) enum Command {
+    Received(Box<Received>),
+    Prepare {
+        team: SmolStr,
+        if_match: u64,
+        stored: Option<Document>,
+        text: Arc<str>,
+        reply: oneshot::Sender<Result<Document, MembersError>>,
+    },
+    Offer(Document),
+    Listing(Listing),
+    Listed {
+        name: SmolStr,
+        leaving: bool,
+    },
+    Leave,
+}
+
+/// The running service; a clone is the same.
+#[derive(Clone)]
+pub struct Members {
+    commands: mpsc::Sender<Command>,
+    view: watch::Receiver<Arc<View>>,
+}
+
+/// What the service needs.
+pub struct MembersOptions {
+    /// The entry hosts.
+    pub config: MembershipConfig,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Links to peers.
+    pub peers: Peers,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Load to announce.
+    pub load: watch::Receiver<Load>,
+    /// Where suspicions of the own failure domain go.
+    pub suspicions: mpsc::Sender<Event>,
+}
+
+impl Members {
+    /// Starts the service.
+    #[must_use]
+    pub fn spawn(options: MembersOptions) -> Self {
+        let (commands, queue) = mpsc::channel(COMMANDS);
+        let (view_sender, view) = watch::channel(Arc::default());
+        let members = Self { commands, view };
+        gossip::spawn(options, members.clone(), queue, view_sender);
+        members
+    }
+
+    /// What is known now.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Waits until the process may serve.
+    ///
+    /// # Errors
+    ///
+    /// [`MembersError::Stopped`] if the service ended.
+    pub async fn serving(&self) -> Result<(), MembersError> {
+        let mut view = self.view.clone();
+        let waited = view.wait_for(|view| view.serving).await;
+        waited.map(drop).map_err(|_| MembersError::Stopped)
+    }
+
+    /// Hands over a frame of a peer.
+    pub async fn receive(&self, received: Received) {
+        // The service runs as long as the process.
+        let _ = self
+            .commands
+            .send(Command::Received(Box::new(received)))
+            .await;
+    }
+
+    /// Announces that this process leaves.
+    pub async fn leave(&self) {
+        let _ = self.commands.send(Command::Leave).await;
+    }
+
+    /// Takes in what the platform's list says of an entry host.
+    pub async fn listed(&self, name: SmolStr, leaving: bool) {
+        let _ = self.commands.send(Command::Listed { name, leaving }).await;
+    }
+
+    /// Prepares an edit against what the store holds.
+    ///
+    /// # Errors
+    ///
+    /// [`MembersError::Edit`] if another edit was first, with the current revision.
+    pub async fn prepare(
+        &self,
+        team: SmolStr,
+        if_match: u64,
+        stored: Option<Document>,
+        text: Arc<str>,
+    ) -> Result<Document, MembersError> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Prepare {
+            team,
+            if_match,
+            stored,
+            text,
+            reply,
+        };
+        let sent = self.commands.send(command).await;
+        sent.map_err(|_| MembersError::Stopped)?;
+        answer.await.map_err(|_| MembersError::Stopped)?
+    }
+
+    /// Puts a document in force if it is newer than the known one, and spreads it.
+    pub async fn offer(&self, document: Document) {
+        let _ = self.commands.send(Command::Offer(document)).await;
+    }
+
+    pub(crate) async fn take_listing(&self, listing: Listing) {
+        let _ = self.commands.send(Command::Listing(listing)).await;
+    }
+}
--- /dev/null
+++ b/src/upkeep.rs
@@ -0,0 +1,151 @@
+//! Periodic work: reads the platform's host list, and passes suspicions, quotas and link states on.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosestack_core::capacity::Resources;
+use primrosestack_core::dispatch::Link;
+use primrosestack_core::event::Event;
+use primrosestack_core::membership::MemberState;
+use primrosestack_core::placement::Objective;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+
+use crate::hostlist::{HostList, ListedState};
+use crate::logs::Line;
+use crate::members::{Members, View};
+use crate::metrics::Metrics;
+use crate::settings::LinkSettings;
+use crate::shards::{Policy, Shards};
+use crate::slots::Slots;
+
+const HOST_LIST_INTERVAL: Duration = Duration::from_secs(1);
+const LINK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the periodic work needs.
+#[derive(Clone)]
+pub struct UpkeepOptions {
+    /// Own failure domain.
+    pub failure_domain: SmolStr,
+    /// Links to other failure domains.
+    pub links: BTreeMap<SmolStr, LinkSettings>,
+    /// Members.
+    pub members: Members,
+    /// Shards.
+    pub shards: Shards,
+    /// Slots.
+    pub slots: Slots,
+    /// The platform's host list.
+    pub host_list: Arc<dyn HostList>,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+/// Starts the periodic work for the life of the process.
+pub fn spawn(options: UpkeepOptions, mut suspicions: mpsc::Receiver<Event>) {
+    let shards = options.shards.clone();
+    tokio::spawn(async move {
+        while let Some(event) = suspicions.recv().await {
+            shards.everywhere(event).await;
+        }
+    });
+    tokio::spawn(read_hosts(options.clone()));
+    tokio::spawn(follow_members(options));
+}
+
+async fn read_hosts(options: UpkeepOptions) {
+    loop {
+        match options.host_list.read().await {
+            Ok(servers) => {
+                for server in &servers {
+                    let leaving = server.state == ListedState::Leaving;
+                    // The list may name entry hosts too; names of backend servers are not known as members.
+                    options.members.listed(server.name.clone(), leaving).await;
+                }
+                options.shards.listed(servers).await;
+            }
+            Err(error) => Line::debug("host_list_unread").with_reason(error).write(),
+        }
+        tokio::time::sleep(HOST_LIST_INTERVAL).await;
+    }
+}
+
+async fn follow_members(options: UpkeepOptions) {
+    loop {
+        let view = options.members.view();
+        options.metrics.set_documents(view.documents.len() as u64);
+        set_links(&options, &view);
+        set_policy(&options, &view).await;
+        tokio::time::sleep(LINK_INTERVAL).await;
+    }
+}
+
+/// A failure domain is reached over its freest live entry host.
+fn set_links(options: &UpkeepOptions, view: &View) {
+    let mut links: BTreeMap<SmolStr, Link> = BTreeMap::new();
+    for member in &view.members {
+        if member.failure_domain == options.failure_domain {
+            continue;
+        }
+        let price = options.links.get(&member.failure_domain);
+        let link = links.entry(member.failure_domain.clone()).or_insert(Link {
+            round_trip_ms: u64::MAX,
+            price_ms: price.map_or(0, |link| link.price_ms),
+            wait_ms: u64::MAX,
+            open: false,
+        });
+        let Some(round_trip) = member.round_trip else {
+            continue;
+        };
+        if member.state != MemberState::Live || member.load.free_slots == 0 {
+            continue;
+        }
+        link.open = true;
+        link.round_trip_ms = link.round_trip_ms.min(round_trip.0);
+        link.wait_ms = link.wait_ms.min(u64::from(member.load.expected_wait_ms));
+    }
+    for (failure_domain, link) in &links {
+        options.slots.set_link(failure_domain, *link);
+    }
+}
+
+/// A team's weight is its processor quota, in cores, and at least 1. Teams share servers, so their objectives are
+/// averaged by that weight.
+async fn set_policy(options: &UpkeepOptions, view: &View) {
+    let mut quotas = Vec::with_capacity(view.documents.len());
+    let mut slot_size = Resources::default();
+    let mut weights = [0_u64; 3];
+    for document in &view.documents {
+        let content = &document.content;
+        options
+            .slots
+            .set_quota(&document.team, content.quota.slots.max(1));
+        let weight = (content.quota.millicores / 1_000).max(1);
+        quotas.push((document.team.clone(), weight));
+        for service in content.services.values() {
+            if service.failure_domains.contains(&options.failure_domain) {
+                slot_size = slot_size.greater(service.size.into());
+            }
+        }
+        let objective = content.objective;
+        weights[0] += u64::from(weight) * u64::from(objective.latency_permille);
+        weights[1] += u64::from(weight) * u64::from(objective.throughput_permille);
+        weights[2] += u64::from(weight) * u64::from(objective.eviction_permille);
+    }
+    let total: u64 = quotas.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    if total == 0 {
+        return;
+    }
+    let average = |sum: u64| u32::try_from(sum / total).unwrap_or(1_000);
+    let policy = Policy {
+        quotas,
+        objective: Objective {
+            latency_permille: average(weights[0]),
+            throughput_permille: average(weights[1]),
+            eviction_permille: average(weights[2]),
+        },
+        slot_size,
+    };
+    options.shards.set_policy(policy).await;
+}
