Hold tasks back for 8 s; keep standing room and pressure apart

A pressure also ended the room that set_withheld keeps for good.

Change: the other tasks of a job wait 8 s unless its kind is in doubt, once 45 s more if a first task takes all its memory; a pressure asks for room beyond what is free; standing room and room under pressure are separate fields.

The crate's other tests and the workspace tests had not been run on this commit when it was made.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -82,6 +82,23 @@
         }
     }
 
+    /// The amounts that are not 0, each raised by that of `base`.
+    #[must_use]
+    pub fn on_top_of(self, base: Self) -> Self {
+        let raise = |amount: u32, by: u32| {
+            if amount == 0 {
+                0
+            } else {
+                amount.saturating_add(by)
+            }
+        };
+        Self {
+            millicores: raise(self.millicores, base.millicores),
+            memory_mib: raise(self.memory_mib, base.memory_mib),
+            accelerators: raise(self.accelerators, base.accelerators),
+        }
+    }
+
     /// Whether every amount is 0.
     #[must_use]
     pub fn is_none(self) -> bool {
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -79,9 +79,13 @@
     pub(crate) cell: u32,
     pub(crate) size: Resources,
     pub(crate) reserved: Resources,
-    /// Room kept free for latency-critical requests, and until when.
+    /// Room kept free for requests: the greater of the standing amount and what they asked for lately.
     pub(crate) withheld: Resources,
-    pub(crate) withheld_until: MonoMs,
+    /// Room kept free until it is set again.
+    pub(crate) standing: Resources,
+    /// Room that requests asked for, and until when it is kept free.
+    pub(crate) pressed: Resources,
+    pub(crate) pressed_until: MonoMs,
     pub(crate) open: bool,
     pub(crate) tasks: Vec<u32>,
     /// Used millicores by kind.
@@ -108,7 +112,9 @@
             size,
             reserved: Resources::default(),
             withheld: Resources::default(),
-            withheld_until: MonoMs(0),
+            standing: Resources::default(),
+            pressed: Resources::default(),
+            pressed_until: MonoMs(0),
             open: false,
             tasks: Vec::new(),
             use_by_kind: Vec::new(),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -289,7 +289,7 @@
                 found.urgent_at.remove(&(*time, waiting.task));
             }
             self.accounts.serve(client);
-            self.sizes.started(now, waiting.task.job);
+            self.sizes.started(now, waiting.task.job, waiting.kind);
             let size = self
                 .sizes
                 .size(waiting.task.job, waiting.declared, self.largest);
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -86,6 +86,8 @@
 
     /// Chooses what gives `need` back to latency-critical requests on a server.
     ///
+    /// `need` is what requests lack beyond the room that is free; both are kept from batch for 30 s.
+    ///
     /// To be called with no need after each report too: it then returns the measures that the report made due, against
     /// tasks that outgrew their reservation or slow requests, and takes back throttling that is no longer needed.
     pub fn relieve(&mut self, now: MonoMs, server: ServerKey, need: Resources) -> Vec<Relief> {
@@ -108,8 +110,8 @@
             return;
         };
         let server = &mut self.servers[at as usize];
-        server.withheld = amount.lesser(server.size);
-        server.withheld_until = MonoMs(u64::MAX);
+        server.standing = amount.lesser(server.size);
+        server.withheld = server.standing.greater(server.pressed);
         let cell = server.cell;
         self.cells[cell as usize].index_free(&mut self.servers, at);
         self.wake(cell);
@@ -208,21 +210,26 @@
         if !used.fits_in(task.declared) {
             self.sizes.seen(now, task.id.job, used);
         }
-        if now.since(task.started).0 >= PROVEN_MS && !task.held.at_memory_limit() {
+        if task.held.at_memory_limit() {
+            self.sizes.full(now, task.id.job);
+        } else if now.since(task.started).0 >= PROVEN_MS {
             let released = self.sizes.prove(now, task.id.job, task.kind, Some(used));
             self.enqueue_all(now, released);
         }
     }
 
+    /// Keeps the room that requests asked for free for a while, besides what is free already.
     fn withhold(&mut self, now: MonoMs, at: u32, need: Resources) {
         let server = &mut self.servers[at as usize];
-        if server.withheld_until <= now {
-            server.withheld = Resources::default();
+        if server.pressed_until <= now {
+            server.pressed = Resources::default();
         }
         if !need.is_none() {
-            server.withheld = server.withheld.greater(need).lesser(server.size);
-            server.withheld_until = now + DurationMs(WITHHELD_MS);
+            let wanted = need.on_top_of(server.size.saturating_sub(server.reserved));
+            server.pressed = server.pressed.greater(wanted).lesser(server.size);
+            server.pressed_until = now + DurationMs(WITHHELD_MS);
         }
+        server.withheld = server.standing.greater(server.pressed);
     }
 
     /// Evicts for the room that is withheld or reserved beyond the size of the server.
--- a/crates/core/src/sizes.rs
+++ b/crates/core/src/sizes.rs
@@ -27,8 +27,10 @@
 /// Time for which the declarations of a kind are doubted after a task ran out of its declared memory.
 const DOUBT_MS: u64 = 1_800_000;
 
-/// Longest time for which the other tasks of a job are held back after the last news of the first ones.
-const HOLD_MS: u64 = 45_000;
+/// Longest time for which the other tasks of a job are held back after the last news of the first ones: of a doubted
+/// kind, time for two larger starts; of another, time for reports to show a lack of memory right after the start.
+const HOLD_DOUBTED_MS: u64 = 45_000;
+const HOLD_MS: u64 = 8_000;
 
 /// Factor by which the memory of a job grows when a task ran out of it.
 const MEMORY_GROWTH: u32 = 4;
@@ -51,6 +53,8 @@
     trial: Option<TaskId>,
     /// A trial showed that more processor time is not used.
     sated: bool,
+    /// When a task was first seen with all its memory taken.
+    full: Option<MonoMs>,
     /// A task ran out of its declared memory.
     grown: bool,
     /// A task ended, or ran for a while without lack of memory.
@@ -108,7 +112,19 @@
         let mut larger = reserved;
         larger.memory_mib = larger.memory_mib.saturating_mul(MEMORY_GROWTH);
         self.seen(now, job, larger);
-        self.hold(now, job);
+        self.hold(now, job, HOLD_DOUBTED_MS);
+    }
+
+    /// Takes in that a task takes all its memory, which makes it likely that it lacks some.
+    pub(crate) fn full(&mut self, now: MonoMs, job: JobId) {
+        let Some(learned) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        // Once only, or a job that fills its memory for good would be held back for good.
+        if learned.full.is_none() && !learned.held.is_empty() {
+            learned.full = Some(now);
+            self.hold(now, job, HOLD_DOUBTED_MS);
+        }
     }
 
     /// Whether a task may try a larger reservation; it is then the one that tries it.
@@ -151,10 +167,16 @@
     }
 
     /// Takes in that an admitted task starts, from when the others are held back for a limited time.
-    pub(crate) fn started(&mut self, now: MonoMs, job: JobId) {
+    pub(crate) fn started(&mut self, now: MonoMs, job: JobId, kind: KindKey) {
         let waits = self.jobs.get(&job);
-        if waits.is_some_and(|learned| !learned.held.is_empty()) {
-            self.hold(now, job);
+        if waits.is_none_or(|learned| learned.held.is_empty()) {
+            return;
+        }
+        match self.kinds.get(&kind) {
+            Some(Trust::DoubtedUntil(until)) if *until > now => {
+                self.hold(now, job, HOLD_DOUBTED_MS);
+            }
+            _ => self.hold(now, job, HOLD_MS),
         }
     }
 
@@ -241,8 +263,8 @@
         released
     }
 
-    fn hold(&mut self, now: MonoMs, job: JobId) {
-        let until = now + DurationMs(HOLD_MS);
+    fn hold(&mut self, now: MonoMs, job: JobId, time_ms: u64) {
+        let until = now + DurationMs(time_ms);
         let learned = self.open(now, job);
         if learned.proven {
             return;
