The watch on documents backs off and lists each 5 minutes

Cause: a broken watch was opened again after a fixed 1 s with one warning for each try, so all watchers called a returning store at once; and the listing of all documents each 30 s costs 69 KB/s at 970 documents of 1,400 B.

The delay now grows from 100 ms to 10 s with jitter and starts anew only after the watch held for 10 s. One warning when it breaks, one info line document_watch_restored after the next listing. A listing that fails ends the watch, so that it is tried again with the same back-off.

Before: 100 tries in 100 s of outage; computed listing 69 KB/s.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -82,6 +82,12 @@
         now >= self.until
     }
 
+    /// Time from `now` until a call may be made.
+    #[must_use]
+    pub fn wait(&self, now: MonoMs) -> DurationMs {
+        self.until.since(now)
+    }
+
     /// Number of failed calls since the last one that was answered.
     #[must_use]
     pub fn failures(&self) -> u32 {
--- a/src/docstore.rs
+++ b/src/docstore.rs
@@ -3,25 +3,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosestack_core::budget::Backoff;
 use primrosestack_core::digest::Document;
 use primrosestack_core::documents::EditError;
 use primrosestack_core::event::{StoreCall, StoreReply};
 use primrosestack_core::ids::Revision;
+use primrosestack_core::time::DurationMs;
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
+use crate::clock::Clock;
 use crate::logs::Line;
 use crate::members::{Members, MembersError};
-use crate::store::{KeyValue, Store};
+use crate::store::{KeyValue, Store, StoreError};
 
 const PREFIX: &str = "document/";
-/// The watch repairs most losses; a listing each 30 s finds a restored store.
-const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// The watch brings every change; a listing finds a store that was restored without breaking the watch. 970 documents of
+/// 1,400 bytes make 2 MB of answer, 69 KB/s at 30 s and 7 KB/s at 300 s.
+const LIST_INTERVAL: Duration = Duration::from_mins(5);
 /// Time for the watch to open before the first listing, so that no change falls between the two.
 const FIRST_LIST_DELAY: Duration = Duration::from_millis(200);
-const REWATCH_DELAY: Duration = Duration::from_secs(1);
+/// A watch that held this long starts the back-off anew; the longest delay of the back-off.
+const HELD: DurationMs = DurationMs(10_000);
 const CHANGES: usize = 256;
 
 /// Why a document was not written.
@@ -170,53 +175,87 @@
     Err(WriteError::Refused { source })
 }
 
+/// What a watch of the documents needs.
+pub(crate) struct WatchOptions {
+    /// The platform's store.
+    pub(crate) store: Arc<dyn Store>,
+    /// Takes the documents.
+    pub(crate) members: Members,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Spreads the delays of different processes.
+    pub(crate) seed: u64,
+}
+
 /// Watches the documents for as long as the future is polled.
-pub async fn watch(store: Arc<dyn Store>, members: Members) {
+pub(crate) async fn watch(options: WatchOptions) {
+    let clock = options.clock;
+    let mut backoff = Backoff::open(options.seed);
+    let mut broken = false;
     loop {
-        let (sender, mut changes) = mpsc::channel(CHANGES);
-        let watching = store.watch(PREFIX, sender);
-        let taking = async {
-            while let Some(kv) = changes.recv().await {
-                let documents = stored_document(&kv).into_iter().collect();
-                let complete = false;
-                members
-                    .take_listing(Listing {
-                        documents,
-                        complete,
-                    })
-                    .await;
-            }
-        };
-        let listing = async {
-            tokio::time::sleep(FIRST_LIST_DELAY).await;
-            loop {
-                list(&*store, &members).await;
-                tokio::time::sleep(LIST_INTERVAL).await;
+        let opened = clock.now();
+        let error = watch_once(&options, &mut broken).await;
+        if !broken {
+            broken = true;
+            let line = Line::warn("document_watch_broken");
+            line.with_reason(error).write();
+        }
+        let now = clock.now();
+        if now.since(opened) >= HELD {
+            backoff.succeed();
+        }
+        backoff.fail(now);
+        let delay_ms = backoff.wait(now).0;
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
+/// Watches and lists until one of the two fails.
+async fn watch_once(options: &WatchOptions, broken: &mut bool) -> StoreError {
+    let store = &*options.store;
+    let members = &options.members;
+    let (sender, mut changes) = mpsc::channel(CHANGES);
+    let watching = async {
+        let ended = store.watch(PREFIX, sender).await;
+        ended.err().unwrap_or(StoreError::Ended)
+    };
+    let taking = async {
+        while let Some(kv) = changes.recv().await {
+            let listing = Listing {
+                documents: stored_document(&kv).into_iter().collect(),
+                complete: false,
+            };
+            members.take_listing(listing).await;
+        }
+        // The watch itself tells why it ended.
+        std::future::pending().await
+    };
+    let listing = async {
+        tokio::time::sleep(FIRST_LIST_DELAY).await;
+        loop {
+            if let Err(error) = list(store, members).await {
+                return error;
             }
-        };
-        tokio::select! {
-            result = watching => {
-                if let Err(error) = result {
-                    Line::warn("document_watch_broken").with_reason(error).write();
-                }
+            if *broken {
+                *broken = false;
+                Line::info("document_watch_restored").write();
             }
-            () = taking => {}
-            () = listing => {}
+            tokio::time::sleep(LIST_INTERVAL).await;
         }
-        tokio::time::sleep(REWATCH_DELAY).await;
+    };
+    tokio::select! {
+        error = watching => error,
+        error = taking => error,
+        error = listing => error,
     }
 }
 
-async fn list(store: &dyn Store, members: &Members) {
-    let Ok(kvs) = store.list(PREFIX).await else {
-        return;
+async fn list(store: &dyn Store, members: &Members) -> Result<(), StoreError> {
+    let kvs = store.list(PREFIX).await?;
+    let listing = Listing {
+        documents: kvs.iter().filter_map(stored_document).collect(),
+        complete: true,
     };
-    let documents = kvs.iter().filter_map(stored_document).collect();
-    let complete = true;
-    members
-        .take_listing(Listing {
-            documents,
-            complete,
-        })
-        .await;
+    members.take_listing(listing).await;
+    Ok(())
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -21,7 +21,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::Clock;
-use crate::docstore::{self, Listing};
+use crate::docstore::{self, Listing, WatchOptions};
 use crate::document;
 use crate::logs::Line;
 use crate::members::{Command, InForce, Members, MembersError, MembersOptions, View};
@@ -435,7 +435,12 @@
             .as_ref()
             .is_some_and(|task| !task.is_finished());
         if chosen && !running {
-            let watching = docstore::watch(self.store.clone(), self.own.clone());
+            let watching = docstore::watch(WatchOptions {
+                store: self.store.clone(),
+                members: self.own.clone(),
+                clock: self.clock,
+                seed: self.host.incarnation,
+            });
             self.watching = Some(tokio::spawn(watching));
         }
         if !chosen && let Some(task) = self.watching.take() {
--- a/src/store.rs
+++ b/src/store.rs
@@ -26,6 +26,9 @@
     /// The store could not be reached or refused.
     #[snafu(display("the store is unavailable"))]
     Unavailable,
+    /// The store ended a watch.
+    #[snafu(display("the store ended the watch"))]
+    Ended,
     /// The store's answer could not be understood.
     #[snafu(display("the store's answer has no valid field {field}"))]
     Malformed {
