Count starts, resumes, evictions and parked jobs

Cause: nothing called record_task, so alarms on primrose_tasks_total never fired. The core gave no notice of tasks.

The core now logs task_evicted when an Evicted record is committed and job_parked when a Parked record is; src/metrics.rs counts them. Starts and resumes are counted when a backend server confirms Start. Ends are not counted: one Ended record covers many tasks, and a notice has no number.

Before: series absent.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use smol_str::format_smolstr;
+
 use crate::journal::{Entry, ParkReason, Parked};
 use crate::prelude::*;
 use crate::shard::Shard;
@@ -242,6 +244,10 @@
         let Some(count) = self.ledger.jobs.get(&job).map(|job| job.tasks.len()) else {
             return;
         };
+        let state = self.ledger.jobs.get(&job).map(|job| job.state);
+        if matches!(state, Some(JobState::Parked(_))) {
+            self.log("job_parked", None, &format_smolstr!("{:016x}", job.0));
+        }
         let from = if is_active {
             Phase::Parked
         } else {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use smol_str::SmolStr;
+
 use crate::journal::{
     ANSWER_MAX_BYTES, Accepted, Cancelled, Entry, JOB_MAX_TASKS, KeyEntry, RECORD_MAX_BYTES,
 };
@@ -169,7 +171,11 @@
         match entry {
             Entry::Accepted(accepted) => self.accepted(accepted),
             Entry::Bound(bound) => self.bound(bound.task.into()),
-            Entry::Evicted(evicted) => self.evicted(evicted.task.into()),
+            Entry::Evicted(evicted) => {
+                let task = TaskId::from(evicted.task);
+                self.log("task_evicted", Some(task), &SmolStr::default());
+                self.evicted(task);
+            }
             Entry::Cancelled(cancelled) => {
                 for &job in &cancelled.jobs {
                     self.cancelled(JobId(job));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,7 +5,9 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry::{KeyValue, StringValue};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use primrosestack_core::event::{NotRun, StoreCall, StoreReply};
+use primrosestack_core::event::{
+    NotRun, Notice, ServerCommand, ServerReply, StoreCall, StoreReply,
+};
 use prometheus::{Encoder, Registry, TextEncoder};
 use snafu::{ResultExt, Snafu};
 
@@ -209,6 +211,29 @@
             .add(1, &[KeyValue::new("event", name)]);
     }
 
+    /// Counts a start that a backend server confirmed.
+    pub fn record_command(&self, command: &ServerCommand, reply: &ServerReply) {
+        let ServerCommand::Start { resume, .. } = command else {
+            return;
+        };
+        if *reply != ServerReply::Done {
+            return;
+        }
+        self.record_task(TaskEvent::Started);
+        if resume.is_some() {
+            self.record_task(TaskEvent::Resumed);
+        }
+    }
+
+    /// Counts what a notice of a shard says of tasks.
+    pub fn record_notice(&self, notice: &Notice) {
+        match notice.event {
+            "task_evicted" => self.record_task(TaskEvent::Evicted),
+            "job_parked" => self.record_task(TaskEvent::Parked),
+            _ => {}
+        }
+    }
+
     /// Counts a store call by its answer.
     pub fn record_store_call(&self, call: &StoreCall, reply: &StoreReply) {
         let kind = match call {
--- a/src/shards.rs
+++ b/src/shards.rs
@@ -428,7 +428,10 @@
                     let _ = sender.send(reply);
                 }
             }
-            Action::Log(notice) => Line::from_notice(&notice).with("shard", shard).write(),
+            Action::Log(notice) => {
+                self.options.metrics.record_notice(&notice);
+                Line::from_notice(&notice).with("shard", shard).write();
+            }
             Action::AskPromise { to, term, sent } => {
                 let sent_ms = sent.0;
                 let asked = PromiseAsked {
@@ -498,9 +501,14 @@
         let address = self.addresses.get(name).copied();
         let server = name.clone();
         let backend = self.options.backend.clone();
+        let metrics = self.options.metrics.clone();
         tokio::spawn(async move {
             let reply = match address {
-                Some(address) => backend.command(address, epoch, command).await,
+                Some(address) => {
+                    let reply = backend.command(address, epoch, command.clone()).await;
+                    metrics.record_command(&command, &reply);
+                    reply
+                }
                 // A server of a recovered journal that the platform does not list now.
                 None => ServerReply::Lost,
             };
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -2,9 +2,12 @@
 
 use log::Level;
 use primrosestack::logs::{self, ERRORS, Line, WARNINGS};
-use primrosestack::metrics::{Metrics, Outcome, RequestRecord, TEAM_LIMIT, TaskEvent};
-use primrosestack_core::event::{NotRun, Notice, StoreCall, StoreReply};
-use primrosestack_core::ids::{JobId, TaskId};
+use primrosestack::metrics::{Direction, Metrics, Outcome, RequestRecord, TEAM_LIMIT, TaskEvent};
+use primrosestack_core::capacity::Resources;
+use primrosestack_core::event::{
+    NotRun, Notice, ServerCommand, ServerReply, StoreCall, StoreReply,
+};
+use primrosestack_core::ids::{Attempt, JobId, Stamp, TaskId};
 use test_case::test_case;
 
 /// Guards against values that break a line in two or forge a pair.
@@ -79,6 +82,31 @@
     }
 }
 
+fn notice(event: &'static str) -> Notice {
+    Notice {
+        event,
+        term: 1,
+        task: None,
+        subject: "".into(),
+    }
+}
+
+fn start() -> ServerCommand {
+    ServerCommand::Start {
+        stamp: Stamp::default(),
+        lease_ms: 1,
+        task: TaskId {
+            job: JobId(1),
+            index: 0,
+        },
+        attempt: Attempt::default(),
+        kind: "k".into(),
+        size: Resources::default(),
+        run_ms: 1,
+        resume: Some("c".into()),
+    }
+}
+
 /// Guards against outcomes counted under the wrong reason, and against a scrape that misses an instrument.
 #[test]
 fn a_scrape_shows_what_was_recorded() {
@@ -86,6 +114,10 @@
     metrics.record_request(&request("t1", Outcome::Answered(200)));
     metrics.record_request(&request("t1", Outcome::NotRun(NotRun::Overloaded)));
     metrics.record_task(TaskEvent::Evicted);
+    metrics.record_notice(&notice("job_parked"));
+    metrics.record_command(&start(), &ServerReply::Done);
+    metrics.record_command(&start(), &ServerReply::Lost);
+    metrics.record_peer_frame(Direction::Sent, 41);
     let key = "k".into();
     metrics.record_store_call(&StoreCall::Read { key }, &StoreReply::Lost);
     metrics.set_shards(2);
@@ -95,6 +127,10 @@
         "primrose_requests_total{outcome=\"not_run\",reason=\"overloaded\",team=\"t1\"} 1",
         "primrose_request_duration_ms_count{failure_domain=\"poa\",service=\"quotes\"} 2",
         "primrose_tasks_total{event=\"evicted\"} 1",
+        "primrose_tasks_total{event=\"parked\"} 1",
+        "primrose_tasks_total{event=\"started\"} 1",
+        "primrose_tasks_total{event=\"resumed\"} 1",
+        "primrose_peer_frame_bytes_total{direction=\"sent\"} 41",
         "primrose_store_calls_total{kind=\"read\",result=\"lost\"} 1",
         "primrose_shards_owned 2",
     ] {
