--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -215,7 +215,8 @@
             .health
             .failed_since_success()
             .filter(|other| *other != job);
-        others.all(|other| fails_elsewhere(&self.failures, other, key))
+        // A job that was parked since then was found to be at fault itself.
+        others.all(|other| !self.is_active(other) || fails_elsewhere(&self.failures, other, key))
     }
 
     /// Starts a task that failed, if possible on a server where its job has not failed yet. Without this a scheduler
