A refused retry leaves the outcome of a request unknown

Cause: Requests::run returned the reply of the last attempt. An idempotent request whose first attempt had run without an answer was reported as "not run" when the retry was refused (invariant 5). Found by the deployment example: of the calls told "not run", 8 had a run in the stand-ins' records, all idempotent. A wrong record was ruled out: each body is used by one call only.

Change: Reply::after combines the replies of two attempts; "not run" holds for all attempts or for none.

--- a/src/requests.rs
+++ b/src/requests.rs
@@ -133,6 +133,17 @@
     Unknown,
 }
 
+impl Reply {
+    /// The reply to a request that was sent again after `earlier`: "not run" holds for all attempts or for none.
+    #[must_use]
+    pub fn after(self, earlier: &Self) -> Self {
+        match (earlier, self) {
+            (Self::Unknown, Self::NotRun { .. }) => Self::Unknown,
+            (_, last) => last,
+        }
+    }
+}
+
 /// What the service needs.
 pub struct RequestsOptions {
     /// This process.
@@ -188,7 +199,7 @@
             if call.origin == Origin::Peer || !self.may_retry(call, &reply) {
                 break;
             }
-            reply = self.attempt(call, attempt).await;
+            reply = self.attempt(call, attempt).await.after(&reply);
         }
         reply
     }
