Forwarded requests stop waiting for a host that cannot answer

Cause: a request forwarded to a host that was killed waited for its whole deadline, so that an idempotent one had no time left for a retry.

Change: the wait ends when the receiving process is replaced or gone, and for idempotent requests also when it is suspected. A non-idempotent request goes on waiting for a suspected host, which may be paused and answer later.

--- /dev/null
+++ b/src/answers.rs
@@ -0,0 +1,61 @@
+//! Replies as frames between entry hosts.
+
+use primrosestack_core::peer_frame::{Outcome, RequestAnswer};
+
+use crate::requests::{Cause, Reply, not_run};
+
+/// Status with which a peer says that an idempotency key was used before.
+const REPEATED_STATUS: u32 = 409;
+
+/// The frame that answers a forwarded request.
+pub(crate) fn answer_frame(request: &str, reply: &Reply) -> RequestAnswer {
+    let mut answer = RequestAnswer {
+        request: request.to_owned(),
+        ..RequestAnswer::default()
+    };
+    match reply {
+        Reply::NotRun { retry_after_ms, .. } => {
+            answer.set_outcome(Outcome::NotRun);
+            answer.retry_after_ms = u32::try_from(*retry_after_ms).unwrap_or(u32::MAX);
+        }
+        Reply::Answered {
+            status,
+            content_type,
+            body,
+        } => {
+            answer.set_outcome(Outcome::Answered);
+            answer.status = u32::from(*status);
+            answer.content_type = content_type.to_string();
+            answer.announced_bytes = body.len() as u64;
+            answer.body = body.to_vec();
+        }
+        Reply::Repeated => {
+            answer.set_outcome(Outcome::Unknown);
+            answer.status = REPEATED_STATUS;
+        }
+        Reply::Unknown => answer.set_outcome(Outcome::Unknown),
+    }
+    answer
+}
+
+/// The reply that a frame carries.
+pub(crate) fn reply_of(answer: RequestAnswer) -> Reply {
+    match answer.outcome() {
+        Outcome::NotRun => not_run(Cause::Refused, u64::from(answer.retry_after_ms)),
+        Outcome::Answered if answer.is_whole() => Reply::Answered {
+            status: u16::try_from(answer.status).unwrap_or(502),
+            content_type: answer.content_type.into(),
+            body: answer.body.into(),
+        },
+        Outcome::Unknown if answer.status == REPEATED_STATUS => Reply::Repeated,
+        Outcome::Answered | Outcome::Unknown => Reply::Unknown,
+    }
+}
+
+/// The kept answer of an idempotency key.
+pub(crate) fn kept(answer: &RequestAnswer) -> Reply {
+    match reply_of(answer.clone()) {
+        reply @ Reply::Answered { .. } => reply,
+        _ => Reply::Repeated,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The decisions are in `primrosestack_core`; this crate holds the services that perform them.
 
 pub mod administration;
+mod answers;
 pub mod api;
 pub mod auth;
 pub mod backend;
--- a/src/members.rs
+++ b/src/members.rs
@@ -5,6 +5,7 @@
 use primrosestack_core::digest::Document;
 use primrosestack_core::documents::{DomainRevision, EditError};
 use primrosestack_core::event::Event;
+use primrosestack_core::ids::HostId;
 use primrosestack_core::membership::{Load, MemberState, MemberView, MembershipConfig};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -78,6 +79,20 @@
             member.failure_domain == failure_domain && member.state == MemberState::Live
         })
     }
+
+    /// Whether an answer of this process may still arrive. A suspected process may be paused and answer later, which
+    /// counts only for `patient` callers.
+    #[must_use]
+    pub fn may_answer(&self, host: &HostId, patient: bool) -> bool {
+        let Some(member) = self.members.iter().find(|member| member.host == *host) else {
+            return false;
+        };
+        match member.state {
+            MemberState::Live | MemberState::Leaving => true,
+            MemberState::Suspected => patient,
+            MemberState::Unheard | MemberState::Gone => false,
+        }
+    }
 }
 
 pub(crate) enum Command {
@@ -138,6 +153,13 @@
         self.view.borrow().clone()
     }
 
+    /// Waits until [`View::may_answer`] is false for a host.
+    pub async fn no_answer(&self, host: &HostId, patient: bool) {
+        let mut view = self.view.clone();
+        // Without the service there are no links either.
+        let _ = view.wait_for(|view| !view.may_answer(host, patient)).await;
+    }
+
     /// Waits until the process may serve.
     ///
     /// # Errors
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -8,11 +8,12 @@
 use primrosestack_core::event::NotRun;
 use primrosestack_core::ids::{HostId, RequestKey, stable_hash};
 use primrosestack_core::membership::MemberView;
-use primrosestack_core::peer_frame::{Body, Outcome, RequestAnswer, RequestForward};
+use primrosestack_core::peer_frame::{Body, RequestAnswer, RequestForward};
 use primrosestack_core::retry::RetryBudget;
 use primrosestack_core::time::MonoMs;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::answers::{answer_frame, kept, reply_of};
 use crate::backend::{Backend, BackendOutcome, BackendRequest};
 use crate::calls::Calls;
 use crate::clock::Clock;
@@ -264,7 +265,7 @@
     }
 
     /// Of two live members with free slots, drawn by hash, the one with more.
-    fn freest_peer(&self, failure_domain: &str, call: &Call, attempt: u32) -> Option<SmolStr> {
+    fn freest_peer(&self, failure_domain: &str, call: &Call, attempt: u32) -> Option<HostId> {
         let view = self.inner.options.members.view();
         let live = view.live(failure_domain);
         let free: Vec<&MemberView> = live.filter(|member| member.load.free_slots > 0).collect();
@@ -276,14 +277,14 @@
         } else {
             second
         };
-        Some(better.host.name.clone())
+        Some(better.host.clone())
     }
 
-    fn any_peer(&self, failure_domain: &str, call: &Call, attempt: u32) -> Option<SmolStr> {
+    fn any_peer(&self, failure_domain: &str, call: &Call, attempt: u32) -> Option<HostId> {
         let view = self.inner.options.members.view();
         let live: Vec<&MemberView> = view.live(failure_domain).collect();
         let member = pick(&live, self.draw(call, attempt))?;
-        Some(member.host.name.clone())
+        Some(member.host.clone())
     }
 
     fn draw(&self, call: &Call, attempt: u32) -> u64 {
@@ -381,7 +382,7 @@
         }
     }
 
-    async fn forward(&self, peer: &str, call: &Call, attempt: u32) -> Reply {
+    async fn forward(&self, peer: &HostId, call: &Call, attempt: u32) -> Reply {
         let options = &self.inner.options;
         let left = call.deadline.since(options.clock.now());
         let waiting = self.inner.calls.open();
@@ -398,11 +399,18 @@
             content_type: call.content_type.to_string(),
             body: call.body.to_vec(),
         };
-        if !options.peers.send(peer, Body::RequestForward(frame)) {
+        if !options.peers.send(&peer.name, Body::RequestForward(frame)) {
             return not_run(Cause::Unreachable, RETRY_AFTER_MS);
         }
         let limit = Duration::from_millis(left.0) + ANSWER_GRACE;
-        match waiting.answer(limit).await {
+        let answer = tokio::select! {
+            biased;
+            answer = waiting.answer(limit) => answer,
+            // An idempotent request is sent again while there is time; another one has no use for an early end unless
+            // the answer can no longer come.
+            () = options.members.no_answer(peer, !call.idempotent) => None,
+        };
+        match answer {
             Some(answer) if answer.request == identity => reply_of(answer),
             _ => Reply::Unknown,
         }
@@ -451,63 +459,9 @@
     members.get(at).copied()
 }
 
-fn not_run(cause: Cause, retry_after_ms: u64) -> Reply {
+pub(crate) fn not_run(cause: Cause, retry_after_ms: u64) -> Reply {
     Reply::NotRun {
         cause,
         retry_after_ms,
     }
 }
-
-/// Status with which a peer says that an idempotency key was used before.
-const REPEATED_STATUS: u32 = 409;
-
-fn answer_frame(request: &str, reply: &Reply) -> RequestAnswer {
-    let mut answer = RequestAnswer {
-        request: request.to_owned(),
-        ..RequestAnswer::default()
-    };
-    match reply {
-        Reply::NotRun { retry_after_ms, .. } => {
-            answer.set_outcome(Outcome::NotRun);
-            answer.retry_after_ms = u32::try_from(*retry_after_ms).unwrap_or(u32::MAX);
-        }
-        Reply::Answered {
-            status,
-            content_type,
-            body,
-        } => {
-            answer.set_outcome(Outcome::Answered);
-            answer.status = u32::from(*status);
-            answer.content_type = content_type.to_string();
-            answer.announced_bytes = body.len() as u64;
-            answer.body = body.to_vec();
-        }
-        Reply::Repeated => {
-            answer.set_outcome(Outcome::Unknown);
-            answer.status = REPEATED_STATUS;
-        }
-        Reply::Unknown => answer.set_outcome(Outcome::Unknown),
-    }
-    answer
-}
-
-fn reply_of(answer: RequestAnswer) -> Reply {
-    match answer.outcome() {
-        Outcome::NotRun => not_run(Cause::Refused, u64::from(answer.retry_after_ms)),
-        Outcome::Answered if answer.is_whole() => Reply::Answered {
-            status: u16::try_from(answer.status).unwrap_or(502),
-            content_type: answer.content_type.into(),
-            body: answer.body.into(),
-        },
-        Outcome::Unknown if answer.status == REPEATED_STATUS => Reply::Repeated,
-        Outcome::Answered | Outcome::Unknown => Reply::Unknown,
-    }
-}
-
-/// The kept answer of an idempotency key.
-fn kept(answer: &RequestAnswer) -> Reply {
-    match reply_of(answer.clone()) {
-        reply @ Reply::Answered { .. } => reply,
-        _ => Reply::Repeated,
-    }
-}
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,45 @@
+//! Which hosts may still answer a forwarded request.
+
+use primrosestack::members::View;
+use primrosestack_core::ids::HostId;
+use primrosestack_core::membership::{Load, MemberState, MemberView};
+use test_case::test_case;
+
+fn host(incarnation: u64) -> HostId {
+    HostId {
+        name: "poa-entry-1".into(),
+        incarnation,
+    }
+}
+
+fn view(state: MemberState) -> View {
+    let member = MemberView {
+        host: host(7),
+        failure_domain: "poa".into(),
+        state,
+        load: Load::default(),
+        round_trip: None,
+    };
+    View {
+        members: vec![member],
+        ..View::default()
+    }
+}
+
+/// A request forwarded to a host that was killed waited for its whole deadline, so that it was never retried.
+#[test_case(MemberState::Live, true, true)]
+#[test_case(MemberState::Leaving, true, true; "a leaving host finishes its requests")]
+#[test_case(MemberState::Suspected, false, true; "a paused host may answer later")]
+#[test_case(MemberState::Gone, false, false)]
+fn waits_only_for_answers_that_may_come(state: MemberState, hasty: bool, patient: bool) {
+    let view = view(state);
+    assert_eq!(view.may_answer(&host(7), false), hasty);
+    assert_eq!(view.may_answer(&host(7), true), patient);
+}
+
+/// A restarted host does not know the requests of its earlier incarnation.
+#[test]
+fn earlier_incarnation_gives_no_answer() {
+    let view = view(MemberState::Live);
+    assert!(!view.may_answer(&host(6), true));
+}
