--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -91,8 +91,17 @@
     State(backend): State<StandinBackend>,
     Json(envelope): Json<Envelope>,
 ) -> Json<ServerReply> {
-    let mut worker = backend.worker();
-    Json(worker.command(envelope.epoch, &envelope.owner, envelope.command))
+    let Envelope {
+        epoch,
+        owner,
+        command,
+    } = envelope;
+    let is_start = matches!(command, ServerCommand::Start { .. });
+    let reply = backend.worker().command(epoch, &owner, command);
+    if is_start && matches!(reply, ServerReply::Done) {
+        backend.ledger.took_work(&backend.name, &owner, epoch);
+    }
+    Json(reply)
 }
 
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
@@ -153,6 +162,7 @@
             return (StatusCode::TOO_MANY_REQUESTS, refused).into_response();
         }
     }
+    backend.ledger.took_work(&backend.name, &owner, epoch);
     let slot = Slot(backend.clone());
     let text = String::from_utf8_lossy(&body);
     backend.ledger.ran_request(&format!("{operation} {text}"));
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
-use primrosestack_core::ids::TaskId;
+use primrosestack_core::ids::{Epoch, HostId, TaskId};
 use smol_str::SmolStr;
 
 /// How one run of a task ended.
@@ -34,6 +35,17 @@
     pub end: RunEnd,
 }
 
+/// Work that one owner gave a server under one epoch.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    /// The owner.
+    pub owner: HostId,
+    /// Epoch of its commands.
+    pub epoch: Epoch,
+    /// When the server took the first request or task from it.
+    pub first_work: Instant,
+}
+
 /// Records of all servers.
 #[derive(Default)]
 pub struct Records {
@@ -45,6 +57,8 @@
     pub violations: Vec<String>,
     /// New work that a server received more than 3 s after it was marked as leaving.
     pub late_starts: u32,
+    /// Owners that gave work to each server, in order.
+    pub tenures: BTreeMap<SmolStr, Vec<Tenure>>,
 }
 
 impl Records {
@@ -136,6 +150,21 @@
         *self.records().requests.entry(identity.into()).or_default() += 1;
     }
 
+    /// Notes that a server took a request or a task from an owner.
+    pub fn took_work(&self, server: &SmolStr, owner: &HostId, epoch: Epoch) {
+        let mut records = self.records();
+        let tenures = records.tenures.entry(server.clone()).or_default();
+        let last = tenures.last();
+        if last.is_some_and(|last| last.owner == *owner && last.epoch == epoch) {
+            return;
+        }
+        tenures.push(Tenure {
+            owner: owner.clone(),
+            epoch,
+            first_work: Instant::now(),
+        });
+    }
+
     /// Notes something that must never happen.
     pub fn violation(&self, text: String) {
         self.records().violations.push(text);
