Quotas and slot sizes follow a new document at once

Cause: follow_members took documents over every 500 ms. In the quick start the job came first, batch filled all servers before the size of a request was known, and requests of the wave were refused.

follow_members now waits for a change of the documents in force (Members::documents_changed) or 500 ms, whichever is first. Links still follow each 500 ms.

--- a/src/members.rs
+++ b/src/members.rs
@@ -72,6 +72,12 @@
         found.ok().map(|at| &self.documents[at])
     }
 
+    fn has_documents_of(&self, other: &Self) -> bool {
+        let pairs = self.documents.iter().zip(&other.documents);
+        let mut same = pairs.map(|(own, other)| Arc::ptr_eq(&own.content, &other.content));
+        self.documents.len() == other.documents.len() && same.all(|same| same)
+    }
+
     /// Live members of a failure domain.
     pub fn live<'a>(&'a self, failure_domain: &'a str) -> impl Iterator<Item = &'a MemberView> {
         self.members.iter().filter(move |member| {
@@ -149,6 +155,16 @@
         waited.map(drop).map_err(|_| MembersError::Stopped)
     }
 
+    /// Waits until the documents in force differ from those of `known`; forever if the service ended.
+    pub async fn documents_changed(&self, known: &View) {
+        let mut view = self.view.clone();
+        let changed = view.wait_for(|view| !view.has_documents_of(known));
+        let has_stopped = changed.await.is_err();
+        if has_stopped {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Hands over a frame of a peer.
     pub async fn receive(&self, received: Received) {
         // The service runs as long as the process.
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -77,7 +77,11 @@
         options.metrics.set_documents(view.documents.len() as u64);
         set_links(&options, &view);
         set_policy(&options, &view).await;
-        tokio::time::sleep(LINK_INTERVAL).await;
+        // Batch fills all servers if the size of a request becomes known after the first submissions.
+        tokio::select! {
+            () = options.members.documents_changed(&view) => {}
+            () = tokio::time::sleep(LINK_INTERVAL) => {}
+        }
     }
 }
 
