A server that is declared gone waits for the previous owner's authority

Conclusion: a declaration says that nothing runs there now, not that nobody can start anything there.

--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -35,6 +35,8 @@
         server.heard = Some(now);
         server.acked = Some(epoch);
         server.lapsed = false;
+        // It answers, so it is not gone.
+        server.declared_gone = false;
         let cell = server.cell;
         if self.role == Role::Owner {
             let origin = Origin {
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -82,6 +82,8 @@
     pub acks: Vec<Attempt>,
     /// Whether its leases have certainly lapsed since the latest report.
     pub lapsed: bool,
+    /// An operator declared it gone, which takes effect once the previous owner can start nothing there any more.
+    pub declared_gone: bool,
     /// Failures of starts.
     pub health: Health,
     /// Whether the scheduler may place tasks there.
@@ -243,6 +245,7 @@
                 self.ask_report(key);
             }
             if self.role == Role::Owner {
+                self.finish_declared(key);
                 self.check_lapse(key);
                 self.update_open(key);
             }
@@ -408,12 +411,28 @@
         let Some(key) = self.fleet.key(name) else {
             return;
         };
+        if self.role == Role::Owner && self.now < self.own.wait_until {
+            // The server could come back and obey the previous owner, which may hold authority until then.
+            if let Some(server) = self.fleet.get_mut(key) {
+                server.declared_gone = true;
+            }
+            return;
+        }
         if self.role == Role::Owner {
             self.lapse(key);
         }
         self.forget_server(key);
     }
 
+    fn finish_declared(&mut self, key: ServerKey) {
+        let server = self.fleet.get(key);
+        let is_due = self.now >= self.own.wait_until;
+        if is_due && server.is_some_and(|server| server.declared_gone && !server.is_gone()) {
+            self.lapse(key);
+            self.forget_server(key);
+        }
+    }
+
     /// Forgets a leaving server once its leases have lapsed or it is empty and silent.
     fn retire(&mut self, key: ServerKey) {
         let Some(server) = self.fleet.get(key) else {
