Handover before the balancer's wait; drained peers; room before the first report

After: shards are handed over first; the stop waits for requests of peers; the whole server is withheld while the size of a request is unknown, and room is withheld before the first report is handled.

--- a/src/host.rs
+++ b/src/host.rs
@@ -381,7 +381,7 @@
         Ok(members.serving().await?)
     }
 
-    /// Stops in order: fails the health check, finishes requests in flight, hands over the shards.
+    /// Stops in order: fails the health check, hands over the shards, finishes requests in flight, also those of peers.
     ///
     /// Returns whether all requests were finished and all shards handed over in time.
     ///
@@ -392,14 +392,18 @@
         let front: Front = self.kernel.find("front")?;
         let members: Members = self.kernel.find("members")?;
         let shards: Shards = self.kernel.find("shards")?;
+        let requests: Requests = self.kernel.find("requests")?;
         Line::info("host_leaving").write();
         front.leave();
+        // Handed over first: peers stop forwarding to a leaving host, so its servers would idle until the end.
+        let handover = tokio::time::timeout(HANDOVER_WAIT, shards.stop()).await;
+        let handed_over = handover.is_ok();
         members.leave().await;
         tokio::time::sleep(BALANCER_WAIT).await;
-        let finished = self.front.stop(DRAIN_MS).await;
-        let handed_over = tokio::time::timeout(HANDOVER_WAIT, shards.stop())
-            .await
-            .is_ok();
+        let callers_finished = self.front.stop(DRAIN_MS).await;
+        let drain = Duration::from_millis(DRAIN_MS);
+        let peers_finished = tokio::time::timeout(drain, requests.drained()).await;
+        let finished = callers_finished && peers_finished.is_ok();
         let admin_finished = self.admin.stop(1_000).await;
         let line = Line::info("host_closed").with("requests_finished", finished);
         let line = line.with("handed_over", handed_over);
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -1,5 +1,6 @@
 //! The path of one latency-critical request: local slot, forwarding, spilling, retries and the three outcomes.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 
 /// Added to the deadline while an answer from a peer is awaited, for its way back.
 const ANSWER_GRACE: Duration = Duration::from_millis(50);
+/// Pause between two looks at the requests in flight while the host stops.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Attempts per request, the first included.
 const ATTEMPTS_MAX: u32 = 3;
 /// Time after which a refused request may be repeated when nothing better is known.
@@ -171,6 +174,23 @@
     options: RequestsOptions,
     calls: Calls<RequestAnswer>,
     budget: Mutex<RetryBudget>,
+    running: AtomicU64,
+}
+
+/// Counts a request as in flight until it is dropped.
+struct Running<'a>(&'a AtomicU64);
+
+impl<'a> Running<'a> {
+    fn begin(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 /// The running service; a clone is the same.
@@ -188,12 +208,14 @@
                 options,
                 calls: Calls::default(),
                 budget: Mutex::new(RetryBudget::open()),
+                running: AtomicU64::new(0),
             }),
         }
     }
 
     /// Runs a request and tells its outcome.
     pub async fn run(&self, call: &Call) -> Reply {
+        let _running = Running::begin(&self.inner.running);
         self.with_budget(RetryBudget::earn);
         let mut reply = self.attempt(call, 1).await;
         for attempt in 2..=ATTEMPTS_MAX {
@@ -416,6 +438,13 @@
         }
     }
 
+    /// Waits until no request is in flight, those of peers included.
+    pub async fn drained(&self) {
+        while self.inner.running.load(Ordering::Acquire) > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Runs a request that another entry host sent on, and answers it.
     pub async fn serve_peer(&self, from: &HostId, forward: RequestForward) {
         let options = &self.inner.options;
@@ -438,6 +467,7 @@
             body: forward.body.into(),
             origin: Origin::Peer,
         };
+        let _running = Running::begin(&self.inner.running);
         let reply = self.run(&call).await;
         let answer = answer_frame(&forward.request, &reply);
         // Without a link the sender times out and reports the outcome as unknown.
--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -134,6 +134,10 @@
 
 impl Room {
     fn withheld(&self, config: AllotmentConfig, running: u32) -> Resources {
+        // Before a document says what a request needs, those of an earlier owner may need any amount.
+        if config.slot_size.is_none() {
+            return self.total;
+        }
         let withheld = self.allotment.withheld(config, running + self.foreign.1);
         withheld.lesser(self.total)
     }
--- a/src/shards.rs
+++ b/src/shards.rs
@@ -358,6 +358,8 @@
             } => {
                 if let ServerReply::Report(report) = &reply {
                     self.rooms.reported(&server, epoch, report);
+                    // Room is withheld before the report, since the shard may start tasks on it.
+                    self.withhold_at(shard, &server);
                 }
                 self.handle(shard, Event::Server { op, reply });
             }
@@ -544,6 +546,19 @@
         self.publish_owners();
     }
 
+    fn withhold_at(&mut self, shard: u32, name: &SmolStr) {
+        let now = self.options.clock.now();
+        let servers = self.commanded();
+        let mut servers = servers.iter().filter(|(number, _)| *number == shard);
+        let Some((_, server)) = servers.find(|(_, server)| server.name == *name) else {
+            return;
+        };
+        let current = self.use_of(shard, server);
+        if let Some(event) = self.rooms.follow(now, name, current) {
+            self.handle(shard, event);
+        }
+    }
+
     /// The servers that this host may command, with the number of their shard.
     fn commanded(&self) -> Vec<(u32, ServerView)> {
         let mut servers = Vec::new();
