--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -22,13 +22,16 @@
 
 use crate::clock::Clock;
 use crate::docstore::{self, Listing, WatchOptions};
-use crate::document;
 use crate::logs::Line;
-use crate::members::{Command, InForce, Members, MembersError, MembersOptions, View};
+use crate::members::{
+    self, Command, DomainRevisions, InForce, Members, MembersError, MembersOptions, View,
+};
 use crate::peer::{Peers, Received};
 use crate::store::Store;
 
 const TICK: Duration = Duration::from_millis(100);
+/// Ticks between two readings of what other hosts have in force.
+const DOMAINS_TICKS: u64 = 20;
 
 /// Starts the actor.
 pub(crate) fn spawn(
@@ -52,7 +55,9 @@
         suspicions: options.suspicions,
         watching: None,
         view,
-        parsed: Vec::new(),
+        ticks: 0,
+        parsed: Arc::default(),
+        domains: Arc::default(),
     };
     tokio::spawn(actor.run(queue));
 }
@@ -120,7 +125,9 @@
     suspicions: mpsc::Sender<Event>,
     watching: Option<JoinHandle<()>>,
     view: watch::Sender<Arc<View>>,
-    parsed: Vec<InForce>,
+    ticks: u64,
+    parsed: Arc<[InForce]>,
+    domains: DomainRevisions,
 }
 
 impl Actor {
@@ -143,6 +150,11 @@
         self.member_event(MemberEvent::Tick { load }).await;
         self.try_serve(None);
         self.watch_if_chosen();
+        self.ticks += 1;
+        // What other hosts hold changes without an event of its own; reading it of all teams is not cheap.
+        if self.ticks.is_multiple_of(DOMAINS_TICKS) {
+            self.read_documents();
+        }
         self.publish();
     }
 
@@ -343,6 +355,7 @@
         let line = Line::info("document_in_force").with("team", &document.team);
         line.with("revision", document.revision).write();
         self.spread(document, spread_widely);
+        self.read_documents();
         self.publish();
     }
 
@@ -395,6 +408,7 @@
                 }
             }
         }
+        self.read_documents();
         self.publish();
     }
 
@@ -423,6 +437,7 @@
             self.documents = Known::Serving(documents.serve());
         }
         Line::info("documents_serving").write();
+        self.read_documents();
         self.publish();
     }
 
@@ -448,50 +463,28 @@
         }
     }
 
+    fn read_documents(&mut self) {
+        let Known::Serving(documents) = &self.documents else {
+            return;
+        };
+        self.parsed = members::parse(&self.parsed, documents.all()).into();
+        let domains = documents.all().iter().map(|document| {
+            let team = document.team.clone();
+            (team, documents.in_force(&document.team))
+        });
+        self.domains = domains.collect();
+    }
+
     fn publish(&mut self) {
-        let serving = matches!(self.documents, Known::Serving(_));
-        let mut domains = Vec::new();
-        if let Known::Serving(documents) = &self.documents {
-            self.parsed = parse(&self.parsed, documents.all());
-            for document in documents.all() {
-                domains.push((document.team.clone(), documents.in_force(&document.team)));
-            }
-        }
         self.view.send_replace(Arc::new(View {
-            serving,
+            serving: matches!(self.documents, Known::Serving(_)),
             members: self.membership.members(),
             documents: self.parsed.clone(),
-            domains,
+            domains: self.domains.clone(),
         }));
     }
 }
 
-/// Parses documents that are new; a text that was accepted by a later version and cannot be read is left out.
-fn parse(known: &[InForce], documents: &[Document]) -> Vec<InForce> {
-    let mut parsed = Vec::with_capacity(documents.len());
-    for document in documents {
-        let found = known.binary_search_by(|one| one.team.cmp(&document.team));
-        let same = found.ok().map(|at| &known[at]);
-        if let Some(same) = same.filter(|same| Arc::ptr_eq(&same.text, &document.text)) {
-            parsed.push(same.clone());
-            continue;
-        }
-        let Ok(content) = document::Document::read(&document.text) else {
-            Line::error("document_unreadable")
-                .with("team", &document.team)
-                .write();
-            continue;
-        };
-        parsed.push(InForce {
-            team: document.team.clone(),
-            revision: document.revision,
-            text: document.text.clone(),
-            content: Arc::new(content),
-        });
-    }
-    parsed
-}
-
 fn document_of(pushed: DocumentText) -> Document {
     Document {
         team: pushed.team.into(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod control;
 pub mod docstore;
 pub mod document;
+mod driver;
 pub mod extract;
 pub mod front;
 mod gossip;
--- a/src/members.rs
+++ b/src/members.rs
@@ -15,6 +15,7 @@
 use crate::docstore::Listing;
 use crate::document;
 use crate::gossip;
+use crate::logs::Line;
 use crate::peer::{Peers, Received};
 use crate::store::Store;
 
@@ -50,6 +51,9 @@
     pub content: Arc<document::Document>,
 }
 
+/// Revision of each team's document in each failure domain.
+pub type DomainRevisions = Arc<[(SmolStr, Vec<DomainRevision>)]>;
+
 /// What the other services see.
 #[derive(Clone, Default)]
 pub struct View {
@@ -58,9 +62,9 @@
     /// Other entry hosts, by name.
     pub members: Vec<MemberView>,
     /// Documents in force, by team.
-    pub documents: Vec<InForce>,
+    pub documents: Arc<[InForce]>,
     /// Revision of each team's document in each failure domain, as far as known.
-    pub domains: Vec<(SmolStr, Vec<DomainRevision>)>,
+    pub domains: DomainRevisions,
 }
 
 impl View {
@@ -74,7 +78,7 @@
     }
 
     fn has_documents_of(&self, other: &Self) -> bool {
-        let pairs = self.documents.iter().zip(&other.documents);
+        let pairs = self.documents.iter().zip(other.documents.iter());
         let mut same = pairs.map(|(own, other)| Arc::ptr_eq(&own.content, &other.content));
         self.documents.len() == other.documents.len() && same.all(|same| same)
     }
@@ -240,3 +244,29 @@
         let _ = self.commands.send(Command::Listing(listing)).await;
     }
 }
+
+/// Parses documents that are new; a text that was accepted by a later version and cannot be read is left out.
+pub(crate) fn parse(known: &[InForce], documents: &[Document]) -> Vec<InForce> {
+    let mut parsed = Vec::with_capacity(documents.len());
+    for document in documents {
+        let found = known.binary_search_by(|one| one.team.cmp(&document.team));
+        let same = found.ok().map(|at| &known[at]);
+        if let Some(same) = same.filter(|same| Arc::ptr_eq(&same.text, &document.text)) {
+            parsed.push(same.clone());
+            continue;
+        }
+        let Ok(content) = document::Document::read(&document.text) else {
+            Line::error("document_unreadable")
+                .with("team", &document.team)
+                .write();
+            continue;
+        };
+        parsed.push(InForce {
+            team: document.team.clone(),
+            revision: document.revision,
+            text: document.text.clone(),
+            content: Arc::new(content),
+        });
+    }
+    parsed
+}
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -120,7 +120,7 @@
     let mut quotas = Vec::with_capacity(view.documents.len());
     let mut slot_size = Resources::default();
     let mut weights = [0_u64; 3];
-    for document in &view.documents {
+    for document in view.documents.iter() {
         let content = &document.content;
         options
             .slots
