The home of an idempotency key does not depend on documents

Cause: the home was chosen from the service's list of failure domains, so an edit of that list, or two hosts with different revisions, could give one key two homes and let a request run twice; and in the by-hand deployment of one failure domain, keyed requests were refused (429, 429, 503) because the list names failure domains that do not exist there. Ruled out: asking both homes for 10 minutes after an edit, since hosts learn of an edit at different times. After: rendezvous hashing over the failure domains of the settings. The list of backend servers shows what batch has reserved.

--- a/src/document.rs
+++ b/src/document.rs
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
-    /// Failure domains that run the service; the order counts for the home of an idempotency key.
+    /// Failure domains that run the service.
     #[schemars(length(min = 1, max = 64), extend("items" = {"type": "string", "format": "name"}))]
     pub failure_domains: Vec<SmolStr>,
     /// Size of one request in execution.
--- a/src/host.rs
+++ b/src/host.rs
@@ -28,7 +28,7 @@
 use crate::inspect::{Inspection, InspectionOptions};
 use crate::jobs::Jobs;
 use crate::kernel::{Kernel, KernelError};
-use crate::keys::Keys;
+use crate::keys::{Keys, KeysOptions};
 use crate::listen::{self, ListenError, Listener};
 use crate::logs::Line;
 use crate::members::{Members, MembersError, MembersOptions};
@@ -234,12 +234,13 @@
         let shards: Shards = self.find("shards")?;
         let members: Members = self.find("members")?;
         let peers: Peers = self.find("peers")?;
-        let keys = Keys::open(
-            self.failure_domain(),
-            shards.clone(),
-            members.clone(),
-            peers.clone(),
-        );
+        let keys = Keys::open(KeysOptions {
+            failure_domain: self.failure_domain(),
+            failure_domains: all_domains(&self.settings),
+            shards: shards.clone(),
+            members: members.clone(),
+            peers: peers.clone(),
+        });
         let jobs = Jobs::open(
             self.failure_domain(),
             shards.clone(),
@@ -432,6 +433,16 @@
     }
 }
 
+/// All failure domains of the settings, sorted; every host must find the same.
+fn all_domains(settings: &Settings) -> Vec<SmolStr> {
+    let peers = settings.peers.iter();
+    let mut domains: Vec<SmolStr> = peers.map(|peer| peer.failure_domain.clone()).collect();
+    domains.push(settings.failure_domain.clone());
+    domains.sort();
+    domains.dedup();
+    domains
+}
+
 /// Names of the entry hosts of the own failure domain, sorted; every host of it must find the same.
 fn domain_hosts(settings: &Settings) -> Vec<SmolStr> {
     let own = settings.peers.iter();
--- a/src/inspect.rs
+++ b/src/inspect.rs
@@ -241,7 +241,13 @@
                 };
                 for server in shard.servers() {
                     let found = busy.binary_search_by(|(name, _)| name.cmp(&server.name));
+                    let reserved = shard.reserved(server.key);
                     servers.push(json(&ServerView {
+                        reserved: Amounts {
+                            millicores: reserved.millicores,
+                            memory_mib: reserved.memory_mib,
+                            accelerators: reserved.accelerators,
+                        },
                         failure_domain: domain.clone(),
                         shard: u32::try_from(number).unwrap_or(u32::MAX),
                         owner: Some(owner.clone()),
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use primrosestack_core::event::{KeyReply, TokenReply};
-use primrosestack_core::ids::{HostId, RequestKey, stable_hash};
+use primrosestack_core::ids::{HostId, RequestKey, rendezvous, stable_hash};
 use primrosestack_core::peer_frame::{
     Body, KeyAnswer, KeyClaim, KeyClaimed, KeyState, RequestAnswer,
 };
 use prost::Message;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::calls::Calls;
 use crate::members::Members;
@@ -38,12 +38,28 @@
 
 struct Inner {
     failure_domain: SmolStr,
+    /// All failure domains of the settings, sorted.
+    failure_domains: Vec<SmolStr>,
     shards: Shards,
     members: Members,
     peers: Peers,
     calls: Calls<KeyClaimed>,
 }
 
+/// What the service needs.
+pub struct KeysOptions {
+    /// Own failure domain.
+    pub failure_domain: SmolStr,
+    /// All failure domains of the settings, sorted, the same at every entry host.
+    pub failure_domains: Vec<SmolStr>,
+    /// Shards.
+    pub shards: Shards,
+    /// Members.
+    pub members: Members,
+    /// Links to peers.
+    pub peers: Peers,
+}
+
 /// The running service; a clone is the same.
 #[derive(Clone)]
 pub struct Keys {
@@ -59,20 +75,28 @@
     RequestKey(high << 64 | low)
 }
 
-/// The failure domain that keeps a key: the same for every entry host.
-fn home(key: RequestKey, failure_domains: &[SmolStr]) -> Option<&SmolStr> {
-    let count = u128::try_from(failure_domains.len()).ok()?;
-    let at = usize::try_from(key.0.checked_rem(count)?).ok()?;
-    failure_domains.get(at)
+/// The failure domain that keeps a key: the same for every entry host, and whatever a document says, since a key whose
+/// home moved could be claimed twice.
+fn home(key: RequestKey, failure_domains: &[SmolStr]) -> Option<&str> {
+    let subject = format_smolstr!("{:032x}", key.0);
+    rendezvous(&subject, failure_domains.iter().map(SmolStr::as_str))
 }
 
 impl Keys {
     /// Opens the service.
     #[must_use]
-    pub fn open(failure_domain: SmolStr, shards: Shards, members: Members, peers: Peers) -> Self {
+    pub fn open(options: KeysOptions) -> Self {
+        let KeysOptions {
+            failure_domain,
+            failure_domains,
+            shards,
+            members,
+            peers,
+        } = options;
         Self {
             inner: Arc::new(Inner {
                 failure_domain,
+                failure_domains,
                 shards,
                 members,
                 peers,
@@ -82,11 +106,11 @@
     }
 
     /// Claims a key at its home.
-    pub async fn claim(&self, key: RequestKey, failure_domains: &[SmolStr]) -> Claim {
-        let Some(domain) = home(key, failure_domains) else {
+    pub async fn claim(&self, key: RequestKey) -> Claim {
+        let Some(domain) = home(key, &self.inner.failure_domains) else {
             return Claim::NotRun;
         };
-        if *domain == self.inner.failure_domain {
+        if domain == self.inner.failure_domain {
             return self.claim_in_domain(key).await;
         }
         let view = self.inner.members.view();
@@ -131,15 +155,15 @@
     }
 
     /// Keeps the answer of a claimed key at its home, if it is small enough.
-    pub fn keep(&self, key: RequestKey, failure_domains: &[SmolStr], answer: &RequestAnswer) {
+    pub fn keep(&self, key: RequestKey, answer: &RequestAnswer) {
         if answer.body.len() > KEPT_MAX_BYTES {
             return;
         }
-        let Some(domain) = home(key, failure_domains) else {
+        let Some(domain) = home(key, &self.inner.failure_domains) else {
             return;
         };
         let bytes = answer.encode_to_vec();
-        if *domain == self.inner.failure_domain {
+        if domain == self.inner.failure_domain {
             self.keep_in_domain(key, bytes);
             return;
         }
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -344,7 +344,7 @@
         let options = &self.inner.options;
         let claimed = call.key.filter(|_| !call.idempotent);
         if let Some(key) = claimed {
-            let claim = options.keys.claim(key, &call.failure_domains);
+            let claim = options.keys.claim(key);
             match claim.await {
                 Claim::Fresh => {}
                 Claim::Answered(answer) => {
@@ -364,7 +364,7 @@
         let reply = self.send(call, attempt, slot).await;
         if let (Some(key), Reply::Answered { .. }) = (claimed, &reply) {
             let answer = answer_frame(&call.identity, &reply);
-            options.keys.keep(key, &call.failure_domains, &answer);
+            options.keys.keep(key, &answer);
         }
         reply
     }
