Only the recovered owner of a shard reports a job as unknown

Cause: the deployment example stopped with 404 for an accepted job (exit 1, tasks left 8/5/0). While a shard goes back to its preferred host, the new owner is still recovering and knew no job, and nobody said otherwise. Ruled out: a lost record, since the shard went on with the job's tasks.

--- a/examples/deployment/operator.rs
+++ b/examples/deployment/operator.rs
@@ -241,10 +241,17 @@
     /// State of a job.
     pub(crate) async fn job(&self, host: usize, job: &str) -> Result<JobView, DeploymentError> {
         let path = format!("/v1/jobs/{job}");
-        let sent = self.send("GET", host, &path, &[], String::new(), CALL_TIMEOUT);
-        let answer = sent.await.context(HttpSnafu { what: "job" })?;
-        check("job", &answer)?;
-        serde_json::from_slice(&answer.body).context(JsonSnafu { what: "job" })
+        loop {
+            let sent = self.send("GET", host, &path, &[], String::new(), CALL_TIMEOUT);
+            let answer = sent.await.context(HttpSnafu { what: "job" })?;
+            if answer.status.as_u16() == 503 {
+                // The shard is changing its owner.
+                tokio::time::sleep(RETRY).await;
+                continue;
+            }
+            check("job", &answer)?;
+            return serde_json::from_slice(&answer.body).context(JsonSnafu { what: "job" });
+        }
     }
 }
 
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -211,9 +211,16 @@
 
     async fn job(&self, job: &str) -> Result<JobView, QuickstartError> {
         let path = format!("/v1/jobs/{job}");
-        let answer = self.admin("GET", 0, &path, &[], String::new()).await?;
-        check("job", &answer)?;
-        serde_json::from_slice(&answer.body).context(JsonSnafu { what: "job" })
+        loop {
+            let answer = self.admin("GET", 0, &path, &[], String::new()).await?;
+            if answer.status.as_u16() == 503 {
+                // The shard is changing its owner.
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+            check("job", &answer)?;
+            return serde_json::from_slice(&answer.body).context(JsonSnafu { what: "job" });
+        }
     }
 
     /// Sends requests from `callers` callers, each one after the other, for `length`.
--- a/src/administration.rs
+++ b/src/administration.rs
@@ -14,7 +14,7 @@
 use crate::control::{Answer, Cancellation, Control, PutDocument, Submission};
 use crate::docstore::{self, WriteError};
 use crate::document::Batch;
-use crate::inspect::Inspection;
+use crate::inspect::{AbsentJob, Inspection};
 use crate::jobs::{Jobs, job_in_domain};
 use crate::logs::Line;
 use crate::members::{InForce, Members, MembersError};
@@ -44,6 +44,14 @@
     pub inspection: Inspection,
 }
 
+/// What the owners say of some jobs.
+#[derive(Default)]
+struct NamedJobs {
+    views: Vec<JobView>,
+    /// Jobs that certainly do not exist.
+    absent: Vec<JobName>,
+}
+
 /// The running service.
 pub struct Administration {
     options: AdministrationOptions,
@@ -89,16 +97,20 @@
         (parsed.collect(), gathered.silent)
     }
 
-    async fn named_jobs(&self, jobs: &[JobName]) -> (Vec<JobView>, Vec<String>) {
-        let mut views = Vec::new();
-        let mut silent = Vec::new();
+    async fn named_jobs(&self, jobs: &[JobName]) -> NamedJobs {
+        let mut named = NamedJobs::default();
         for chunk in jobs.chunks(JOBS_PER_QUESTION) {
-            let names = serde_json::to_string(chunk).unwrap_or_default();
-            let (found, missing) = self.gather(Subject::Jobs, &names).await;
-            views.extend(found);
-            silent.extend(missing);
+            let question = serde_json::to_string(chunk).unwrap_or_default();
+            let gathered = self.options.inspection.everywhere(Subject::Jobs, &question);
+            for element in gathered.await.elements {
+                if let Ok(absent) = serde_json::from_str::<AbsentJob>(&element) {
+                    named.absent.push(absent.absent);
+                } else if let Ok(view) = serde_json::from_str(&element) {
+                    named.views.push(view);
+                }
+            }
         }
-        (views, silent)
+        named
     }
 
     fn job_spec(&self, submission: &Submission) -> Answer<JobSpec> {
@@ -283,10 +295,11 @@
     }
 
     async fn job(&self, job: JobName) -> Answer<JobView> {
-        let (jobs, silent) = self.named_jobs(&[job]).await;
-        let found = jobs.into_iter().next();
+        let NamedJobs { views, absent } = self.named_jobs(&[job]).await;
+        let found = views.into_iter().next();
         found.ok_or_else(|| {
-            if !silent.is_empty() {
+            // Only the recovered owner of its shard knows that a job does not exist.
+            if absent.is_empty() && self.options.jobs.domain_of(job.0).is_some() {
                 return NotRun::NotOwner.into();
             }
             Refusal::NotFound {
@@ -303,13 +316,16 @@
         match &team {
             None => allowed.extend(jobs.into_iter().map(|job| job.0)),
             Some(team) => {
-                let (views, silent) = self.named_jobs(&jobs).await;
+                let NamedJobs { views, absent } = self.named_jobs(&jobs).await;
                 for job in jobs {
                     let view = views.iter().find(|view| view.job == job);
+                    let is_placed = self.options.jobs.domain_of(job.0).is_some();
                     match view {
                         Some(view) if view.team == *team => allowed.push(job.0),
-                        // Its owner may be among the hosts that did not answer.
-                        None if !silent.is_empty() => return Err(NotRun::NotOwner.into()),
+                        // Its owner did not answer or is still recovering.
+                        None if is_placed && !absent.contains(&job) => {
+                            return Err(NotRun::NotOwner.into());
+                        }
                         _ => unknown.push(job),
                     }
                 }
--- a/src/inspect.rs
+++ b/src/inspect.rs
@@ -4,16 +4,20 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use primrosestack_core::division;
 use primrosestack_core::event::Event;
 use primrosestack_core::ids::{HostId, JobId};
 use primrosestack_core::membership::{Load, MemberState as PeerState, MemberView};
+use primrosestack_core::ownership::Role;
 use primrosestack_core::peer_frame::{Body, Inspect, Inspected, Subject};
 use primrosestack_core::shard::Shard;
 use primrosestack_core::tasks::JobState;
 use primrosestack_core::view::{self, ServerState, TaskPhase};
+use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::calls::Calls;
+use crate::jobs::job_in_domain;
 use crate::members::Members;
 use crate::model::{
     Amounts, HostView, JobName, JobView, MemberState, PageQuery, ServerGone, ServerView,
@@ -203,11 +207,7 @@
         let read = move |shards: &[Shard]| {
             let owned = shards.iter().filter(|shard| shard.is_owner());
             if let Some(named) = named {
-                let found = owned.flat_map(|shard| {
-                    let jobs = named.iter().filter_map(|JobName(id)| shard.job(*id));
-                    jobs.collect::<Vec<_>>()
-                });
-                return found.map(|job| json(&job_view(&job, &domain))).collect();
+                return named_here(shards, &named, &domain);
             }
             let jobs = owned
                 .flat_map(Shard::jobs)
@@ -321,6 +321,35 @@
     }
 }
 
+/// A job that the recovered owner of its shard does not know.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct AbsentJob {
+    /// The job.
+    pub absent: JobName,
+}
+
+/// What this host knows of some jobs as the recovered owner of their shards. A host that is still recovering says
+/// nothing of them.
+#[must_use]
+pub fn named_here(shards: &[Shard], named: &[JobName], failure_domain: &SmolStr) -> Vec<String> {
+    let count = u32::try_from(shards.len()).unwrap_or(u32::MAX);
+    let mut found = Vec::new();
+    for name in named {
+        if job_in_domain(name.0, failure_domain) != name.0 {
+            continue;
+        }
+        let shard = &shards[division::shard_of_job(name.0, count) as usize];
+        if shard.role() != Role::Owner {
+            continue;
+        }
+        found.push(match shard.job(name.0) {
+            Some(job) => json(&job_view(&job, failure_domain)),
+            None => json(&AbsentJob { absent: *name }),
+        });
+    }
+    found
+}
+
 fn silent_host(member: &MemberView) -> HostView {
     let (state, reason) = match member.state {
         PeerState::Live => (MemberState::Suspected, "it did not answer the question"),
