--- /dev/null
+++ b/crates/core/src/learning.rs
@@ -0,0 +1,57 @@
+//! What reports teach about the interference between kinds of work.
+
+use crate::interference::KindKey;
+use crate::placement::{Scheduler, TaskUsage};
+use crate::relief::OUT_OF_MEMORY_PERMILLE;
+
+impl Scheduler {
+    /// Learns the slowdown of each kind, and of requests, from one report.
+    pub(crate) fn learn(&mut self, at: u32, usage: &[TaskUsage], request_slowdown_permille: u32) {
+        let server = &self.servers[at as usize];
+        let mut kinds: Vec<(KindKey, u32, u64, u32)> = Vec::new();
+        for one in usage {
+            let Some(task) = self.running_at(one.task) else {
+                // The kind of an ended task is unknown, so the sample has no complete cause.
+                return;
+            };
+            let Some(task) = &self.tasks[task as usize] else {
+                return;
+            };
+            let found = kinds.iter_mut().find(|known| known.0 == task.kind);
+            // A task out of memory is slowed by itself, not by its neighbours.
+            let starved = one.used.memory_mib >= task.held.reserved.memory_mib
+                && one.slowdown_permille >= OUT_OF_MEMORY_PERMILLE;
+            let (slowdown, count) = if starved {
+                (0, 0)
+            } else {
+                (u64::from(one.slowdown_permille), 1)
+            };
+            match found {
+                Some(known) => {
+                    known.1 = known.1.saturating_add(one.used.millicores);
+                    known.2 += slowdown;
+                    known.3 += count;
+                }
+                None => kinds.push((task.kind, one.used.millicores, slowdown, count)),
+            }
+        }
+        let mut loads: Vec<(KindKey, f32)> = Vec::with_capacity(kinds.len());
+        for &(kind, millicores, ..) in &kinds {
+            loads.push((kind, server.share(millicores)));
+        }
+        self.interference
+            .learn(KindKey::REQUESTS, &loads, request_slowdown_permille);
+        for (position, &(kind, _, slowdowns, count)) in kinds.iter().enumerate() {
+            if count == 0 {
+                continue;
+            }
+            let mean = u32::try_from(slowdowns / u64::from(count)).unwrap_or(u32::MAX);
+            let whole = loads[position].1;
+            #[expect(clippy::cast_precision_loss, reason = "tasks on one server")]
+            let own = whole / count as f32;
+            loads[position].1 = whole - own;
+            self.interference.learn(kind, &loads, mean);
+            loads[position].1 = whole;
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod jobs;
 pub mod journal;
 pub mod keys;
+mod learning;
 pub mod lease;
 pub mod membership;
 pub mod ownership;
--- a/crates/core/src/relief.rs
+++ b/crates/core/src/relief.rs
@@ -1,4 +1,4 @@
-//! What reports teach, and the measures that give room back.
+//! What reports of a server cause: reservations that follow the use, and the measures that give room back.
 
 use crate::capacity::Resources;
 use crate::eviction::{self, Candidate};
@@ -29,7 +29,7 @@
 
 /// Slowdown from which a task at its memory limit counts as out of memory, in thousandths. Many tasks use all their
 /// memory for caches without needing it.
-const OUT_OF_MEMORY_PERMILLE: u32 = 3_000;
+pub(crate) const OUT_OF_MEMORY_PERMILLE: u32 = 3_000;
 
 /// Run time after which a report without lack of memory shows that the declared memory suffices; includes the lag of
 /// reports of up to 4 s, and the time that a task takes to fill its memory.
@@ -124,55 +124,6 @@
         found.map_or_else(Resources::default, |at| self.servers[at as usize].withheld)
     }
 
-    fn learn(&mut self, at: u32, usage: &[TaskUsage], request_slowdown_permille: u32) {
-        let server = &self.servers[at as usize];
-        let mut kinds: Vec<(KindKey, u32, u64, u32)> = Vec::new();
-        for one in usage {
-            let Some(task) = self.running_at(one.task) else {
-                // The kind of an ended task is unknown, so the sample has no complete cause.
-                return;
-            };
-            let Some(task) = &self.tasks[task as usize] else {
-                return;
-            };
-            let found = kinds.iter_mut().find(|known| known.0 == task.kind);
-            // A task out of memory is slowed by itself, not by its neighbours.
-            let starved = one.used.memory_mib >= task.held.reserved.memory_mib
-                && one.slowdown_permille >= OUT_OF_MEMORY_PERMILLE;
-            let (slowdown, count) = if starved {
-                (0, 0)
-            } else {
-                (u64::from(one.slowdown_permille), 1)
-            };
-            match found {
-                Some(known) => {
-                    known.1 = known.1.saturating_add(one.used.millicores);
-                    known.2 += slowdown;
-                    known.3 += count;
-                }
-                None => kinds.push((task.kind, one.used.millicores, slowdown, count)),
-            }
-        }
-        let mut loads: Vec<(KindKey, f32)> = Vec::with_capacity(kinds.len());
-        for &(kind, millicores, ..) in &kinds {
-            loads.push((kind, server.share(millicores)));
-        }
-        self.interference
-            .learn(KindKey::REQUESTS, &loads, request_slowdown_permille);
-        for (position, &(kind, _, slowdowns, count)) in kinds.iter().enumerate() {
-            if count == 0 {
-                continue;
-            }
-            let mean = u32::try_from(slowdowns / u64::from(count)).unwrap_or(u32::MAX);
-            let whole = loads[position].1;
-            #[expect(clippy::cast_precision_loss, reason = "tasks on one server")]
-            let own = whole / count as f32;
-            loads[position].1 = whole - own;
-            self.interference.learn(kind, &loads, mean);
-            loads[position].1 = whole;
-        }
-    }
-
     /// Lets the reservation of a task follow its observed use, and charges the time since the last report.
     fn observe(&mut self, now: MonoMs, at: u32, task: u32, usage: &TaskUsage) {
         let used = usage.used;
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -12,7 +12,7 @@
     MembershipConfig, Staying,
 };
 use primrosestack_core::peer_frame::{
-    Body, DocumentDigest, DocumentHeads, DocumentPush, DocumentText, HeadOfDocument, Heartbeat,
+    Body, DocumentDigest, DocumentHeads, HeadOfDocument, Heartbeat,
 };
 use primrosestack_core::time::MonoMs;
 use smol_str::SmolStr;
@@ -27,6 +27,7 @@
     self, Command, DomainRevisions, InForce, Members, MembersError, MembersOptions, View,
 };
 use crate::peer::{Peers, Received};
+use crate::push::{document_of, push_of};
 use crate::store::Store;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -484,22 +485,3 @@
         }));
     }
 }
-
-fn document_of(pushed: DocumentText) -> Document {
-    Document {
-        team: pushed.team.into(),
-        revision: pushed.revision,
-        text: pushed.text.into(),
-    }
-}
-
-fn push_of(documents: &[Document]) -> Body {
-    let documents = documents.iter().map(|document| DocumentText {
-        team: document.team.to_string(),
-        revision: document.revision,
-        text: document.text.to_string(),
-    });
-    Body::DocumentPush(DocumentPush {
-        documents: documents.collect(),
-    })
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod peer;
 pub mod peertls;
 pub mod problem;
+mod push;
 pub mod reload;
 pub mod requests;
 pub mod rooms;
--- /dev/null
+++ b/src/push.rs
@@ -0,0 +1,25 @@
+//! Service documents as peer frames carry them.
+
+use primrosestack_core::digest::Document;
+use primrosestack_core::peer_frame::{Body, DocumentPush, DocumentText};
+
+/// The document of a frame.
+pub(crate) fn document_of(pushed: DocumentText) -> Document {
+    Document {
+        team: pushed.team.into(),
+        revision: pushed.revision,
+        text: pushed.text.into(),
+    }
+}
+
+/// A frame that carries documents.
+pub(crate) fn push_of(documents: &[Document]) -> Body {
+    let documents = documents.iter().map(|document| DocumentText {
+        team: document.team.to_string(),
+        revision: document.revision,
+        text: document.text.to_string(),
+    });
+    Body::DocumentPush(DocumentPush {
+        documents: documents.collect(),
+    })
+}
