A server on trial is tried again beside runs from before its suspension

Cause: after two failures in a row a server was tried with one task, but only while it had no runs at all.

Change: only runs that began after the suspension count as the trial; a long-running one at work for 1.5 s ends it.

--- a/crates/fleet/src/ends.rs
+++ b/crates/fleet/src/ends.rs
@@ -11,6 +11,10 @@
 /// Use of an adopted filling task below which it was slowed by the earlier owner, in percent of what it asks for.
 const ADOPTED_SLOWED_PERCENT: u64 = 50;
 
+/// Time for which a long-running task on trial has to be at work to show that its server works, in milliseconds: failing
+/// servers end what they start within a second.
+const PROVEN_MS: u64 = 1_500;
+
 impl Shard {
     /// Takes the report of a server.
     pub fn report(&mut self, server: ServerKey, report: &Report, now_ms: u64) {
@@ -255,6 +259,8 @@
             run.percent = row.percent;
             run.moved_ms = now_ms;
         }
+        let is_proof = row.percent >= 100 && now_ms >= run.sent_ms + PROVEN_MS;
+        let sent_ms = run.sent_ms;
         match run.stage {
             Stage::Ordered | Stage::Doubtful if is_wanted => {
                 run.stage = Stage::Running;
@@ -263,6 +269,13 @@
             Stage::Running if is_wanted => {}
             _ => self.stop_run(at, server, row.run, now_ms),
         }
+        let trust = &mut self.servers[server].trust;
+        let is_trial = trust
+            .trial_since_ms()
+            .is_some_and(|since_ms| sent_ms >= since_ms);
+        if is_proof && is_trial {
+            trust.succeeded();
+        }
     }
 
     /// Takes over a run that an earlier owner started, or that was carried out late.
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -72,7 +72,7 @@
         if !server.is_usable(now_ms) || server.entry.service != job.queue.service {
             return false;
         }
-        if server.trust.is_on_trial() && !server.runs.is_empty() {
+        if self.has_trial_run(key) {
             return false;
         }
         if spec.memory_mb > server.memory_free()
@@ -111,6 +111,20 @@
         number(count) < spec.max_per_server
     }
 
+    /// Whether a server on trial has a run already that will show whether it works again. Runs from before its
+    /// suspension show nothing: long-running ones may stay for ever.
+    fn has_trial_run(&self, key: ServerKey) -> bool {
+        let server = &self.servers[key];
+        let Some(since_ms) = server.trust.trial_since_ms() else {
+            return false;
+        };
+        server.runs.iter().any(|&(at, number)| {
+            let task = self.task(at);
+            task.position(key, number)
+                .is_some_and(|position| task.runs[position].sent_ms >= since_ms)
+        })
+    }
+
     /// Processor room for tasks that fill: all but that of short tasks, since serving tasks leave most of theirs.
     pub(crate) fn fill_room(server: &crate::server::Server) -> u32 {
         let short = server.cpu_used.saturating_sub(server.serve_used);
--- a/crates/fleet/src/trust.rs
+++ b/crates/fleet/src/trust.rs
@@ -25,10 +25,10 @@
         now_ms < self.suspended_until_ms
     }
 
-    /// Whether only one task is tried, after a suspension.
+    /// Since when only one task is tried, after a suspension, in milliseconds; none if the server is trusted.
     #[must_use]
-    pub fn is_on_trial(&self) -> bool {
-        self.failures >= FAILURES_MAX
+    pub fn trial_since_ms(&self) -> Option<u64> {
+        (self.failures >= FAILURES_MAX).then_some(self.suspended_until_ms)
     }
 
     /// A run did its work.
