Filling tasks are paced by the busy share of serving tasks; urgent tasks go first where room is short

A dump of 5,600 reports showed two reasons: two of nine images press hard whatever the server, and tails grow without bound once loads and filling tasks use up the processors (above 95%: a fifth of the reports over the target; below 90%: under 3%). The linear model of tails in milliseconds mixed both and blamed harmless images.

Change: the tail gives the busy share of a serving task; weights of pairs of images are learned as a part of it by a Kalman filter; saturated servers teach nothing. Filling tasks get what the processors and the tightest serving task leave; a tail above its target slows all of them at once, a second report halts them, and such servers are looked at each 400 ms. Jobs that can be on time go before late ones.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -285,6 +285,14 @@
         ends_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// Time from acceptance within which the job should end by the terms of its queue, in milliseconds.
+    #[must_use]
+    pub fn objective_ms(&self, queue: &Queue) -> u64 {
+        // Whole hundredths are exact enough for an estimate.
+        let hundredths = u64::from(crate::headroom::whole(queue.stretch.max(1.0) * 100.0));
+        self.chain_ms() * hundredths / 100 + u64::from(queue.target_ms)
+    }
+
     /// Rack that holds most of the data, if any step names one.
     #[must_use]
     pub fn data_rack(&self) -> Option<SmolStr> {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -1,5 +1,6 @@
 //! Which server a task is started on.
 
+use crate::headroom::whole;
 use crate::shard::{ServerKey, Shard, TaskRef, number};
 
 /// Least share at which a filling task is started, in percent: a task of two seconds then takes half a minute.
@@ -34,7 +35,7 @@
             {
                 continue;
             }
-            if self.step_spec(at).fills && !self.is_harmless(at, key, now_ms) {
+            if self.step_spec(at).fills && (self.is_over(key) || !self.is_harmless(at, key)) {
                 continue;
             }
             let score = self.score(at, key);
@@ -56,7 +57,7 @@
         let servers = self
             .servers
             .keys()
-            .filter(|&key| self.fits(at, key, now_ms));
+            .filter(|&key| self.fits(at, key, now_ms) && !self.is_over(key));
         let shares = servers.map(|key| (key, self.bearable_percent(at, key)));
         let (server, percent) = shares.max_by_key(|&(_, percent)| percent)?;
         if percent >= SLOWED_MIN_PERCENT {
@@ -139,9 +140,7 @@
         let base = u64::from(away) << 40;
         let capacity = u64::from(server.entry.cpu_millis.max(1));
         if spec.fills {
-            let room = u64::from(Self::fill_room(server));
-            let load = u64::from(server.fill_used) * 1_000 / room.max(1);
-            return base + load;
+            return base + u64::from(whole(self.crowding(at, key) * 1_000.0));
         }
         if spec.long_running {
             let used = u64::from(server.cpu_used) * 1_000 / capacity;
@@ -161,8 +160,7 @@
                 present.push(&spec.image);
             }
         }
-        let target_ms = f64::from(self.step_spec(at).tail_target_ms);
-        let kept_away = self.pressure.kept_away(image, &present, target_ms);
+        let kept_away = self.pressure.kept_away(image, &present);
         let others = present
             .iter()
             .filter(|other| **other != image.as_str())
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -4,7 +4,7 @@
 
 use crate::action::Action;
 use crate::bounds::Bounds;
-use crate::job::TaskId;
+use crate::job::{StepSpec, TaskId};
 use crate::place::Choice;
 use crate::record::Phase;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef, number};
@@ -47,7 +47,7 @@
         if self.ready.is_empty() {
             return;
         }
-        self.sort_ready(now_ms);
+        self.sort_ready(unix_ms, now_ms);
         let ready = std::mem::take(&mut self.ready);
         let mut kept = Vec::with_capacity(ready.len());
         let mut full: Vec<(JobKey, u32, u32)> = Vec::new();
@@ -95,24 +95,53 @@
     }
 
     /// Sorts the waiting tasks: by priority, then short tasks, whose callers wait, before long-running ones, unless these
-    /// have waited for long or came from another shard.
-    fn sort_ready(&mut self, now_ms: u64) {
+    /// have waited for long and room for two of them is free. Jobs that can still be on time go before those that are
+    /// late, and these before those that nobody waits for any more.
+    fn sort_ready(&mut self, unix_ms: u64, now_ms: u64) {
         let jobs = &self.jobs;
         self.ready.retain(|at| jobs.contains_key(at.job));
         let mut ready = std::mem::take(&mut self.ready);
         ready.sort_by_cached_key(|&at| {
             let job = &self.jobs[at.job];
-            let is_overdue = job.is_guest || now_ms >= self.task(at).ready_ms + OVERDUE_MS;
-            let rank = match (self.step_spec(at).long_running, is_overdue) {
+            let spec = self.step_spec(at);
+            let waited_ms = now_ms.saturating_sub(self.task(at).ready_ms);
+            let is_overdue = spec.long_running
+                && (job.is_guest || waited_ms >= OVERDUE_MS)
+                && self.fits_twice(spec);
+            let rank = match (spec.long_running, is_overdue) {
                 (true, true) => 0,
                 (false, _) => 1,
                 (true, false) => 2,
             };
-            (job.queue.priority, rank, job.spec.accepted_unix_ms, at)
+            let lateness = if spec.long_running {
+                0
+            } else {
+                job.lateness(unix_ms)
+            };
+            (
+                job.queue.priority,
+                rank,
+                lateness,
+                job.spec.accepted_unix_ms,
+                at,
+            )
         });
         self.ready = ready;
     }
 
+    /// Whether two tasks of a step would find room now.
+    fn fits_twice(&self, spec: &StepSpec) -> bool {
+        let mut count = 0;
+        for server in self.servers.values() {
+            let by_cpu = server.cpu_free() / spec.cpu_millis.max(1);
+            let by_memory = server.memory_free() / spec.memory_mb.max(1);
+            if server.is_placeable() {
+                count += by_cpu.min(by_memory);
+            }
+        }
+        count >= 2
+    }
+
     fn start_on(
         &mut self,
         at: TaskRef,
@@ -124,10 +153,8 @@
         let number = run.unwrap_or(self.task(at).last_run + 1);
         let lease_end_ms = self.servers[server].clock_at(now_ms) + lease_ms;
         self.leased(server, Bounds::longest_ms(lease_ms), now_ms);
-        if self.step_spec(at).fills {
-            self.begin_trials(at, server, now_ms);
-        }
         self.start(at, server, number, lease_end_ms, now_ms);
+        self.measure_headroom(server);
     }
 
     /// Starts a filling task that waited in vain at a share that the serving tasks bear.
@@ -150,6 +177,7 @@
         if let Some(run) = self.task_mut(at).runs.last_mut() {
             run.pace_percent = percent;
         }
+        self.measure_headroom(server);
         true
     }
 
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -1,56 +1,70 @@
-//! How much filling tasks raise the tail latency of serving tasks, learned per pair of images.
+//! How much filling tasks take from serving tasks, learned per pair of images.
 //!
-//! The model is linear: the tail is a base of the serving image plus, for each filling image beside it, its processor
-//! use times a weight of the pair. Weights follow the reports by normalized least mean squares and stay positive. Most
-//! pairs have a weight near zero, so it is enough to keep the few harmful pairs apart.
+//! A serving task answers its users from a share of its time that its own load and the filling tasks beside it leave.
+//! Its tail grows with the inverse of that share, so the busy share is found from the tail, and is modelled as a sum: the
+//! own load of the serving image, plus a weight of each filling image for each tenth of the server that it uses. Each
+//! weight is estimated with its variance by a Kalman filter without covariances.
 
 use smol_str::SmolStr;
 
-/// Share of the error by which one report corrects the weights. Small, since a report covers half a second and single
-/// tails vary by a half.
-const RATE: f64 = 0.12;
+/// Lowest seen tail that a task without any load would have, as a share: tails are hardly ever seen below a fifth of load.
+const IDLE_SHARE: f64 = 0.8;
 
-/// Tail that is assumed before the first report, in milliseconds.
-const BASE_MS: f64 = 5.0;
+/// Share by which the lowest tail follows a lower report; single reports are rough.
+const FLOOR_FALL: f64 = 0.25;
 
-/// Largest error that is taken from one report, in targets: tails during an overload are many times the target, and one
-/// of them must not decide a weight.
-const ERROR_MAX_TARGETS: f64 = 1.5;
+/// Share by which the lowest tail follows a higher report: slow, so that it stays near the lowest reports.
+const FLOOR_RISE: f64 = 0.002;
 
-/// Use below which an image is not counted, in cores.
-const USE_MIN_CORES: f64 = 0.2;
+/// Busy share by its own load that is assumed of an image without reports.
+const LOAD_SHARE: f64 = 0.45;
 
-/// Reports after which a pair counts as known. A server with four serving tasks gives these within one or two looks.
-const KNOWN_REPORTS: u32 = 4;
+/// Variance of that assumption.
+const LOAD_VARIANCE: f64 = 0.02;
 
-/// Rise of a tail by one core, as a share of the target, from which a pair counts as harmful for the placement of serving
-/// tasks.
-const HARMFUL_SHARE_PER_CORE: f64 = 0.05;
+/// Weight of an unknown pair, for each tenth of the server.
+const WEIGHT: f64 = 0.03;
 
-/// Servers on which an unknown pair is tried at a time.
-const TRIALS_MAX: usize = 2;
+/// Variance of the weight of an unknown pair: most are near zero, and the heaviest seen are near 0.3.
+const WEIGHT_VARIANCE: f64 = 0.0144;
 
-/// Time of a trial in milliseconds: until the reports show its effect.
-const TRIAL_MS: u64 = 1_600;
+/// Least variance of a weight, so that it keeps following what changes.
+const VARIANCE_MIN: f64 = 0.000_05;
+
+/// Variance of one report around the model: own load swings by about a third, and reports of the same swing repeat its
+/// error.
+const REPORT_VARIANCE: f64 = 0.06;
+
+/// Standard deviations that are added to a weight where it limits a placement.
+const CAUTION: f64 = 0.3;
+
+/// Use below which an image is not counted, in tenths of the server.
+const USE_MIN_TENTHS: f64 = 0.03;
+
+/// Weight from which a pair counts as harmful for the placement of serving tasks, for each tenth of the server.
+const HARMFUL_WEIGHT: f64 = 0.06;
 
 /// Pairs that are kept; images are named by callers.
 const PAIRS_MAX: usize = 2_048;
 
-/// Weight of a pair of images.
+/// What is known of a pair of images, or of a serving image alone.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Pair {
     /// Image that serves.
     #[prost(string, tag = "1")]
     pub serving: String,
-    /// Image that fills; empty for the base of the serving image.
+    /// Image that fills; empty for the serving image alone.
     #[prost(string, tag = "2")]
     pub filling: String,
-    /// Rise of the tail in milliseconds for each core that is used; the base in milliseconds.
+    /// Busy share for each tenth of the server that the filling image uses; by the own load, for an image alone.
     #[prost(double, tag = "3")]
     pub weight: f64,
-    /// Reports that were learned from.
-    #[prost(uint32, tag = "4")]
-    pub reports: u32,
+    /// Variance of the weight.
+    #[prost(double, tag = "4")]
+    pub variance: f64,
+    /// Lowest tail in milliseconds; only for an image alone.
+    #[prost(double, tag = "5")]
+    pub floor_ms: f64,
 }
 
 /// Use of one filling image on a server.
@@ -58,161 +72,174 @@
 pub struct Use {
     /// Image.
     pub image: SmolStr,
-    /// Processor use in cores.
-    pub cores: f64,
+    /// Processor use in tenths of the server.
+    pub tenths: f64,
 }
 
 /// Learned weights, sorted by pair.
 #[derive(Clone, Debug, Default)]
 pub struct Pressure {
     pairs: Vec<Pair>,
-    trials: Vec<Trial>,
-}
-
-/// A placement that will show the weight of an unknown pair.
-#[derive(Clone, Debug)]
-struct Trial {
-    serving: SmolStr,
-    filling: SmolStr,
-    ends_ms: u64,
 }
 
 impl Pressure {
-    fn find(&self, serving: &str, filling: &str) -> Result<usize, usize> {
+    fn find(&self, serving: &str, filling: &str) -> Option<&Pair> {
+        let found = self.search(serving, filling);
+        found.ok().map(|at| &self.pairs[at])
+    }
+
+    fn search(&self, serving: &str, filling: &str) -> Result<usize, usize> {
         self.pairs.binary_search_by(|pair| {
             (pair.serving.as_str(), pair.filling.as_str()).cmp(&(serving, filling))
         })
     }
 
-    fn entry(&mut self, serving: &str, filling: &str, weight: f64) -> Option<&mut Pair> {
-        let at = match self.find(serving, filling) {
+    fn entry(&mut self, new: Pair) -> Option<&mut Pair> {
+        let at = match self.search(&new.serving, &new.filling) {
             Ok(at) => at,
             Err(_) if self.pairs.len() >= PAIRS_MAX => return None,
             Err(at) => {
-                let pair = Pair {
-                    serving: serving.into(),
-                    filling: filling.into(),
-                    weight,
-                    reports: 0,
-                };
-                self.pairs.insert(at, pair);
+                self.pairs.insert(at, new);
                 at
             }
         };
         Some(&mut self.pairs[at])
     }
 
-    /// Rise of the tail of a serving image in milliseconds for each core that the filling image uses.
+    fn pair_entry(&mut self, serving: &str, filling: &str) -> Option<&mut Pair> {
+        self.entry(Pair {
+            serving: serving.into(),
+            filling: filling.into(),
+            weight: WEIGHT,
+            variance: WEIGHT_VARIANCE,
+            floor_ms: 0.0,
+        })
+    }
+
+    fn image_entry(&mut self, serving: &str, tail_ms: f64) -> Option<&mut Pair> {
+        self.entry(Pair {
+            serving: serving.into(),
+            filling: String::new(),
+            weight: LOAD_SHARE,
+            variance: LOAD_VARIANCE,
+            floor_ms: tail_ms,
+        })
+    }
+
+    /// Busy share for each tenth of the server that the filling image uses.
     #[must_use]
     pub fn weight(&self, serving: &str, filling: &str) -> f64 {
         self.find(serving, filling)
-            .map_or(0.0, |at| self.pairs[at].weight)
+            .map_or(WEIGHT, |pair| pair.weight)
     }
 
-    /// Tail of a serving image alone, in milliseconds.
+    /// The weight with an allowance for what is not known of it.
     #[must_use]
-    pub fn base_ms(&self, serving: &str) -> f64 {
+    pub fn cautious_weight(&self, serving: &str, filling: &str) -> f64 {
+        let (weight, variance) = self
+            .find(serving, filling)
+            .map_or((WEIGHT, WEIGHT_VARIANCE), |pair| {
+                (pair.weight, pair.variance)
+            });
+        weight + CAUTION * variance.sqrt()
+    }
+
+    /// Busy share of a serving image by its own load, on average.
+    #[must_use]
+    pub fn load_share(&self, serving: &str) -> f64 {
         self.find(serving, "")
-            .map_or(BASE_MS, |at| self.pairs[at].weight)
+            .map_or(LOAD_SHARE, |pair| pair.weight)
     }
 
-    /// Tail of a serving image beside filling images, in milliseconds.
+    /// Busy share at which a task of the serving image has a tail; none before the first report of the image.
     #[must_use]
-    pub fn expected_ms(&self, serving: &str, uses: &[Use]) -> f64 {
-        let rise = uses
-            .iter()
-            .map(|used| self.weight(serving, &used.image) * used.cores)
-            .sum::<f64>();
-        self.base_ms(serving) + rise
+    pub fn busy_share(&self, serving: &str, tail_ms: f64) -> Option<f64> {
+        let floor_ms = self.find(serving, "")?.floor_ms;
+        Some((1.0 - floor_ms * IDLE_SHARE / tail_ms.max(0.1)).clamp(0.0, 1.0))
     }
 
-    /// Learns from a report: the tail of a serving task with a target, beside the uses of filling images.
-    pub fn learn(&mut self, serving: &str, tail_ms: u32, target_ms: u32, uses: &[Use]) {
+    /// Learns from a report: the tail of a serving task beside the uses of filling images. `is_saturated` tells that the
+    /// server's processors were all but used up, which raises tails whatever the images are.
+    pub fn learn(&mut self, serving: &str, tail_ms: u32, uses: &[Use], is_saturated: bool) {
         if tail_ms == 0 {
             return;
         }
-        let limit = f64::from(target_ms) * ERROR_MAX_TARGETS;
-        let error = (f64::from(tail_ms) - self.expected_ms(serving, uses)).clamp(-limit, limit);
-        let square = 1.0 + uses.iter().map(|used| used.cores * used.cores).sum::<f64>();
-        let step = RATE * error / square;
-        if let Some(base) = self.entry(serving, "", BASE_MS) {
-            base.weight = (base.weight + step).max(0.0);
-            base.reports = base.reports.saturating_add(1);
+        let tail_ms = f64::from(tail_ms);
+        let Some(image) = self.image_entry(serving, tail_ms) else {
+            return;
+        };
+        let rate = if tail_ms < image.floor_ms {
+            FLOOR_FALL
+        } else {
+            FLOOR_RISE
+        };
+        image.floor_ms += (tail_ms - image.floor_ms) * rate;
+        if is_saturated {
+            return;
+        }
+        let busy = self.busy_share(serving, tail_ms).unwrap_or(LOAD_SHARE);
+        let felt = uses.iter().filter(|used| used.tenths >= USE_MIN_TENTHS);
+        let mut expected = self.load_share(serving);
+        let mut spread = REPORT_VARIANCE + LOAD_VARIANCE;
+        for used in felt.clone() {
+            let pair = self.find(serving, &used.image);
+            expected += pair.map_or(WEIGHT, |pair| pair.weight) * used.tenths;
+            spread +=
+                pair.map_or(WEIGHT_VARIANCE, |pair| pair.variance) * used.tenths * used.tenths;
         }
-        for used in uses {
-            if used.cores < USE_MIN_CORES {
-                continue;
+        let error = busy - expected;
+        if let Some(image) = self.image_entry(serving, tail_ms) {
+            correct(image, 1.0, error, spread);
+        }
+        for used in felt {
+            if let Some(pair) = self.pair_entry(serving, &used.image) {
+                correct(pair, used.tenths, error, spread);
             }
-            let Some(pair) = self.entry(serving, &used.image, 0.0) else {
-                continue;
-            };
-            pair.weight = (pair.weight + step * used.cores).max(0.0);
-            pair.reports = pair.reports.saturating_add(1);
         }
     }
 
-    /// Takes weights of another owner where it has learned from more reports.
+    /// Takes what another owner knows better.
     pub fn merge(&mut self, pairs: &[Pair]) {
         for other in pairs {
-            let Some(pair) = self.entry(&other.serving, &other.filling, other.weight) else {
+            let Some(pair) = self.entry(other.clone()) else {
                 continue;
             };
-            if other.reports > pair.reports {
+            if other.variance < pair.variance {
                 pair.weight = other.weight;
-                pair.reports = other.reports;
+                pair.variance = other.variance;
+            }
+            if other.floor_ms > 0.0 {
+                pair.floor_ms = pair.floor_ms.min(other.floor_ms);
             }
         }
     }
 
-    /// Number of filling images that a serving image with a target keeps away and that the present ones bear.
+    /// Number of filling images that a serving image keeps away and that the present ones bear.
     #[must_use]
-    pub fn kept_away(&self, serving: &str, present: &[&str], target_ms: f64) -> u64 {
-        let limit = target_ms * HARMFUL_SHARE_PER_CORE;
+    pub fn kept_away(&self, serving: &str, present: &[&str]) -> u64 {
         let own = self
             .pairs
             .iter()
             .filter(|pair| pair.serving == serving && !pair.filling.is_empty());
-        let harmful = own.filter(|pair| pair.weight > limit);
+        let harmful = own.filter(|pair| pair.weight > HARMFUL_WEIGHT);
         let is_new = |pair: &&Pair| {
             !present
                 .iter()
-                .any(|other| self.weight(other, &pair.filling) > limit)
+                .any(|other| self.weight(other, &pair.filling) > HARMFUL_WEIGHT)
         };
         harmful.filter(is_new).count() as u64
     }
 
-    /// Whether the pair may be brought together: it is known, or few servers try it now.
-    #[must_use]
-    pub fn may_try(&self, serving: &str, filling: &str, now_ms: u64) -> bool {
-        let found = self.find(serving, filling);
-        if found.is_ok_and(|at| self.pairs[at].reports >= KNOWN_REPORTS) {
-            return true;
-        }
-        let is_same = |trial: &&Trial| {
-            trial.serving == serving && trial.filling == filling && trial.ends_ms > now_ms
-        };
-        self.trials.iter().filter(is_same).count() < TRIALS_MAX
-    }
-
-    /// Notes that a pair is brought together.
-    pub fn begin_trial(&mut self, serving: &str, filling: &str, now_ms: u64) {
-        self.trials.retain(|trial| trial.ends_ms > now_ms);
-        if self
-            .find(serving, filling)
-            .is_ok_and(|at| self.pairs[at].reports >= KNOWN_REPORTS)
-        {
-            return;
-        }
-        self.trials.push(Trial {
-            serving: serving.into(),
-            filling: filling.into(),
-            ends_ms: now_ms + TRIAL_MS,
-        });
-    }
-
-    /// All weights.
+    /// All that is known.
     #[must_use]
     pub fn pairs(&self) -> &[Pair] {
         &self.pairs
     }
 }
+
+/// One step of the filter: `error` is what the report showed beyond the model, `spread` the variance of that.
+fn correct(pair: &mut Pair, input: f64, error: f64, spread: f64) {
+    let gain = pair.variance * input / spread;
+    pair.weight = (pair.weight + gain * error).max(0.0);
+    pair.variance = (pair.variance * (1.0 - gain * input)).max(VARIANCE_MIN);
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use crate::headroom::Headroom;
 use crate::pace::Pacer;
 use crate::report::ServerEntry;
 use crate::shard::{JobKey, TaskRef};
@@ -68,6 +69,8 @@
     pub trust: Trust,
     /// Control of the tasks that fill.
     pub pacer: Pacer,
+    /// What it bears in addition, as of the last report or placement.
+    pub headroom: Headroom,
     /// No task is tried before this time after the server said that it has no room, in milliseconds.
     pub full_until_ms: u64,
     /// When it began to drain, in milliseconds.
@@ -99,6 +102,7 @@
             gpus_used: 0,
             trust: Trust::default(),
             pacer: Pacer::default(),
+            headroom: Headroom::default(),
             full_until_ms: 0,
             draining_since_ms: None,
         }
@@ -138,16 +142,18 @@
     /// Whether it may be given tasks.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        self.registered
-            && self.claimed
-            && self.recorded
-            && !self.fenced
-            && !self.entry.draining
+        self.is_placeable()
             && now_ms < self.contact_ms + CONTACT_MS
             && now_ms >= self.full_until_ms
             && !self.trust.is_suspended(now_ms)
     }
 
+    /// Whether it is registered, commanded by this owner and not about to leave.
+    #[must_use]
+    pub fn is_placeable(&self) -> bool {
+        self.registered && self.claimed && self.recorded && !self.fenced && !self.entry.draining
+    }
+
     /// Whether it has the label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -136,6 +136,19 @@
         self.phase == Phase::Live
     }
 
+    /// How late the job is, in times of its objective: 0 before it, at most [`LATENESS_MAX`]. Its order among others
+    /// follows from it, since a late answer is worth less and one after three times the objective nothing.
+    #[must_use]
+    pub fn lateness(&self, unix_ms: u64) -> u64 {
+        let objective_ms = self.spec.objective_ms(&self.queue);
+        let age_ms = unix_ms.saturating_sub(self.spec.accepted_unix_ms);
+        match age_ms / objective_ms.max(1) {
+            0 => 0,
+            1 | 2 => 1,
+            _ => LATENESS_MAX,
+        }
+    }
+
     /// Marks a change that has to be recorded.
     pub fn touch(&mut self, now_ms: u64) {
         if self.version == self.recorded_version {
@@ -145,6 +158,9 @@
     }
 }
 
+/// Lateness of a job that nobody waits for any more.
+pub const LATENESS_MAX: u64 = 2;
+
 /// What callers see of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -40,6 +40,8 @@
     pub moved_ms: u64,
     /// Last reported tail latency or processor use.
     pub gauge: u32,
+    /// Busy share of a serving task by its own load, as the last report showed.
+    pub load_share: Option<f64>,
     /// Share at which it was told to work, in percent.
     pub pace_percent: u32,
 }
@@ -57,6 +59,7 @@
             percent: 0,
             moved_ms: now_ms,
             gauge: 0,
+            load_share: None,
             pace_percent: 100,
         }
     }
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -13,6 +13,9 @@
 /// Wait of one look at a server with tasks, in milliseconds: tails and progress are half a second old anyway.
 const LOOK_MS: u64 = 900;
 
+/// Wait of one look at a server whose serving tasks are near their targets, in milliseconds: tails cover half a second.
+const TENSE_LOOK_MS: u64 = 400;
+
 /// Wait of one look at a server without tasks, in milliseconds; it must answer within the time after which it counts as
 /// silent.
 const IDLE_LOOK_MS: u64 = 1_300;
@@ -193,6 +196,7 @@
         let state = shard.server(server);
         let wait_ms = match state {
             Some(state) if state.claimed && state.runs.is_empty() => IDLE_LOOK_MS,
+            Some(state) if state.claimed && state.pacer.is_tense() => TENSE_LOOK_MS,
             Some(state) if state.claimed => LOOK_MS,
             _ => 0,
         };
