--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -189,14 +189,37 @@
             queue: Some(queue(priority)),
             ..JobSpec::default()
         };
+        self.add(spec, created_revision)
+    }
+
+    /// Adds a batch job that was accepted at a time of day and a revision.
+    pub fn submit_accepted(
+        &mut self,
+        id: u64,
+        steps: Vec<StepSpec>,
+        accepted_unix_ms: u64,
+        created_revision: u64,
+    ) -> JobId {
+        let spec = JobSpec {
+            id,
+            steps,
+            queue: Some(queue(2)),
+            accepted_unix_ms,
+            ..JobSpec::default()
+        };
+        self.add(spec, created_revision)
+    }
+
+    fn add(&mut self, spec: JobSpec, created_revision: u64) -> JobId {
         spec.check().expect("the job is valid");
+        let id = JobId(spec.id);
         let stored = StoredJob {
             spec: Some(spec),
             created_revision,
             ..StoredJob::default()
         };
-        self.shard.add_job(JobId(id), stored, self.now_ms);
-        JobId(id)
+        self.shard.add_job(id, stored, self.now_ms);
+        id
     }
 
     pub fn plan(&mut self) {
--- a/crates/fleet/tests/waits.rs
+++ b/crates/fleet/tests/waits.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
-use common::{Bench, end, filling_step, queue, serving_step, step, task};
+use common::{Bench, end, filling_step, serving_step, step, task};
 use primrosestack_fleet::action::StartReply;
-use primrosestack_fleet::job::{JobId, JobSpec};
-use primrosestack_fleet::record::StoredJob;
+use primrosestack_fleet::job::JobId;
 use primrosestack_fleet::report::EndKind;
 
 /// Pattern: a long-running task fails on the only server with room. Guards against its waiting for ever for another
@@ -93,19 +92,7 @@
     bench.claim("one");
     bench.record();
     for (id, accepted_unix_ms) in [(5, 900), (4, 100), (3, 500)] {
-        let spec = JobSpec {
-            id,
-            steps: vec![step(16)],
-            queue: Some(queue(2)),
-            accepted_unix_ms,
-            ..JobSpec::default()
-        };
-        let stored = StoredJob {
-            spec: Some(spec),
-            created_revision: 50,
-            ..StoredJob::default()
-        };
-        bench.shard.add_job(JobId(id), stored, bench.now_ms);
+        bench.submit_accepted(id, vec![step(16)], accepted_unix_ms, 50);
     }
     bench.plan();
     assert!(
@@ -208,19 +195,7 @@
 fn jobs_that_can_be_on_time_go_before_late_ones() {
     let mut bench = Bench::open(&["one"]);
     for (id, accepted_unix_ms) in [(2, 0), (3, 4_000), (4, 9_500)] {
-        let spec = JobSpec {
-            id,
-            steps: vec![step(6)],
-            queue: Some(queue(2)),
-            accepted_unix_ms,
-            ..JobSpec::default()
-        };
-        let stored = StoredJob {
-            spec: Some(spec),
-            created_revision: 200,
-            ..StoredJob::default()
-        };
-        bench.shard.add_job(JobId(id), stored, bench.now_ms);
+        bench.submit_accepted(id, vec![step(6)], accepted_unix_ms, 200);
     }
     // The objective is 3 s: job 4 can be on time, job 3 is late, and nobody waits for job 2 any more.
     bench.plan_at(10_000);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -90,11 +90,12 @@
         Ok(Self { node, tasks })
     }
 
-    /// Reads the settings again; listeners stay as they are.
+    /// Logs whether settings that were read again differ; a change applies at the next start.
     pub fn reload(&self, settings: &DaemonSettings) {
-        Line::info("settings_reloaded")
+        Line::info("settings_checked")
             .with("host", &settings.name)
             .with("changed", *settings != self.node.settings)
+            .with("applies", "next_start")
             .write();
     }
 
