A predecessor that was restarted shortens the wait of its successor

Its successor waited 10.6 s for the leases of dead servers, until 40.5 s, although the restarted process had answered that it held nothing; the contract's time ended at 39.0.

Change: such an answer ends the wait after the longest lease of the predecessor, 4.9 s, if that one had been announced for longer than any lease of owners before it. Two tests in tests/takeover.rs.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -111,7 +111,15 @@
             self.task_mut(at).unresolved = false;
             self.make_ready(at, now_ms);
         }
-        if !handover.settled {
+        if handover.settled {
+            self.predecessor_ended(self.bounds.lapse_ms(), now_ms);
+        }
+    }
+
+    /// The predecessor gives no more orders, and began its era at least `owned_ms` ago. If that is longer than any lease of
+    /// owners before it, only its own leases are waited for.
+    pub fn predecessor_ended(&mut self, owned_ms: u64, now_ms: u64) {
+        if owned_ms < self.bounds.lapse_ms() {
             return;
         }
         let lease_ms = LEASE_MS.min(self.bounds.lease_max_ms);
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Bench, end, row, step, task};
+use common::{Bench, end, row, serving_step, step, task};
 use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::record::Progress;
 use primrosestack_fleet::report::EndKind;
@@ -204,6 +204,40 @@
     assert_eq!(bench.starts[0].1.task.job, job);
 }
 
+/// Pattern: an owner that had owned its shard for long is killed and restarted, after servers were lost for good. Guards
+/// against the successor waiting for those servers as if an owner before it could still act (LOST 14 on a mixed day of
+/// Fichaluz, seed 483338461111).
+#[test]
+fn a_restarted_predecessor_shortens_the_wait() {
+    let mut bench = Bench::open_era(2, &["one", "gone"], &["one"]);
+    bench.claim("one");
+    bench.record();
+    bench.submit_at(1, 0, vec![serving_step(1, "a")], 50);
+    bench.shard.predecessor_ended(20_000, bench.now_ms);
+    bench.now_ms += 4_000;
+    bench.claim("one");
+    bench.plan();
+    assert!(bench.starts.is_empty(), "its leases may still be valid");
+    bench.now_ms += 1_000;
+    bench.claim("one");
+    bench.plan();
+    assert_eq!(bench.starts.len(), 1);
+}
+
+/// Guards against a predecessor that held the shard for a moment only hiding the leases of the owner before it.
+#[test]
+fn a_predecessor_of_a_moment_does_not_shorten_the_wait() {
+    let mut bench = Bench::open_era(3, &["one", "gone"], &["one"]);
+    bench.claim("one");
+    bench.record();
+    bench.submit_at(1, 0, vec![step(1)], 50);
+    bench.shard.predecessor_ended(2_000, bench.now_ms);
+    bench.now_ms += 6_000;
+    bench.claim("one");
+    bench.plan();
+    assert!(bench.starts.is_empty());
+}
+
 /// Pattern: a server answers a new owner once and is silent then, or the owner has no time to look at it. Guards against
 /// the lease that the predecessor gave being forgotten, so that a run that goes on is started elsewhere after 1.6 s
 /// (TWICE on trouble-2 of the grown Fichaluz).
--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -115,6 +115,13 @@
         .with("owner", &owner.host)
         .with("era", owner.era)
         .write();
+    if view
+        .last_owner
+        .as_ref()
+        .is_none_or(|last| last.era < owner.era)
+    {
+        view.last_announced_ms = now_ms();
+    }
     view.last_owner = Some(owner.clone());
     let era = owner.era;
     let is_self = owner.host == node.settings.name;
@@ -241,7 +248,8 @@
     owner::spawn(&owned);
     let predecessor = view.last_owner.as_ref().filter(|last| last.era + 1 == era);
     if let Some(last) = predecessor {
-        let ask = Rc::clone(&owned).ask_predecessor(last.address.clone());
+        let owned_ms = now_ms().saturating_sub(view.last_announced_ms);
+        let ask = Rc::clone(&owned).ask_predecessor(last.address.clone(), owned_ms);
         tokio::task::spawn_local(ask);
     }
     node.owned.borrow_mut().push(owned);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -36,6 +36,8 @@
     pub owner: Option<Owner>,
     /// The last owner that was announced.
     pub last_owner: Option<Owner>,
+    /// When this host first saw its announcement, in milliseconds.
+    pub last_announced_ms: u64,
     /// Revision of the announcement; 0 if there is none.
     pub revision: u64,
     /// Processor time of the last owner, or of the host it gave the shard up for, in thousandths of a core.
@@ -127,6 +129,7 @@
                 failure_domain: failure_domain.clone(),
                 owner: None,
                 last_owner: None,
+                last_announced_ms: 0,
                 cpu_millis: 0,
                 revision: 0,
                 vacant_since_ms: now_ms(),
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -289,7 +289,7 @@
     }
 
     /// Asks the predecessor what it held, so that all other tasks can start at once.
-    pub(super) async fn ask_predecessor(self: Rc<Self>, address: String) {
+    pub(super) async fn ask_predecessor(self: Rc<Self>, address: String, owned_ms: u64) {
         let question = Question {
             failure_domain: self.failure_domain.to_string(),
             successor_era: self.title.era,
@@ -302,10 +302,13 @@
             match self.node.peers.ask(&address, &question).await {
                 Ok(reply) if reply.gave_up => {
                     let now = now_ms();
-                    // A process that held nothing of the era may have failed to open it: the owners before it count.
-                    if let Some(handover) = &reply.handover {
-                        self.shard.borrow_mut().take_handover(handover, now);
+                    let mut shard = self.shard.borrow_mut();
+                    // A process without a handover was started since, or failed to open the era.
+                    match &reply.handover {
+                        Some(handover) => shard.take_handover(handover, now),
+                        None => shard.predecessor_ended(owned_ms, now),
                     }
+                    drop(shard);
                     Line::info("predecessor_answered")
                         .with("shard", &self.failure_domain)
                         .with("era", self.title.era)
