Pass loads on through the owner of each failure domain

Change: hosts without a shard ask the owner of their own failure domain, which passes on the loads of the others with their age; only owners fetch interference estimates, every 2 s; a load is computed at most every 100 ms. Requests are sent concurrently.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -34,7 +34,7 @@
     /// Distinct labels of the usable servers, racks among them, sorted.
     #[prost(string, repeated, tag = "5")]
     pub labels: Vec<String>,
-    /// Interference estimates that the owner has learned.
+    /// Interference estimates that the owner has learned, in replies to hosts that asked for them.
     #[prost(message, repeated, tag = "6")]
     pub interference: Vec<InterferenceEstimate>,
     /// Free capacity of the servers with the most free CPU, in descending order.
@@ -87,24 +87,20 @@
 
 /// Index of the shard that should keep a job; `own_index` is the index of the accepting failure domain.
 #[must_use]
-pub fn choose_home(own_index: usize, loads: &[Option<Load>], job: &JobSpec) -> usize {
+pub fn choose_home(own_index: usize, loads: &[Option<&Load>], job: &JobSpec) -> usize {
     if let Some(rack) = job.data_rack() {
-        let has_rack = |load: &Option<Load>| {
-            load.as_ref().is_some_and(|load| {
+        let has_rack = |load: Option<&Load>| {
+            load.is_some_and(|load| {
                 load.labels
                     .binary_search_by(|label| label.as_str().cmp(&rack))
                     .is_ok()
             })
         };
-        if let Some(index) = loads.iter().position(has_rack) {
+        if let Some(index) = loads.iter().position(|load| has_rack(*load)) {
             return index;
         }
     }
-    let permille_at = |index: usize| {
-        loads[index]
-            .as_ref()
-            .and_then(|load| load.permille_with(job))
-    };
+    let permille_at = |index: usize| loads[index].and_then(|load| load.permille_with(job));
     let mut best_index = own_index;
     let mut least_permille = permille_at(own_index).map_or(u64::MAX, |permille| {
         permille.saturating_sub(REMOTE_MARGIN_PERMILLE)
@@ -140,7 +136,6 @@
             load.labels
                 .extend(server.entry.labels.iter().map(ToString::to_string));
         }
-        load.interference = self.interference.estimates().to_vec();
         load.free_capacity
             .sort_by_key(|free| Reverse(free.cpu_millis));
         load.free_capacity.truncate(FREE_CAPACITIES_MAX);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod interference;
 pub mod job;
 pub mod ledger;
+pub mod load_views;
 pub mod place;
 pub mod plan;
 pub mod prelude;
--- a/src/daemon/lookup.rs
+++ b/src/daemon/lookup.rs
@@ -13,7 +13,7 @@
 use crate::daemon::keys;
 use crate::daemon::node::Node;
 use crate::daemon::owner::status_of;
-use crate::daemon::peers::{LOAD_MAX_AGE_MS, PeerRequest};
+use crate::daemon::peers::PeerRequest;
 use crate::logs::Line;
 
 /// Home shard of a job, from the cache or the store; `Ok(None)` if the job does not exist.
@@ -110,13 +110,15 @@
             total += count_of(&owned.shard.borrow().queued_jobs(), queue);
             continue;
         }
-        if now_ms() > node.shard_views.borrow()[index].updated_ms + LOAD_MAX_AGE_MS {
+        let is_outdated = node.load_views.borrow().view(index).is_outdated(now_ms());
+        if is_outdated {
             let queued = read_queued_counts(node, failure_domain).await?;
-            let mut views = node.shard_views.borrow_mut();
-            views[index].queued = queued;
-            views[index].updated_ms = now_ms();
+            let mut views = node.load_views.borrow_mut();
+            let view = views.view_mut(index);
+            view.queued = queued;
+            view.updated_ms = now_ms();
         }
-        total += count_of(&node.shard_views.borrow()[index].queued, queue);
+        total += count_of(&node.load_views.borrow().view(index).queued, queue);
     }
     Ok(total)
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -6,6 +6,7 @@
 use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::intake::{self, Load};
 use primrosestack_fleet::interference::InterferenceEstimate;
+use primrosestack_fleet::load_views::LoadViews;
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::Owner;
 use primrosestack_platform::catalog::Configuration;
@@ -46,17 +47,6 @@
     pub released: bool,
 }
 
-/// Load and queue lengths of a shard.
-#[derive(Clone, Debug, Default)]
-pub struct ShardView {
-    /// Last load reported by the owner; `None` if the owner does not respond.
-    pub load: Option<Load>,
-    /// Number of jobs per queue that have not started any task, sorted by queue.
-    pub queued: Vec<(SmolStr, u32)>,
-    /// When `queued` was last updated.
-    pub updated_ms: u64,
-}
-
 /// Availability of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreHealth {
@@ -80,8 +70,8 @@
     pub owned_shards: RefCell<Vec<Rc<OwnedShard>>>,
     /// Owners of all shards, sorted by failure domain.
     pub owner_views: RefCell<Vec<OwnerView>>,
-    /// In the order of the failure domains in the settings.
-    pub shard_views: RefCell<Vec<ShardView>>,
+    /// Loads of all shards, in the order of the failure domains in the settings.
+    pub load_views: RefCell<LoadViews>,
     /// Whether the owners' announcements have been read once.
     pub owners_loaded: Cell<bool>,
     pub stopping: Cell<bool>,
@@ -126,6 +116,10 @@
                 vacant_since_ms: now_ms(),
                 released: false,
             });
+        let own_index = settings
+            .failure_domains
+            .binary_search(&settings.failure_domain)
+            .unwrap_or_default();
         Self {
             bounds,
             metrics,
@@ -135,7 +129,7 @@
             configuration: RefCell::new(None),
             owned_shards: RefCell::new(Vec::new()),
             owner_views: RefCell::new(views.collect()),
-            shard_views: RefCell::new(vec![ShardView::default(); settings.failure_domains.len()]),
+            load_views: RefCell::new(LoadViews::open(own_index, settings.failure_domains.len())),
             owners_loaded: Cell::new(false),
             stopping: Cell::new(false),
             active_requests: Cell::new(0),
@@ -227,8 +221,12 @@
     /// Known loads of all shards but the given one.
     #[must_use]
     pub fn other_loads(&self, failure_domain: &str) -> Vec<(SmolStr, Load)> {
-        let views = self.shard_views.borrow();
-        let domains = self.settings.failure_domains.iter().zip(views.iter());
+        let views = self.load_views.borrow();
+        let domains = self
+            .settings
+            .failure_domains
+            .iter()
+            .zip(views.views().iter());
         let others = domains.filter(|(domain, _)| domain.as_str() != failure_domain);
         others
             .filter_map(|(domain, view)| Some((domain.clone(), view.load.clone()?)))
@@ -237,12 +235,12 @@
 
     /// Replaces loads after tasks were delegated to those shards.
     pub fn set_loads(&self, loads: Vec<(SmolStr, Load)>) {
-        let mut views = self.shard_views.borrow_mut();
+        let mut views = self.load_views.borrow_mut();
         for (domain, load) in loads {
             let Ok(index) = self.settings.failure_domains.binary_search(&domain) else {
                 continue;
             };
-            views[index].load = Some(load);
+            views.view_mut(index).load = Some(load);
         }
     }
 
@@ -253,10 +251,14 @@
         let own = domains
             .binary_search(&self.settings.failure_domain)
             .unwrap_or_default();
-        let mut views = self.shard_views.borrow_mut();
-        let loads: Vec<Option<Load>> = views.iter().map(|view| view.load.clone()).collect();
+        let mut views = self.load_views.borrow_mut();
+        let loads: Vec<Option<&Load>> = views
+            .views()
+            .iter()
+            .map(|view| view.load.as_ref())
+            .collect();
         let home = intake::choose_home(own, &loads, job);
-        if let Some(load) = &mut views[home].load {
+        if let Some(load) = &mut views.view_mut(home).load {
             load.add(job);
         }
         domains[home].clone()
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use primrosestack_fleet::claim::{self, Candidate};
+use primrosestack_fleet::load_views::LoadReport;
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{self, Owner, Phase, ServerSet, StoredJob, Term};
 use primrosestack_fleet::shard::JobStatus;
@@ -31,6 +32,10 @@
 /// Age of the last confirmation at which the term is read again.
 const CONFIRM_AFTER_MS: u64 = 1_000;
 
+/// The load is computed from all servers and waiting tasks, which is too expensive for each of a hundred requests a
+/// second.
+const LOAD_REPORT_INTERVAL_MS: u64 = 100;
+
 /// With their time-outs, these attempts take as long as the leases that the predecessor granted.
 const HANDOVER_ATTEMPTS: u32 = 8;
 
@@ -70,6 +75,8 @@
     pub(super) inbox_revision: Cell<u64>,
     pub(super) registrations_revision: Cell<u64>,
     pub(super) polled_servers: RefCell<Vec<ServerKey>>,
+    /// Last load report and when it was computed.
+    load_report: RefCell<Option<(u64, LoadReport)>>,
     pub(super) node: Rc<Node>,
 }
 
@@ -147,6 +154,7 @@
             inbox_revision: Cell::new(inbox.revision),
             registrations_revision: Cell::new(registrations.revision),
             polled_servers: RefCell::new(Vec::new()),
+            load_report: RefCell::new(None),
             node: Rc::clone(node),
         }))
     }
@@ -277,6 +285,25 @@
         self.shard.borrow().job_status(id)
     }
 
+    /// Load and queue lengths, computed at most every [`LOAD_REPORT_INTERVAL_MS`].
+    #[must_use]
+    pub fn load_report(&self, now: u64) -> LoadReport {
+        let mut cached = self.load_report.borrow_mut();
+        if let Some((computed_ms, report)) = cached.as_ref()
+            && now < computed_ms + LOAD_REPORT_INTERVAL_MS
+        {
+            return report.clone();
+        }
+        let shard = self.shard.borrow();
+        let report = LoadReport {
+            load: shard.load_summary(now),
+            queued: shard.queued_jobs(),
+            age_ms: 0,
+        };
+        *cached = Some((now, report.clone()));
+        report
+    }
+
     /// Adds a job or cancellation that is in the store.
     pub fn receive_job(self: &Rc<Self>, id: JobId, stored: StoredJob) {
         let is_known = self.shard.borrow().find_job(id).is_some();
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use futures_util::{SinkExt, StreamExt};
 use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::intake::Load;
+use primrosestack_fleet::load_views::{LoadQuery, LoadReport};
 use primrosestack_fleet::prelude::JobId;
 use primrosestack_fleet::shard::JobStatus;
 use prost::Message;
@@ -45,6 +47,12 @@
     /// CPU available to the requesting host, in millicores.
     #[prost(uint32, tag = "5")]
     pub cpu_millis: u32,
+    /// Whether the load should include the interference estimates.
+    #[prost(bool, tag = "6")]
+    pub wants_interference: bool,
+    /// Whether to reply with the loads of all other shards that the owner knows.
+    #[prost(bool, tag = "7")]
+    pub wants_all_shards: bool,
 }
 
 /// Status of a job in a reply.
@@ -73,6 +81,21 @@
     pub jobs: u32,
 }
 
+/// Load and queue lengths of another shard, passed on by the replying owner.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RelayedLoad {
+    #[prost(string, tag = "1")]
+    pub failure_domain: String,
+    #[prost(message, optional, tag = "2")]
+    pub load: Option<Load>,
+    /// Sorted by queue.
+    #[prost(message, repeated, tag = "3")]
+    pub queued: Vec<QueuedCount>,
+    /// Time since the shard's owner determined them, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
 /// Reply to a [`PeerRequest`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerReply {
@@ -93,6 +116,9 @@
     /// `None` if the replying process did not own the shard in the preceding term.
     #[prost(message, optional, tag = "6")]
     pub handover: Option<Handover>,
+    /// Loads of the other shards, if the request asks for them.
+    #[prost(message, repeated, tag = "7")]
+    pub other_shards: Vec<RelayedLoad>,
 }
 
 impl JobStatusCode {
@@ -263,50 +289,97 @@
         // Without the store, an owner does not receive new jobs, so it can neither count nor start them.
         return reply;
     }
-    reply.load = Some(owned.shard.borrow().load_summary(now_ms()));
-    for (queue, jobs) in owned.shard.borrow().queued_jobs() {
-        reply.queued.push(QueuedCount {
-            queue: queue.to_string(),
-            jobs,
-        });
+    let now = now_ms();
+    let report = owned.load_report(now);
+    reply.queued = encode_queued(&report.queued);
+    reply.load = Some(report.load);
+    if request.wants_interference
+        && let Some(load) = &mut reply.load
+    {
+        load.interference = owned.shard.borrow().interference().estimates().to_vec();
+    }
+    if request.wants_all_shards {
+        reply.other_shards = other_shards(node, &request.failure_domain, now);
     }
     reply
 }
 
+fn encode_queued(queued: &[(SmolStr, u32)]) -> Vec<QueuedCount> {
+    let rows = queued.iter().map(|(queue, jobs)| QueuedCount {
+        queue: queue.to_string(),
+        jobs: *jobs,
+    });
+    rows.collect()
+}
+
+fn decode_queued(rows: Vec<QueuedCount>) -> Vec<(SmolStr, u32)> {
+    rows.into_iter()
+        .map(|row| (SmolStr::new(row.queue), row.jobs))
+        .collect()
+}
+
+/// Loads of all shards but the given one, as far as this host knows them.
+fn other_shards(node: &Node, failure_domain: &str, now: u64) -> Vec<RelayedLoad> {
+    let domains = &node.settings.failure_domains;
+    let views = node.load_views.borrow();
+    let mut relayed = Vec::new();
+    for (index, view, age_ms) in views.relayable(now) {
+        if domains[index] == failure_domain {
+            continue;
+        }
+        relayed.push(RelayedLoad {
+            failure_domain: domains[index].to_string(),
+            load: view.load.clone(),
+            queued: encode_queued(&view.queued),
+            age_ms,
+        });
+    }
+    relayed
+}
+
 /// Short compared with the run time of jobs, long compared with the time that a reply takes.
 const LOAD_POLL_INTERVAL_MS: u64 = 300;
 
 /// Polls the loads and queue lengths of all shards until the daemon stops.
 pub async fn poll_loads(node: Rc<Node>) {
     loop {
-        for index in 0..node.settings.failure_domains.len() {
-            let reply = query_load(&node, index).await;
-            let now = now_ms();
-            let mut views = node.shard_views.borrow_mut();
-            if let Some((load, reply)) =
-                reply.and_then(|mut reply| Some((reply.load.take()?, reply)))
-            {
-                node.merge_interference(&load.interference);
-                views[index].load = Some(load);
-                views[index].queued = reply
-                    .queued
-                    .into_iter()
-                    .map(|row| (SmolStr::new(row.queue), row.jobs))
-                    .collect();
-                views[index].updated_ms = now;
-            } else if now > views[index].updated_ms + LOAD_MAX_AGE_MS {
-                views[index].load = None;
-            }
-        }
+        let owned = refresh_owned_views(&node);
+        let queries = node.load_views.borrow().due_queries(&owned, now_ms());
+        join_all(queries.into_iter().map(|query| run_query(&node, query))).await;
+        node.load_views.borrow_mut().expire(now_ms());
         tokio::time::sleep(Duration::from_millis(LOAD_POLL_INTERVAL_MS)).await;
     }
 }
 
-/// Older loads and counts of queued jobs are not used: counts may be 2 s old at most.
-pub const LOAD_MAX_AGE_MS: u64 = 1_500;
+/// Updates the views of the shards that this host owns. Returns for each shard whether this host owns it.
+fn refresh_owned_views(node: &Node) -> Vec<bool> {
+    let now = now_ms();
+    let mut owned = Vec::new();
+    for (index, failure_domain) in node.settings.failure_domains.iter().enumerate() {
+        let shard = node.owned_shard(failure_domain);
+        owned.push(shard.is_some());
+        let Some(shard) = shard.filter(|_| !node.is_store_unavailable()) else {
+            continue;
+        };
+        let report = shard.load_report(now);
+        node.load_views.borrow_mut().apply(index, report, now);
+    }
+    owned
+}
 
-async fn query_load(node: &Rc<Node>, index: usize) -> Option<PeerReply> {
-    let failure_domain = &node.settings.failure_domains[index];
+async fn run_query(node: &Rc<Node>, query: LoadQuery) {
+    let (index, wants_interference, wants_all_shards) = match query {
+        LoadQuery::Shard {
+            index,
+            interference,
+        } => (index, interference, false),
+        LoadQuery::All { index } => (index, false, true),
+    };
+    let domains = &node.settings.failure_domains;
+    let failure_domain = &domains[index];
+    let Some(address) = node.owner_address(failure_domain) else {
+        return;
+    };
     let request = PeerRequest {
         failure_domain: failure_domain.to_string(),
         candidate_domain: if node.is_ready() {
@@ -315,21 +388,47 @@
             String::new()
         },
         cpu_millis: node.settings.cpu_millis,
+        wants_interference,
+        wants_all_shards,
         ..PeerRequest::default()
     };
-    if node.owned_shard(failure_domain).is_some() {
-        return Some(handle_request(node, &request));
-    }
-    let address = node.owner_address(failure_domain)?;
-    match node.peers.call(&address, &request).await {
-        Ok(reply) => Some(reply).filter(|reply| reply.is_owner),
+    let reply = match node.peers.call(&address, &request).await {
+        Ok(reply) if reply.is_owner => reply,
+        Ok(_) => return,
         Err(failure) => {
             Line::info("owner_silent")
                 .with("shard", failure_domain)
                 .with("address", address)
                 .with_reason(failure)
                 .write();
-            None
+            return;
         }
+    };
+    let now = now_ms();
+    if let Some(mut load) = reply.load {
+        let estimates = std::mem::take(&mut load.interference);
+        let mut views = node.load_views.borrow_mut();
+        if !estimates.is_empty() {
+            node.merge_interference(&estimates);
+            views.interference_merged(index, now);
+        }
+        let report = LoadReport {
+            load,
+            queued: decode_queued(reply.queued),
+            age_ms: 0,
+        };
+        views.apply(index, report, now);
+    }
+    for relayed in reply.other_shards {
+        let found = domains.binary_search_by(|domain| domain.as_str().cmp(&relayed.failure_domain));
+        let (Ok(index), Some(load)) = (found, relayed.load) else {
+            continue;
+        };
+        let report = LoadReport {
+            load,
+            queued: decode_queued(relayed.queued),
+            age_ms: relayed.age_ms,
+        };
+        node.load_views.borrow_mut().apply(index, report, now);
     }
 }
