Combine handovers of several short terms

Change: a term names the owners since the last settled one; a new owner asks all of them until it is settled. A handover tells which tasks only earlier owners may run and how long their leases last; a host that has begun a term without opening the shard says so. Frames between hosts may have 1 MB (a handover of 15,000 tasks has about 330 KB).

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -1,8 +1,11 @@
-//! Handover of a shard from an owner to its successor.
+//! Handover of a shard from earlier owners to their successor.
 //!
-//! The handover lists the tasks that the predecessor may have started, so that the successor can start all others at
-//! once. Without it, the successor waits for a report of every server, or for all leases to expire, before it starts a
-//! task that the predecessor may have started. A predecessor that lost the store can still answer its successor.
+//! A handover lists the tasks that an owner may have started, so that the successor can start all others at once.
+//! Without it, the successor waits for a report of every server, or for all leases to expire, before it starts a task
+//! that an earlier owner may have started. An owner that lost the store can still answer its successor.
+//!
+//! An owner whose own term was too short to settle does not know all tasks that may run. Its successor therefore asks
+//! the owners before it as well, newest first, back to one that had settled.
 
 use crate::bounds::{Bounds, LEASE_MS};
 use crate::job::{JobId, TaskId};
@@ -21,6 +24,9 @@
     /// Index of the task within the step.
     #[prost(uint32, tag = "4")]
     pub index: u32,
+    /// Whether only owners before this one may have started the task.
+    #[prost(bool, tag = "5")]
+    pub inherited: bool,
 }
 
 impl InFlightTask {
@@ -34,7 +40,7 @@
     }
 }
 
-/// Message from an owner that gives up its term to its successor.
+/// Message from an owner that gave up its term to a successor.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Handover {
     /// Term that the owner gave up.
@@ -46,12 +52,133 @@
     /// Whether all leases and requests of earlier terms have expired.
     #[prost(bool, tag = "3")]
     pub settled: bool,
+    /// Time until all leases of earlier terms have expired, in milliseconds; 0 if unknown or settled.
+    #[prost(uint64, tag = "4")]
+    pub settle_in_ms: u64,
+    /// Whether the owner gave no orders in its term and does not know which tasks earlier owners started.
+    #[prost(bool, tag = "5")]
+    pub unopened: bool,
+}
+
+impl Handover {
+    /// Handover of an owner that has begun a term and not opened the shard.
+    #[must_use]
+    pub fn unopened(term: u64) -> Self {
+        Self {
+            term,
+            unopened: true,
+            ..Self::default()
+        }
+    }
+
+    /// Time from the answer until all leases of earlier terms have expired, if known.
+    fn earlier_leases_ms(&self) -> Option<u64> {
+        match (self.settled, self.settle_in_ms) {
+            (true, _) => Some(0),
+            (false, 0) => None,
+            (false, settle_in_ms) => Some(settle_in_ms),
+        }
+    }
+}
+
+/// Answer of an earlier owner to its successor; it gives no orders in its term afterwards.
+#[derive(Clone, Debug)]
+struct Answer {
+    term: u64,
+    received_ms: u64,
+    /// When all leases of terms before this one have expired, if known.
+    earlier_leases_end_ms: Option<u64>,
+    /// `None` if the owner was restarted and no longer knows its tasks.
+    handover: Option<Handover>,
+}
+
+/// Answers of earlier owners, sorted by term.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Predecessors {
+    answers: Vec<Answer>,
+}
+
+impl Predecessors {
+    fn insert(&mut self, answer: Answer) {
+        match self
+            .answers
+            .binary_search_by_key(&answer.term, |known| known.term)
+        {
+            Ok(index) => self.answers[index] = answer,
+            Err(index) => self.answers.insert(index, answer),
+        }
+    }
+
+    /// Answers of the owners directly before `term` without a gap, newest first, up to one that had settled.
+    fn unbroken(&self, term: u64) -> Vec<&Answer> {
+        let mut answers: Vec<&Answer> = Vec::new();
+        let mut expected = term;
+        for answer in self.answers.iter().rev() {
+            if answer.term + 1 != expected {
+                break;
+            }
+            expected = answer.term;
+            answers.push(answer);
+            if answer.earlier_leases_end_ms == Some(answer.received_ms) {
+                break;
+            }
+        }
+        answers
+    }
+
+    /// When all leases of earlier owners have expired according to their answers.
+    fn leases_end_ms(&self, term: u64, own_lease_ms: u64) -> Option<u64> {
+        let mut answered_end_ms = 0;
+        let mut earliest: Option<u64> = None;
+        for answer in self.unbroken(term) {
+            answered_end_ms = answered_end_ms.max(answer.received_ms + own_lease_ms);
+            let earlier_end_ms = if answer.term <= 1 {
+                Some(0)
+            } else {
+                answer.earlier_leases_end_ms
+            };
+            let Some(earlier_end_ms) = earlier_end_ms else {
+                continue;
+            };
+            let end_ms = answered_end_ms.max(earlier_end_ms);
+            earliest = Some(earliest.map_or(end_ms, |known| known.min(end_ms)));
+        }
+        earliest
+    }
+
+    /// Tasks that earlier owners may have in flight, sorted; `None` if that is not known.
+    fn in_flight(&self, term: u64) -> Option<Vec<TaskId>> {
+        let mut known: Option<Vec<TaskId>> = None;
+        for answer in self.unbroken(term).into_iter().rev() {
+            let Some(handover) = &answer.handover else {
+                known = None;
+                continue;
+            };
+            if handover.unopened {
+                continue;
+            }
+            let mut tasks: Vec<TaskId> = Vec::with_capacity(handover.in_flight.len());
+            for task in &handover.in_flight {
+                let id = task.id();
+                let may_run = !task.inherited
+                    || known
+                        .as_ref()
+                        .is_none_or(|known| known.binary_search(&id).is_ok());
+                if may_run {
+                    tasks.push(id);
+                }
+            }
+            tasks.sort_unstable();
+            known = Some(tasks);
+        }
+        known
+    }
 }
 
 impl Shard {
     /// Returns the handover for the successor. The shard must not send requests afterwards.
     #[must_use]
-    pub fn handover(&self) -> Handover {
+    pub fn handover(&self, now_ms: u64) -> Handover {
         let mut in_flight = Vec::new();
         for (key, job) in &self.jobs {
             let is_recorded = job.recorded_version >= job.version;
@@ -69,24 +196,68 @@
                     occurrence: task_ref.occurrence,
                     step: task_ref.step,
                     index: task_ref.index,
+                    inherited: task.runs.is_empty() && !has_unrecorded_end,
                 });
             }
         }
+        let settle_in_ms = if self.settled {
+            0
+        } else {
+            self.settle_deadline_ms.saturating_sub(now_ms).max(1)
+        };
         Handover {
             term: self.term,
             in_flight,
             settled: self.settled,
+            settle_in_ms,
+            unopened: false,
         }
     }
 
-    /// Queues all tasks that the predecessor did not have in flight. The predecessor's own leases expire soon; leases
-    /// of earlier owners are known to have expired only if the predecessor had settled.
+    /// Applies the handover of an earlier owner: queues all tasks that the owners before this one did not have in
+    /// flight, and shortens the wait for their leases.
     pub fn apply_handover(&mut self, handover: &Handover, now_ms: u64) {
-        if self.settled || handover.term + 1 != self.term {
+        if handover.term >= self.term {
+            return;
+        }
+        self.predecessors.insert(Answer {
+            term: handover.term,
+            received_ms: now_ms,
+            earlier_leases_end_ms: handover.earlier_leases_ms().map(|wait_ms| now_ms + wait_ms),
+            handover: Some(handover.clone()),
+        });
+        self.apply_answers(now_ms);
+    }
+
+    /// Records that the owner of an earlier term was restarted at least `owned_for_ms` after its term began.
+    pub fn predecessor_ended(&mut self, term: u64, owned_for_ms: u64, now_ms: u64) {
+        if term >= self.term {
+            return;
+        }
+        let wait_ms = self
+            .bounds
+            .predecessor_expiry_ms()
+            .saturating_sub(owned_for_ms);
+        self.predecessors.insert(Answer {
+            term,
+            received_ms: now_ms,
+            earlier_leases_end_ms: Some(now_ms + wait_ms),
+            handover: None,
+        });
+        self.apply_answers(now_ms);
+    }
+
+    fn apply_answers(&mut self, now_ms: u64) {
+        if self.settled {
             return;
         }
-        let mut in_flight: Vec<TaskId> = handover.in_flight.iter().map(InFlightTask::id).collect();
-        in_flight.sort_unstable();
+        let lease_ms = Bounds::lease_upper_bound_ms(LEASE_MS.min(self.bounds.lease_max_ms));
+        if let Some(end_ms) = self.predecessors.leases_end_ms(self.term, lease_ms) {
+            self.settle_deadline_ms = self.settle_deadline_ms.min(end_ms);
+        }
+        let Some(in_flight) = self.predecessors.in_flight(self.term) else {
+            return;
+        };
         let mut released = Vec::new();
         for (key, job) in &self.jobs {
             for (task_ref, task) in job.tasks(key) {
@@ -103,27 +274,18 @@
                 ("era", self.term),
                 ("held", in_flight.len() as u64),
                 ("freed", released.len() as u64),
+                ("settles_in_ms", self.settle_deadline_ms.saturating_sub(now_ms)),
             ],
         );
         for task_ref in released {
             self.task_mut(task_ref).unresolved = false;
             self.enqueue_if_ready(task_ref, now_ms);
         }
-        if handover.settled {
-            // All leases of owners before the predecessor have expired, as if it had owned the shard for that long.
-            self.predecessor_ended(self.bounds.predecessor_expiry_ms(), now_ms);
-        }
     }
 
-    /// Records that the predecessor sends no more requests and began its term at least `owned_for_ms` ago. If all
-    /// leases of earlier owners have expired in that time, only the predecessor's own leases are waited for.
-    pub fn predecessor_ended(&mut self, owned_for_ms: u64, now_ms: u64) {
-        if owned_for_ms < self.bounds.predecessor_expiry_ms() {
-            return;
-        }
-        let lease_ms = LEASE_MS.min(self.bounds.lease_max_ms);
-        self.settle_deadline_ms = self
-            .settle_deadline_ms
-            .min(now_ms + Bounds::lease_upper_bound_ms(lease_ms));
+    /// Whether earlier owners can no longer have runs that this one does not know.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.settled
     }
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -102,8 +102,18 @@
     pub cpu_millis: u32,
 }
 
+/// Owner of a shard in one term.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TermOwner {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Address of its peer listener.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
 /// Leader term of a shard, which fences servers and the store.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct Term {
     /// Increases by one with each change of owner.
     #[prost(uint64, tag = "1")]
@@ -114,6 +124,26 @@
     /// CPU available to the owner, in millicores; weaker hosts let others try first.
     #[prost(uint32, tag = "3")]
     pub cpu_millis: u32,
+    /// Owners whose runs the next one may have to ask for, this one included, oldest first.
+    #[prost(message, repeated, tag = "4")]
+    pub owners: Vec<TermOwner>,
+}
+
+/// Maximum number of owners that are asked for handovers; more terms within the time of one lease are rare.
+const OWNERS_MAX: usize = 8;
+
+impl Term {
+    /// Adds the owner of this term to those of earlier ones.
+    #[must_use]
+    pub fn with_owner(mut self, address: impl Into<String>) -> Self {
+        self.owners.push(TermOwner {
+            term: self.number,
+            address: address.into(),
+        });
+        let excess = self.owners.len().saturating_sub(OWNERS_MAX);
+        self.owners.drain(..excess);
+        self
+    }
 }
 
 /// Home shard of a job.
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -7,6 +7,7 @@
 
 use crate::action::{Action, Decision};
 use crate::bounds::Bounds;
+use crate::handover::Predecessors;
 use crate::interference::InterferenceModel;
 use crate::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
 use crate::record::{Phase, ServerSet, Transfer};
@@ -191,6 +192,7 @@
     pub(crate) settle_deadline_ms: u64,
     /// Whether all runs of earlier owners that may still exist are known.
     pub(crate) settled: bool,
+    pub(crate) predecessors: Predecessors,
     /// Whether the list of servers has to be recorded.
     pub(crate) servers_changed: bool,
     /// Jobs that may have unrecorded changes.
@@ -231,6 +233,7 @@
             unclaimed,
             settle_deadline_ms: now_ms + bounds.predecessor_expiry_ms(),
             settled,
+            predecessors: Predecessors::default(),
             servers_changed: false,
             changed: Vec::new(),
             purged: Vec::new(),
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use primrosestack_fleet::action::{Action, StartReply, StartRequest};
 use primrosestack_fleet::bounds::Bounds;
+use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::interference::InterferenceEstimate;
 use primrosestack_fleet::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
 use primrosestack_fleet::record::{ServerSet, StoredJob};
@@ -127,6 +128,10 @@
         }
     }
 
+    pub fn handover(&self) -> Handover {
+        self.shard.handover(self.now_ms)
+    }
+
     pub fn key(&self, name: &str) -> ServerKey {
         let has_name = |key: &ServerKey| {
             self.shard
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -133,7 +133,7 @@
     let started_job = predecessor.submit_at(1, 0, vec![step(1)], 50);
     predecessor.plan();
     predecessor.confirm_starts();
-    let handover = predecessor.shard.handover();
+    let handover = predecessor.handover();
 
     let mut harness = Harness::open_term(2, &["one", "two"], &["one", "two"]);
     harness.claim("one");
@@ -178,7 +178,7 @@
         "one",
         &run_end(1, starts[0].1.task, starts[0].1.run, EndKind::Done),
     );
-    let handover = predecessor.shard.handover();
+    let handover = predecessor.handover();
     let in_flight: Vec<u32> = handover.in_flight.iter().map(|task| task.index).collect();
     assert_eq!(
         in_flight.len(),
@@ -195,8 +195,8 @@
     harness.submit_at(1, 0, vec![step(1)], 50);
     let handover = Handover {
         term: 1,
-        in_flight: Vec::new(),
         settled: true,
+        ..Handover::default()
     };
     harness.shard.apply_handover(&handover, harness.now_ms);
     harness.plan();
@@ -209,7 +209,7 @@
 fn an_unsettled_predecessor_does_not_shorten_the_wait() {
     let mut second = Harness::open_term(2, &["one"], &["one"]);
     let job = second.submit_at(1, 0, vec![step(1)], 50);
-    let handover = second.shard.handover();
+    let handover = second.handover();
     assert!(!handover.settled);
 
     let mut harness = Harness::open_term(3, &["one"], &["one", "two"]);
@@ -238,7 +238,7 @@
     harness.claim("one");
     harness.write_records();
     harness.submit_at(1, 0, vec![service_step(1, "a")], 50);
-    harness.shard.predecessor_ended(20_000, harness.now_ms);
+    harness.shard.predecessor_ended(1, 20_000, harness.now_ms);
     harness.now_ms += 4_000;
     harness.claim("one");
     harness.plan();
@@ -259,7 +259,7 @@
     harness.claim("one");
     harness.write_records();
     harness.submit_at(1, 0, vec![step(1)], 50);
-    harness.shard.predecessor_ended(2_000, harness.now_ms);
+    harness.shard.predecessor_ended(2, 2_000, harness.now_ms);
     harness.now_ms += 6_000;
     harness.claim("one");
     harness.plan();
@@ -288,3 +288,74 @@
     harness.plan();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Guards against a wait that begins anew with each of several short terms: after a zone cut, long-running tasks stood
+/// still for 17 s because two owners in a row each waited for the leases of a third.
+#[test]
+fn a_short_term_does_not_extend_the_wait() {
+    let mut second = Harness::open_term(2, &["gone"], &["two"]);
+    second.submit_at(1, 0, vec![service_step(1, "a")], 50);
+    second.now_ms += 7_000;
+    let handover = second.handover();
+
+    let mut third = Harness::open_term(3, &["gone"], &["two"]);
+    third.claim("two");
+    third.write_records();
+    third.submit_at(1, 0, vec![service_step(1, "a")], 50);
+    third.shard.apply_handover(&handover, third.now_ms);
+    third.now_ms += 3_000;
+    third.claim("two");
+    third.plan();
+    assert!(third.starts.is_empty(), "the second owner's own lease may still be valid");
+    third.now_ms += 2_000;
+    third.claim("two");
+    third.plan();
+    assert_eq!(third.starts.len(), 1);
+}
+
+/// Guards against tasks waiting for silent servers although the owner before a short-lived one knows that it did not
+/// start them.
+#[test_case::test_case(false; "the short-lived owner opened the shard")]
+#[test_case::test_case(true; "the short-lived owner never opened the shard")]
+fn handovers_of_several_owners_add_up(unopened: bool) {
+    let mut first = Harness::open(&["one", "gone"]);
+    let running_job = first.submit_at(1, 0, vec![step(1)], 50);
+    first.plan();
+    first.confirm_starts();
+    let mut second = Harness::open_term(2, &["one", "gone"], &["one"]);
+    second.submit_at(1, 0, vec![step(1)], 50);
+    second.submit_at(2, 0, vec![step(1)], 60);
+
+    let mut third = Harness::open_term(3, &["one", "gone"], &["one"]);
+    third.claim("one");
+    third.write_records();
+    third.submit_at(1, 0, vec![step(1)], 50);
+    let waiting_job = third.submit_at(2, 0, vec![step(1)], 60);
+    let newest = if unopened { Handover::unopened(2) } else { second.handover() };
+    third.shard.apply_handover(&newest, third.now_ms);
+    third.plan();
+    assert!(third.starts.is_empty(), "the first owner may have started both jobs");
+    third.shard.apply_handover(&first.handover(), third.now_ms);
+    third.plan();
+    assert_eq!(third.starts.len(), 1);
+    assert_eq!(third.starts[0].1.task.job, waiting_job);
+    assert_ne!(waiting_job, running_job);
+}
+
+/// Guards against a handover that is combined with that of a restarted owner, which no longer knows what it started.
+#[test]
+fn a_restarted_owner_hides_what_it_started() {
+    let first = Harness::open(&["one", "gone"]);
+    let mut third = Harness::open_term(3, &["one", "gone"], &["one"]);
+    third.claim("one");
+    third.write_records();
+    third.submit_at(1, 0, vec![step(1)], 50);
+    third.shard.predecessor_ended(2, 1_000, third.now_ms);
+    third.shard.apply_handover(&first.handover(), third.now_ms);
+    third.plan();
+    assert!(third.starts.is_empty(), "the second owner may have started the job");
+    third.now_ms += 5_000;
+    third.claim("one");
+    third.plan();
+    assert_eq!(third.starts.len(), 1, "all leases have ended");
+}
--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use primrosestack_fleet::claim::{self, Vacancy};
+use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::record::{self, Owner, Term};
 use primrosestack_platform::store::{Change, Item, StoreFailure, Transaction};
 use prost::Message;
@@ -226,14 +227,15 @@
         number: term,
         sequence: 0,
         cpu_millis: node.settings.cpu_millis,
+        owners: previous_term.owners.clone(),
     }
-    .encode_to_vec();
+    .with_owner(node.settings.peer_address.to_string());
     let sent_ms = now_ms();
     let transaction = Transaction::default()
         .expect_revision(term_key.clone(), current.map_or(0, |item| item.revision))
         .expect_revision(owner_key.clone(), view.revision)
-        .put(term_key, term_record.clone())
-        .put(keys::inbox_term(failure_domain), term_record)
+        .put(term_key, term_record.encode_to_vec())
+        .put(keys::inbox_term(failure_domain), term_record.encode_to_vec())
         .put_with_lease(owner_key, announcement_value, lease);
     let result = node.store.commit(&transaction).await;
     node.record_store_call("take_shard", &result);
@@ -248,21 +250,30 @@
         term,
         start_revision: term_revision,
     };
-    let owned = OwnedShard::open(node, failure_domain.clone(), leadership, lease, sent_ms).await?;
+    // Until the shard is open, this host gives no orders and knows no tasks in flight.
+    node.save_handover(failure_domain, Handover::unopened(term));
+    let owned = OwnedShard::open(
+        node,
+        failure_domain.clone(),
+        leadership,
+        term_record.owners,
+        lease,
+        sent_ms,
+    )
+    .await?;
     if node.successor_term(failure_domain) > term {
         owned.step_down("successor_asked");
         return Ok(());
     }
     owner::spawn(&owned);
-    let predecessor = view
-        .last_owner
-        .as_ref()
-        .filter(|last| last.term + 1 == term);
-    if let Some(last) = predecessor {
-        let predecessor_owned_ms = now_ms().saturating_sub(view.last_owner_since_ms);
-        let handover =
-            Rc::clone(&owned).request_handover(last.address.clone(), predecessor_owned_ms);
-        tokio::task::spawn_local(handover);
+    for predecessor in previous_term.owners {
+        let owned_for_ms = match &view.last_owner {
+            Some(last) if last.term == predecessor.term => {
+                now_ms().saturating_sub(view.last_owner_since_ms)
+            }
+            _ => 0,
+        };
+        tokio::task::spawn_local(Rc::clone(&owned).request_handover(predecessor, owned_for_ms));
     }
     node.owned_shards.borrow_mut().push(owned);
     Ok(())
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -164,9 +164,14 @@
         upsert(&self.handovers, failure_domain, handover);
     }
 
-    /// Steps down in favour of a successor with a later term. Returns the handover if this host owned the shard in the
-    /// preceding term.
-    pub fn yield_shard(&self, failure_domain: &str, successor_term: u64) -> Option<Handover> {
+    /// Steps down in favour of a successor with a later term. Returns the handover of `handover_term` if this process
+    /// owned the shard in that term, and has not owned it again since.
+    pub fn yield_shard(
+        &self,
+        failure_domain: &str,
+        successor_term: u64,
+        handover_term: u64,
+    ) -> Option<Handover> {
         let owned = self.owned_shard(failure_domain);
         if let Some(owned) = owned.filter(|owned| owned.leadership.term < successor_term) {
             owned.step_down("successor_asked");
@@ -177,7 +182,7 @@
         let saved = handovers
             .iter()
             .find(|(domain, _)| domain == failure_domain)?;
-        Some(saved.1.clone()).filter(|saved| saved.term + 1 == successor_term)
+        Some(saved.1.clone()).filter(|saved| saved.term == handover_term)
     }
 
     /// Highest term of a successor that requested a handover; this host must not act in an earlier term.
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use primrosestack_fleet::claim::{self, Candidate};
+use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::load_views::LoadReport;
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{self, Owner, Phase, ServerSet, StoredJob, Term};
+use primrosestack_fleet::record::{self, Owner, Phase, ServerSet, StoredJob, Term, TermOwner};
 use primrosestack_fleet::shard::JobStatus;
 use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX, decode_server};
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
@@ -20,7 +21,7 @@
 use crate::daemon::keys;
 use crate::daemon::node::Node;
 use crate::daemon::peers::PeerRequest;
-use crate::daemon::{election, journal};
+use crate::daemon::{election, journal, peers};
 use crate::logs::Line;
 
 /// Interval of time-dependent checks.
@@ -36,9 +37,6 @@
 /// second.
 const LOAD_REPORT_INTERVAL_MS: u64 = 100;
 
-/// With their time-outs, these attempts take as long as the leases that the predecessor granted.
-const HANDOVER_ATTEMPTS: u32 = 8;
-
 const HANDOVER_RETRY_DELAY_MS: u64 = 250;
 
 /// The term in which this host owns a shard.
@@ -62,6 +60,8 @@
     pub closed: Cell<bool>,
     /// Revision of the term's key, on which the next transaction is conditional.
     pub(super) term_revision: Cell<u64>,
+    /// This owner and those before it that had not settled, oldest first.
+    pub(super) owners: RefCell<Vec<TermOwner>>,
     pub(super) sequence: Cell<u64>,
     /// Held while a call that depends on `term_revision` is in flight.
     pub(super) write_lock: tokio::sync::Mutex<()>,
@@ -91,6 +91,7 @@
         node: &Rc<Node>,
         failure_domain: SmolStr,
         leadership: Leadership,
+        owners: Vec<TermOwner>,
         lease: u64,
         sent_ms: u64,
     ) -> Result<Rc<Self>, StoreFailure> {
@@ -143,6 +144,7 @@
             recorded: Notify::new(),
             closed: Cell::new(false),
             term_revision: Cell::new(leadership.start_revision),
+            owners: RefCell::new(owners),
             sequence: Cell::new(0),
             write_lock: tokio::sync::Mutex::new(()),
             confirmed_ms: Cell::new(sent_ms),
@@ -192,6 +194,7 @@
                 number: self.leadership.term,
                 sequence: self.sequence.get(),
                 cpu_millis: self.node.settings.cpu_millis,
+                owners: self.unsettled_owners(),
             };
             let transaction = transaction
                 .clone()
@@ -219,6 +222,16 @@
         }
     }
 
+    /// Owners that the next one may have to ask: once this one has settled, only itself.
+    fn unsettled_owners(&self) -> Vec<TermOwner> {
+        let mut owners = self.owners.borrow_mut();
+        if self.shard.borrow().is_settled() {
+            let own_term = self.leadership.term;
+            owners.retain(|owner| owner.term == own_term);
+        }
+        owners.clone()
+    }
+
     /// Updates `term_revision` if the term's key still holds this term, and returns whether it does.
     pub(super) fn refresh_term_revision(&self, item: &Item) -> bool {
         let term: Option<Term> = decode_or_log(item);
@@ -266,7 +279,7 @@
             .with_reason(reason)
             .write();
         self.node
-            .save_handover(&self.failure_domain, self.shard.borrow().handover());
+            .save_handover(&self.failure_domain, self.shard.borrow().handover(now_ms()));
         self.node
             .owned_shards
             .borrow_mut()
@@ -320,45 +333,33 @@
         self.plan_and_execute();
     }
 
-    /// Requests a handover from the predecessor, so that all tasks that it did not hold can start at once.
-    pub(super) async fn request_handover(
-        self: Rc<Self>,
-        address: String,
-        predecessor_owned_ms: u64,
-    ) {
+    /// Requests the handover of an earlier owner until it answers or the shard is settled. All tasks that earlier owners
+    /// did not have in flight can then start at once.
+    pub(super) async fn request_handover(self: Rc<Self>, predecessor: TermOwner, owned_for_ms: u64) {
         let request = PeerRequest {
             failure_domain: self.failure_domain.to_string(),
             successor_term: self.leadership.term,
+            handover_term: predecessor.term,
             ..PeerRequest::default()
         };
-        for _ in 0..HANDOVER_ATTEMPTS {
-            if self.closed.get() {
-                return;
-            }
-            match self.node.peers.call(&address, &request).await {
+        while !self.closed.get() && !self.shard.borrow().is_settled() {
+            let is_self = predecessor.address == self.node.settings.peer_address.to_string();
+            let result = if is_self {
+                Ok(peers::handle_request(&self.node, &request))
+            } else {
+                self.node.peers.call(&predecessor.address, &request).await
+            };
+            match result {
                 Ok(reply) if reply.stepped_down => {
-                    let now = now_ms();
-                    let mut shard = self.shard.borrow_mut();
-                    // A predecessor without a handover was restarted, or failed to open the shard in its term.
-                    match &reply.handover {
-                        Some(handover) => shard.apply_handover(handover, now),
-                        None => shard.predecessor_ended(predecessor_owned_ms, now),
-                    }
-                    drop(shard);
-                    Line::info("predecessor_answered")
-                        .with("shard", &self.failure_domain)
-                        .with("era", self.leadership.term)
-                        .with("predecessor", &address)
-                        .with("handover", reply.handover.is_some())
-                        .write();
-                    self.plan_and_execute();
+                    self.apply_handover(&predecessor, reply.handover, owned_for_ms);
                     return;
                 }
                 Ok(_) => {}
                 Err(failure) => Line::info("predecessor_silent")
                     .with("shard", &self.failure_domain)
                     .with("era", self.leadership.term)
-                    .with("predecessor", &address)
+                    .with("predecessor", &predecessor.address)
+                    .with("predecessor_era", predecessor.term)
                     .with_reason(failure)
                     .write(),
             }
@@ -366,6 +367,30 @@
         }
     }
 
+    fn apply_handover(
+        self: &Rc<Self>,
+        predecessor: &TermOwner,
+        handover: Option<Handover>,
+        owned_for_ms: u64,
+    ) {
+        let now = now_ms();
+        Line::info("predecessor_answered")
+            .with("shard", &self.failure_domain)
+            .with("era", self.leadership.term)
+            .with("predecessor", &predecessor.address)
+            .with("predecessor_era", predecessor.term)
+            .with("handover", handover.is_some())
+            .write();
+        let mut shard = self.shard.borrow_mut();
+        match handover {
+            Some(handover) => shard.apply_handover(&handover, now),
+            // The process was restarted.
+            None => shard.predecessor_ended(predecessor.term, owned_for_ms, now),
+        }
+        drop(shard);
+        self.plan_and_execute();
+    }
+
     /// Reads the term, and steps down if it has ended.
     pub(super) async fn check_term(&self) {
         let _guard = self.write_lock.lock().await;
@@ -457,7 +482,7 @@
         self.closed.set(true);
         journal::flush(self).await;
         self.node
-            .save_handover(&self.failure_domain, self.shard.borrow().handover());
+            .save_handover(&self.failure_domain, self.shard.borrow().handover(now_ms()));
         let owner = Owner {
             cpu_millis,
             ..Owner::default()
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -23,8 +23,8 @@
 use crate::daemon::node::Node;
 use crate::logs::Line;
 
-/// Enough for the lengths of some thousand queues.
-const FRAME_MAX_BYTES: usize = 256 << 10;
+/// Enough for a handover of 15,000 tasks in flight, at some 25 bytes each.
+const FRAME_MAX_BYTES: usize = 1 << 20;
 
 /// Enough for any distance between failure domains.
 const REQUEST_TIMEOUT_MS: u64 = 350;
@@ -53,6 +53,9 @@
     /// Whether to reply with the loads of all other shards that the owner knows.
     #[prost(bool, tag = "7")]
     pub wants_all_shards: bool,
+    /// Term whose handover is requested; 0 for the term before `successor_term`, without [`Handover::unopened`].
+    #[prost(uint64, tag = "8")]
+    pub handover_term: u64,
 }
 
 /// Status of a job in a reply.
@@ -263,10 +266,10 @@
     }
 }
 
-fn handle_request(node: &Node, request: &PeerRequest) -> PeerReply {
+pub(super) fn handle_request(node: &Node, request: &PeerRequest) -> PeerReply {
     if request.successor_term > 0 {
         return PeerReply {
-            handover: node.yield_shard(&request.failure_domain, request.successor_term),
+            handover: requested_handover(node, request),
             stepped_down: true,
             ..PeerReply::default()
         };
@@ -304,6 +307,16 @@
     reply
 }
 
+fn requested_handover(node: &Node, request: &PeerRequest) -> Option<Handover> {
+    let domain = &request.failure_domain;
+    if request.handover_term > 0 {
+        return node.yield_shard(domain, request.successor_term, request.handover_term);
+    }
+    // A host of an earlier version would read the empty list of an unopened term as if nothing were in flight.
+    node.yield_shard(domain, request.successor_term, request.successor_term - 1)
+        .filter(|handover| !handover.unopened)
+}
+
 fn encode_queued(queued: &[(SmolStr, u32)]) -> Vec<QueuedCount> {
     let rows = queued.iter().map(|(queue, jobs)| QueuedCount {
         queue: queue.to_string(),
