Let large hosts of other failure domains claim before small local ones

Change: hosts with 0.4 cores or more claim a remote shard after 0.8 s; hosts much weaker than the last owner wait 1.2 s more instead of 0.6 s. Test large_remote_hosts_go_before_small_local_ones.

--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -11,8 +11,16 @@
 /// first; a host that restarts takes longer, but callers should not wait for it.
 const REMOTE_WAIT_MS: u64 = 2_000;
 
-/// Extra wait of a host with much less CPU than the last owner: time for a host of similar size to try.
-const WEAKER_WAIT_MS: u64 = 600;
+/// Wait of a host of another failure domain whose CPU is ample for any shard. Such hosts go before small local ones:
+/// a small host with a large shard is too busy to renew its announcement, and the shard changes its owner again and
+/// again.
+const AMPLE_REMOTE_WAIT_MS: u64 = 800;
+
+/// CPU that is ample for a shard, in millicores: some hundred servers are polled each second with a third of it.
+const AMPLE_CPU_MILLIS: u32 = 400;
+
+/// Extra wait of a host with much less CPU than the last owner: time for hosts of similar size to try.
+const WEAKER_WAIT_MS: u64 = 1_200;
 
 /// CPU ratio from which a host counts as much stronger; the larger hosts of a deployment have several times the CPU of
 /// the others.
@@ -45,6 +53,8 @@
     pub is_local: bool,
     /// Whether the last owner was much stronger than the candidate.
     pub is_weaker: bool,
+    /// CPU available to the candidate, in millicores.
+    pub cpu_millis: u32,
     /// Rank of the candidate among all candidates.
     pub rank: u64,
 }
@@ -56,6 +66,7 @@
         let wait_ms = match (self.is_local, self.released) {
             (true, true) => 0,
             (true, false) => LOCAL_WAIT_MS,
+            (false, _) if self.cpu_millis >= AMPLE_CPU_MILLIS => AMPLE_REMOTE_WAIT_MS,
             (false, _) => REMOTE_WAIT_MS,
         };
         let weaker_ms = if self.is_weaker { WEAKER_WAIT_MS } else { 0 };
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -53,6 +53,7 @@
         released: true,
         is_local: true,
         is_weaker: false,
+        cpu_millis: 500,
         rank: 2,
     };
     let weaker = Vacancy {
@@ -77,3 +78,34 @@
     assert_eq!(poll_interval_min_ms(16, 100), 0);
     assert_eq!(poll_interval_min_ms(117, 500), 0);
 }
+
+/// Guards against a small host that takes a large shard before a large host of another failure domain: it was too busy
+/// to renew its announcement, and three hosts took the shard from each other every 3 s.
+#[test]
+fn large_remote_hosts_go_before_small_local_ones() {
+    let local = Vacancy {
+        since_ms: 0,
+        released: false,
+        is_local: true,
+        is_weaker: false,
+        cpu_millis: 500,
+        rank: 2,
+    };
+    let large_remote = Vacancy {
+        is_local: false,
+        ..local
+    };
+    let small_local = Vacancy {
+        is_weaker: true,
+        cpu_millis: 69,
+        rank: 0,
+        ..local
+    };
+    let small_remote = Vacancy {
+        is_local: false,
+        ..small_local
+    };
+    assert!(local.claim_at_ms() < large_remote.claim_at_ms());
+    assert!(large_remote.claim_at_ms() < small_local.claim_at_ms());
+    assert!(small_local.claim_at_ms() < small_remote.claim_at_ms());
+}
--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -183,6 +183,7 @@
                 released: view.released,
                 is_local: view.failure_domain == node.settings.failure_domain,
                 is_weaker: claim::is_much_stronger(view.cpu_millis, node.settings.cpu_millis),
+                cpu_millis: node.settings.cpu_millis,
                 rank,
             };
             if now_ms() < vacancy.claim_at_ms() || node.is_store_unavailable() {
@@ -235,7 +236,10 @@
         .expect_revision(term_key.clone(), current.map_or(0, |item| item.revision))
         .expect_revision(owner_key.clone(), view.revision)
         .put(term_key, term_record.encode_to_vec())
-        .put(keys::inbox_term(failure_domain), term_record.encode_to_vec())
+        .put(
+            keys::inbox_term(failure_domain),
+            term_record.encode_to_vec(),
+        )
         .put_with_lease(owner_key, announcement_value, lease);
     let result = node.store.commit(&transaction).await;
     node.record_store_call("take_shard", &result);
