Keep the work of servers that answer late, and of long tasks

Cause: a poll counted as unanswered after 500 ms at every age of the silence, so a server that answers in 600 ms lost its lease and all its work; and a task whose whole percents take more than 2.6 s was moved as stalled. Change: polls of a silent server wait 1.5 s for the answer; a run counts as stalled after three times the time that a percent took so far. Tests a_server_that_answers_a_second_late_keeps_its_work and a_task_of_ten_minutes_is_not_taken_for_stalled.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,7 @@
 mod arrival;
 pub mod bounds;
 pub mod claim;
-mod expiry;
+pub mod expiry;
 pub mod handover;
 pub mod headroom;
 pub mod intake;
--- a/crates/fleet/tests/lapse.rs
+++ b/crates/fleet/tests/lapse.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{AUTHORITY_END_MS, Harness, step};
+use common::{AUTHORITY_END_MS, Harness, run_status, step, task_id};
 use primrosestack_fleet::action::StartReply;
+use primrosestack_fleet::job::StepSpec;
+use primrosestack_fleet::report::RunStatus;
 
 /// Requests a lease as the daemon does before each poll, which then gets no answer.
 fn poll_without_answer(harness: &mut Harness, name: &str) -> bool {
@@ -127,3 +129,62 @@
         "a later poll lists all existing runs"
     );
 }
+
+/// Guards against a server that answers slowly losing its work: with a short time-out none of its answers counts, its
+/// lease is no longer renewed, and its tasks start elsewhere although it runs them.
+#[test]
+fn a_server_that_answers_a_second_late_keeps_its_work() {
+    const ANSWER_DELAY_MS: u64 = 1_000;
+    let mut harness = Harness::open(&["one", "two"]);
+    let job = harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    let (server, request) = harness.confirm_starts()[0].clone();
+    let slow = harness.name(server);
+    let other = if slow == "one" { "two" } else { "one" };
+    let end_ms = harness.now_ms + 20_000;
+    let mut percent = 0;
+    while harness.now_ms < end_ms {
+        poll_without_answer(&mut harness, &slow);
+        let timing = harness.shard.poll_timing(server, harness.now_ms);
+        harness.now_ms += timing.wait_ms + ANSWER_DELAY_MS.min(timing.grace_ms);
+        if timing.grace_ms > ANSWER_DELAY_MS {
+            percent += 5;
+            let status = RunStatus {
+                progress_percent: percent,
+                ..run_status(task_id(job, 0, 0), request.run)
+            };
+            harness.report(&slow, &[status], &[]);
+        }
+        harness.report(other, &[], &[]);
+        harness.tick();
+        harness.plan();
+        assert!(harness.starts.is_empty() && harness.stops.is_empty());
+    }
+}
+
+/// Guards against a long task being moved over and over because it needs more than 2.6 s for a whole percent.
+#[test]
+fn a_task_of_ten_minutes_is_not_taken_for_stalled() {
+    const PERCENT_MS: u64 = 6_000;
+    let mut harness = Harness::open(&["one"]);
+    let long = StepSpec {
+        estimate_ms: 600_000,
+        ..step(1)
+    };
+    let job = harness.submit(7, 0, vec![long]);
+    harness.plan();
+    let (_, request) = harness.confirm_starts()[0].clone();
+    for half_seconds in 0..40 {
+        harness.now_ms += 500;
+        let status = RunStatus {
+            progress_percent: u32::try_from(half_seconds * 500 / PERCENT_MS).unwrap_or(100),
+            ..run_status(task_id(job, 0, 0), request.run)
+        };
+        harness.report("one", &[status], &[]);
+        harness.tick();
+        assert!(
+            harness.stops.is_empty(),
+            "after {half_seconds} half seconds"
+        );
+    }
+}
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -11,15 +11,6 @@
 use crate::daemon::owner::OwnedShard;
 use crate::logs::Line;
 
-/// Wait of a poll of a server with tasks: tail latencies and progress are half a second old anyway.
-const POLL_WAIT_MS: u64 = 900;
-
-/// Wait of a poll of a server whose service tasks are near their latency targets: tail latencies cover half a second.
-const NEAR_TARGET_POLL_WAIT_MS: u64 = 400;
-
-/// Wait of a poll of a server without tasks: shorter than the time after which a server counts as silent.
-const IDLE_POLL_WAIT_MS: u64 = 1_300;
-
 const POLL_RETRY_DELAY_MS: u64 = 250;
 
 /// Longest wait for records before a server with unrecorded task ends is polled again.
@@ -220,21 +211,16 @@
     pub(super) fn next_poll(&self, server: ServerKey, now: u64) -> (Poll, Option<u64>) {
         let shard = self.shard.borrow();
         let lease = shard.lease(server, self.authority_end_ms(), now);
-        let state = shard.server(server);
-        let wait_ms = match state {
-            Some(state) if state.claimed && state.runs.is_empty() => IDLE_POLL_WAIT_MS,
-            Some(state) if state.claimed && state.throttle.is_near_target() => {
-                NEAR_TARGET_POLL_WAIT_MS
-            }
-            Some(state) if state.claimed => POLL_WAIT_MS,
-            _ => 0,
-        };
-        let acknowledged_end = state.map_or(0, |state| state.acknowledged_end);
+        let timing = shard.poll_timing(server, now);
+        let acknowledged_end = shard
+            .server(server)
+            .map_or(0, |state| state.acknowledged_end);
         (
             Poll {
                 acknowledged_end,
                 lease_end_ms: lease.map(|(end, _)| end),
-                wait_ms,
+                wait_ms: timing.wait_ms,
+                grace_ms: timing.grace_ms,
             },
             lease.map(|(_, upper_bound)| upper_bound),
         )
