Start no task by outdated registrations

Change: owners know as of when their registrations are complete, and start nothing by older ones than the drain time less 500 ms, unless the store is unavailable. New setting drain_ms. Pattern test: crates/fleet/tests/patterns/outdated_registrations.rs.

--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -11,12 +11,17 @@
     pub retention_ms: u64,
     /// Interval at which servers renew their registrations.
     pub heartbeat_ms: u64,
+    /// Time after a server's announcement that it is draining from which it must get no new tasks.
+    pub drain_ms: u64,
 }
 
 /// Lease granted with each poll. With one poll per second, about 3 s remain when a server becomes unreachable:
 /// longer than a change of owner takes, and short enough to restart its tasks elsewhere soon.
 pub const LEASE_MS: u64 = 4_500;
 
+/// Part of the drain time that is left for a start that has been decided to reach its server.
+const START_TRANSIT_MS: u64 = 500;
+
 /// Server clocks run up to 2% slow; one more percent covers the drift of the local clock.
 const CLOCK_DRIFT_NUMERATOR: u64 = 103;
 const CLOCK_DRIFT_DENOMINATOR: u64 = 100;
@@ -37,6 +42,12 @@
         self.lease_max_ms
     }
 
+    /// Age of the registrations from which no task is started: a server may have been draining since.
+    #[must_use]
+    pub fn registrations_max_age_ms(&self) -> u64 {
+        self.drain_ms.saturating_sub(START_TRANSIT_MS)
+    }
+
     /// Longest time on the local clock that a lease of `lease_ms` on a server's clock can last.
     #[must_use]
     pub fn lease_upper_bound_ms(lease_ms: u64) -> u64 {
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -274,7 +274,10 @@
                 ("era", self.term),
                 ("held", in_flight.len() as u64),
                 ("freed", released.len() as u64),
-                ("settles_in_ms", self.settle_deadline_ms.saturating_sub(now_ms)),
+                (
+                    "settles_in_ms",
+                    self.settle_deadline_ms.saturating_sub(now_ms),
+                ),
             ],
         );
         for task_ref in released {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -58,7 +58,7 @@
             return;
         }
         self.open_due_occurrences(unix_ms, now_ms);
-        if self.ready.is_empty() {
+        if self.update_registrations_outdated(now_ms) || self.ready.is_empty() {
             return;
         }
         self.sort_ready(unix_ms, now_ms);
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -63,6 +63,35 @@
         self.servers[self.server_index[index].1].registered = false;
     }
 
+    /// Records that all registrations as of `as_of_ms` have been applied.
+    pub fn registrations_complete(&mut self, as_of_ms: u64) {
+        self.registrations_as_of_ms = Some(as_of_ms);
+    }
+
+    /// Records that the store is unavailable. Servers cannot announce anything there either, so tasks are started on
+    /// those known so far.
+    pub fn registrations_unavailable(&mut self) {
+        self.registrations_as_of_ms = None;
+    }
+
+    /// Whether the registrations are too old to start tasks by them; logs each change.
+    pub(crate) fn update_registrations_outdated(&mut self, now_ms: u64) -> bool {
+        let age_ms = self
+            .registrations_as_of_ms
+            .map_or(0, |as_of_ms| now_ms.saturating_sub(as_of_ms));
+        let is_outdated = age_ms > self.bounds.registrations_max_age_ms();
+        if is_outdated != self.registrations_outdated {
+            self.registrations_outdated = is_outdated;
+            let event = if is_outdated {
+                "registrations_outdated"
+            } else {
+                "registrations_regained"
+            };
+            self.log_decision(event, None, None, [("age_ms", age_ms)]);
+        }
+        is_outdated
+    }
+
     #[must_use]
     pub fn server_keys(&self) -> Vec<ServerKey> {
         self.servers.keys().collect()
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -193,6 +193,9 @@
     /// Whether all runs of earlier owners that may still exist are known.
     pub(crate) settled: bool,
     pub(crate) predecessors: Predecessors,
+    /// When the registrations were last known to be complete; `None` while the store is unavailable.
+    pub(crate) registrations_as_of_ms: Option<u64>,
+    pub(crate) registrations_outdated: bool,
     /// Whether the list of servers has to be recorded.
     pub(crate) servers_changed: bool,
     /// Jobs that may have unrecorded changes.
@@ -234,6 +237,8 @@
             settle_deadline_ms: now_ms + bounds.predecessor_expiry_ms(),
             settled,
             predecessors: Predecessors::default(),
+            registrations_as_of_ms: None,
+            registrations_outdated: false,
             servers_changed: false,
             changed: Vec::new(),
             purged: Vec::new(),
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -23,6 +23,7 @@
     stop_ms: 900,
     retention_ms: 120_000,
     heartbeat_ms: 1_500,
+    drain_ms: 2_000,
 };
 
 /// Longer than the wait before a task is delegated.
--- a/crates/fleet/tests/patterns/load_reports.rs
+++ b/crates/fleet/tests/patterns/load_reports.rs
@@ -57,10 +57,10 @@
         )
     };
     let mut owner = informed_host(0, 5);
-    let owned = [true, false, false, false, false];
+    let own_shard = [true, false, false, false, false];
     assert_eq!(
         owner
-            .due_queries(&owned, NOW_MS)
+            .due_queries(&own_shard, NOW_MS)
             .iter()
             .filter(|query| asks_for_table(query))
             .count(),
@@ -69,7 +69,7 @@
     for index in 1..5 {
         owner.interference_merged(index, NOW_MS);
     }
-    let soon = owner.due_queries(&owned, NOW_MS + 1_000);
+    let soon = owner.due_queries(&own_shard, NOW_MS + 1_000);
     assert!(!soon.iter().any(asks_for_table));
     let host = LoadViews::open(0, 5);
     assert!(
--- /dev/null
+++ b/crates/fleet/tests/patterns/outdated_registrations.rs
@@ -0,0 +1,34 @@
+//! Pattern: an owner that falls behind with the registrations of its servers while the store serves all others.
+
+use primrosestack_fleet::bounds::Bounds;
+
+use crate::common::{BOUNDS, Harness, step};
+
+/// Guards against a start on a server that has been draining for longer than allowed: the owner of 220 servers learned
+/// of it 4 s late.
+#[test]
+fn no_task_starts_by_outdated_registrations() {
+    let mut harness = Harness::open(&["one"]);
+    harness.shard.registrations_complete(harness.now_ms);
+    harness.now_ms += Bounds::registrations_max_age_ms(&BOUNDS) + 1;
+    harness.claim("one");
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    assert!(harness.starts.is_empty(), "the server may be draining");
+    harness.shard.registrations_complete(harness.now_ms);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against a failure domain that stops serving because it cannot reach the store.
+#[test]
+fn tasks_start_while_the_store_is_unavailable() {
+    let mut harness = Harness::open(&["one"]);
+    harness.shard.registrations_complete(harness.now_ms);
+    harness.shard.registrations_unavailable();
+    harness.now_ms += 5_000;
+    harness.claim("one");
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -306,7 +306,10 @@
     third.now_ms += 3_000;
     third.claim("two");
     third.plan();
-    assert!(third.starts.is_empty(), "the second owner's own lease may still be valid");
+    assert!(
+        third.starts.is_empty(),
+        "the second owner's own lease may still be valid"
+    );
     third.now_ms += 2_000;
     third.claim("two");
     third.plan();
@@ -331,10 +334,17 @@
     third.write_records();
     third.submit_at(1, 0, vec![step(1)], 50);
     let waiting_job = third.submit_at(2, 0, vec![step(1)], 60);
-    let newest = if unopened { Handover::unopened(2) } else { second.handover() };
+    let newest = if unopened {
+        Handover::unopened(2)
+    } else {
+        second.handover()
+    };
     third.shard.apply_handover(&newest, third.now_ms);
     third.plan();
-    assert!(third.starts.is_empty(), "the first owner may have started both jobs");
+    assert!(
+        third.starts.is_empty(),
+        "the first owner may have started both jobs"
+    );
     third.shard.apply_handover(&first.handover(), third.now_ms);
     third.plan();
     assert_eq!(third.starts.len(), 1);
@@ -353,7 +363,10 @@
     third.shard.predecessor_ended(2, 1_000, third.now_ms);
     third.shard.apply_handover(&first.handover(), third.now_ms);
     third.plan();
-    assert!(third.starts.is_empty(), "the second owner may have started the job");
+    assert!(
+        third.starts.is_empty(),
+        "the second owner may have started the job"
+    );
     third.now_ms += 5_000;
     third.claim("one");
     third.plan();
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -18,6 +18,9 @@
 
 const RETRY_DELAY_MS: u64 = 200;
 
+/// Servers renew their registrations all the time, so a watch without any change for this long is probably dead.
+const REGISTRATIONS_WATCH_WAIT_MS: u64 = 600;
+
 /// Delay between two watches, so that one response carries several heartbeats.
 const REGISTRATIONS_WATCH_GAP_MS: u64 = 150;
 
@@ -93,6 +96,9 @@
                 Ok(()) => false,
                 Err(StoreFailure::Compacted) => true,
                 Err(_) => {
+                    if self.node.is_store_unavailable() {
+                        self.shard.borrow_mut().registrations_unavailable();
+                    }
                     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                     true
                 }
@@ -102,13 +108,14 @@
     }
 
     pub(super) async fn watch_registrations(self: &Rc<Self>) -> Result<(), StoreFailure> {
+        let sent_ms = now_ms();
         let result = self
             .node
             .store
             .watch(
                 SERVERS_PREFIX,
                 self.registrations_revision.get(),
-                WATCH_WAIT_MS,
+                REGISTRATIONS_WATCH_WAIT_MS,
             )
             .await;
         self.node.record_store_call("watch_registrations", &result);
@@ -132,6 +139,7 @@
                 }
             }
         }
+        self.shard.borrow_mut().registrations_complete(sent_ms);
         Ok(())
     }
 
@@ -152,14 +160,17 @@
     }
 
     pub(super) async fn list_registrations(self: &Rc<Self>) -> Result<(), StoreFailure> {
+        let sent_ms = now_ms();
         let result = self.node.store.list(SERVERS_PREFIX).await;
         self.node.record_store_call("list_registrations", &result);
         let page = result?;
         self.registrations_revision.set(page.revision);
-        self.shard.borrow_mut().set_servers(
+        let mut shard = self.shard.borrow_mut();
+        shard.set_servers(
             decode_registrations(&page.rows, &self.failure_domain),
             now_ms(),
         );
+        shard.registrations_complete(sent_ms);
         Ok(())
     }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -102,6 +102,7 @@
             stop_ms: settings.task_stop_ms,
             retention_ms: settings.retention_s * 1_000,
             heartbeat_ms: settings.heartbeat_ms,
+            drain_ms: settings.drain_ms,
         };
         let views = settings
             .failure_domains
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -110,6 +110,7 @@
             .store
             .list(&keys::progress_prefix(&failure_domain))
             .await?;
+        let registrations_sent_ms = now_ms();
         let registrations = node.store.list(SERVERS_PREFIX).await?;
         let now = now_ms();
         let mut shard = Shard::open(
@@ -129,6 +130,7 @@
             decode_registrations(&registrations.rows, &failure_domain),
             now,
         );
+        shard.registrations_complete(registrations_sent_ms);
         let (live, ready) = shard.backlog();
         Line::info("shard_opened")
             .with("shard", &failure_domain)
@@ -335,7 +337,11 @@
 
     /// Requests the handover of an earlier owner until it answers or the shard is settled. All tasks that earlier owners
     /// did not have in flight can then start at once.
-    pub(super) async fn request_handover(self: Rc<Self>, predecessor: TermOwner, owned_for_ms: u64) {
+    pub(super) async fn request_handover(
+        self: Rc<Self>,
+        predecessor: TermOwner,
+        owned_for_ms: u64,
+    ) {
         let request = PeerRequest {
             failure_domain: self.failure_domain.to_string(),
             successor_term: self.leadership.term,
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -8,6 +8,9 @@
 use smol_str::SmolStr;
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
+/// Owners need some heartbeats of the servers to learn that one is draining.
+const DRAIN_MIN_MS: u64 = 1_500;
+
 /// Why the settings cannot be used.
 #[derive(Debug, Snafu)]
 pub enum DaemonSettingsError {
@@ -73,6 +76,9 @@
     pub retention_s: u64,
     /// Interval at which servers renew their registrations.
     pub heartbeat_ms: u64,
+    /// Time after a server's announcement that it is draining from which it must get no new tasks.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
     /// Share of each processor that the host may use.
     #[serde(default = "default_cpu")]
     pub cpu_share: f64,
@@ -98,6 +104,10 @@
     1.0
 }
 
+fn default_drain_ms() -> u64 {
+    2_000
+}
+
 fn default_leave_ms() -> u64 {
     2_200
 }
@@ -152,6 +162,15 @@
                 expected: "2000 or more"
             }
         );
+        ensure!(
+            settings.drain_ms >= DRAIN_MIN_MS,
+            RangeSnafu {
+                path,
+                field: "drain_ms",
+                found: settings.drain_ms.to_string(),
+                expected: "1500 or more"
+            }
+        );
         ensure!(
             settings
                 .failure_domains
