Tell a silent store from outdated registrations

Cause: in the incident of Lima the store is silent for 4.6 s; owners paused starts from 1.5 s on, until it counted as unavailable 0.9 s later, although no server could announce anything either. Change: the availability of the store moves to crates/fleet (store_health.rs); registrations only count as outdated while the store answers other calls.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod runs;
 pub mod server;
 pub mod shard;
+pub mod store_health;
 pub mod suspension;
 pub mod task;
 pub mod throttle;
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -96,9 +96,6 @@
                 Ok(()) => false,
                 Err(StoreFailure::Compacted) => true,
                 Err(_) => {
-                    if self.node.is_store_unavailable() {
-                        self.shard.borrow_mut().registrations_unavailable();
-                    }
                     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                     true
                 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,6 +9,7 @@
 use primrosestack_fleet::load_views::LoadViews;
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::Owner;
+use primrosestack_fleet::store_health::{Availability, StoreHealth};
 use primrosestack_platform::catalog::Configuration;
 use primrosestack_platform::http::HttpClient;
 use primrosestack_platform::servers::ServerClient;
@@ -25,9 +26,6 @@
 /// About 100 KB at 24 bytes an entry.
 const HOME_CACHE_MAX: usize = 4_096;
 
-/// Calls have to fail for this long before the store counts as unavailable.
-const STORE_UNAVAILABLE_AFTER_MS: u64 = 900;
-
 /// The owner of a shard, as announced in the store.
 #[derive(Clone, Debug)]
 pub struct OwnerView {
@@ -47,14 +45,6 @@
     pub released: bool,
 }
 
-/// Availability of the store.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StoreHealth {
-    last_response_ms: u64,
-    failing_since_ms: Option<u64>,
-    is_unavailable: bool,
-}
-
 /// State that the daemon's services share.
 pub struct Node {
     pub settings: DaemonSettings,
@@ -275,43 +265,41 @@
         let now = now_ms();
         let outcome = result.as_ref().err().map_or("done", StoreFailure::name);
         self.metrics.record_store(call, outcome);
+        let is_failure = matches!(
+            result,
+            Err(StoreFailure::Unavailable { .. } | StoreFailure::NoAnswer)
+        );
         let mut health = self.store_health.get();
-        let Err(failure @ (StoreFailure::Unavailable { .. } | StoreFailure::NoAnswer)) = result
-        else {
-            if health.is_unavailable {
-                let outage_ms = now - health.failing_since_ms.unwrap_or(now);
-                Line::info("store_regained")
-                    .with("call", call)
-                    .with("away_ms", outage_ms)
-                    .write();
-            }
-            health = StoreHealth {
-                last_response_ms: now,
-                failing_since_ms: None,
-                is_unavailable: false,
-            };
-            self.store_health.set(health);
-            return;
+        let change = if is_failure {
+            health.record_failure(now)
+        } else {
+            health.record_answer(now)
         };
-        let since_ms = *health.failing_since_ms.get_or_insert(now);
-        if !health.is_unavailable && now >= since_ms + STORE_UNAVAILABLE_AFTER_MS {
-            health.is_unavailable = true;
-            Line::warn("store_lost")
+        self.store_health.set(health);
+        match change {
+            Availability::Unchanged => {}
+            Availability::Lost { answered_ms_ago } => Line::warn("store_lost")
                 .with("call", call)
-                .with("reason", failure)
-                .with(
-                    "answered_ms_ago",
-                    now.saturating_sub(health.last_response_ms),
-                )
-                .write();
+                .with("reason", outcome)
+                .with("answered_ms_ago", answered_ms_ago)
+                .write(),
+            Availability::Regained { outage_ms } => Line::info("store_regained")
+                .with("call", call)
+                .with("away_ms", outage_ms)
+                .write(),
         }
-        self.store_health.set(health);
+    }
+
+    /// Whether the store has answered no call at all for a while, so that nothing can be learned from it.
+    #[must_use]
+    pub fn is_store_silent(&self) -> bool {
+        self.store_health.get().is_silent(now_ms())
     }
 
     /// Whether calls to the store have failed for a while.
     #[must_use]
     pub fn is_store_unavailable(&self) -> bool {
-        self.store_health.get().is_unavailable
+        self.store_health.get().is_unavailable()
     }
 
     /// Caches the home shard of a job.
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -467,6 +467,9 @@
 
     pub(super) async fn tick(self: Rc<Self>) {
         while !self.closed.get() {
+            if self.node.is_store_silent() {
+                self.shard.borrow_mut().registrations_unavailable();
+            }
             self.shard.borrow_mut().tick(now_ms());
             let mut others = self.node.other_loads(&self.failure_domain);
             if self
