Move the questions to earlier owners into a module of their own

Change: succession.rs holds request_handover, apply_handover and unsettled_owners; nothing else changes.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 mod scrape;
 pub mod settings;
+mod succession;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use primrosestack_fleet::claim::{self, Candidate};
-use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::load_views::LoadReport;
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{self, Owner, Phase, ServerSet, StoredJob, Term, TermOwner};
@@ -21,7 +20,7 @@
 use crate::daemon::keys;
 use crate::daemon::node::Node;
 use crate::daemon::peers::PeerRequest;
-use crate::daemon::{election, journal, peers};
+use crate::daemon::{election, journal};
 use crate::logs::Line;
 
 /// Interval of time-dependent checks.
@@ -37,8 +36,6 @@
 /// second.
 const LOAD_REPORT_INTERVAL_MS: u64 = 100;
 
-const HANDOVER_RETRY_DELAY_MS: u64 = 250;
-
 /// The term in which this host owns a shard.
 #[derive(Clone, Copy, Debug)]
 pub struct Leadership {
@@ -224,16 +221,6 @@
         }
     }
 
-    /// Owners that the next one may have to ask: once this one has settled, only itself.
-    fn unsettled_owners(&self) -> Vec<TermOwner> {
-        let mut owners = self.owners.borrow_mut();
-        if self.shard.borrow().is_settled() {
-            let own_term = self.leadership.term;
-            owners.retain(|owner| owner.term == own_term);
-        }
-        owners.clone()
-    }
-
     /// Updates `term_revision` if the term's key still holds this term, and returns whether it does.
     pub(super) fn refresh_term_revision(&self, item: &Item) -> bool {
         let term: Option<Term> = decode_or_log(item);
@@ -335,68 +322,6 @@
         self.plan_and_execute();
     }
 
-    /// Requests the handover of an earlier owner until it answers or the shard is settled. All tasks that earlier owners
-    /// did not have in flight can then start at once.
-    pub(super) async fn request_handover(
-        self: Rc<Self>,
-        predecessor: TermOwner,
-        owned_for_ms: u64,
-    ) {
-        let request = PeerRequest {
-            failure_domain: self.failure_domain.to_string(),
-            successor_term: self.leadership.term,
-            handover_term: predecessor.term,
-            ..PeerRequest::default()
-        };
-        while !self.closed.get() && !self.shard.borrow().is_settled() {
-            let is_self = predecessor.address == self.node.settings.peer_address.to_string();
-            let result = if is_self {
-                Ok(peers::handle_request(&self.node, &request))
-            } else {
-                self.node.peers.call(&predecessor.address, &request).await
-            };
-            match result {
-                Ok(reply) if reply.stepped_down => {
-                    self.apply_handover(&predecessor, reply.handover, owned_for_ms);
-                    return;
-                }
-                Ok(_) => {}
-                Err(failure) => Line::info("predecessor_silent")
-                    .with("shard", &self.failure_domain)
-                    .with("era", self.leadership.term)
-                    .with("predecessor", &predecessor.address)
-                    .with("predecessor_era", predecessor.term)
-                    .with_reason(failure)
-                    .write(),
-            }
-            tokio::time::sleep(Duration::from_millis(HANDOVER_RETRY_DELAY_MS)).await;
-        }
-    }
-
-    fn apply_handover(
-        self: &Rc<Self>,
-        predecessor: &TermOwner,
-        handover: Option<Handover>,
-        owned_for_ms: u64,
-    ) {
-        let now = now_ms();
-        Line::info("predecessor_answered")
-            .with("shard", &self.failure_domain)
-            .with("era", self.leadership.term)
-            .with("predecessor", &predecessor.address)
-            .with("predecessor_era", predecessor.term)
-            .with("handover", handover.is_some())
-            .write();
-        let mut shard = self.shard.borrow_mut();
-        match handover {
-            Some(handover) => shard.apply_handover(&handover, now),
-            // The process was restarted.
-            None => shard.predecessor_ended(predecessor.term, owned_for_ms, now),
-        }
-        drop(shard);
-        self.plan_and_execute();
-    }
-
     /// Reads the term, and steps down if it has ended.
     pub(super) async fn check_term(&self) {
         let _guard = self.write_lock.lock().await;
