Log the age of runs that are lost with their server

Cause: run_lost did not tell whether a run had just been started or had run for a while, so a task that crashes its servers could not be told from tasks that were there by chance. Measured: compiled only; no decision depends on the fields.

--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -276,6 +276,7 @@
         }
         let is_wanted = is_live && !task.done;
         let run = &mut task.runs[position];
+        run.listed_ms = Some(now_ms);
         run.tail_ms_or_cpu_millis = status.tail_ms_or_cpu_millis;
         if run.progress_percent != status.progress_percent || run.rate_percent == 0 {
             run.progress_percent = status.progress_percent;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -294,15 +294,22 @@
         reason: AbandonReason,
         now_ms: u64,
     ) {
-        if self.remove_run(task_ref, server, number).is_none() {
+        let Some(run) = self.remove_run(task_ref, server, number) else {
             return;
-        }
+        };
         if reason == AbandonReason::Interrupted {
+            let lived_ms = run
+                .listed_ms
+                .map_or(0, |listed_ms| listed_ms.saturating_sub(run.start_sent_ms));
             self.log_decision(
                 "run_lost",
                 Some(task_ref),
                 Some(server),
-                [("run", u64::from(number))],
+                [
+                    ("run", u64::from(number)),
+                    ("age_ms", now_ms.saturating_sub(run.start_sent_ms)),
+                    ("lived_ms", lived_ms),
+                ],
             );
         }
         self.enqueue_if_ready(task_ref, now_ms);
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -32,6 +32,8 @@
     /// Polls sent after this time list the run if it exists. A poll of the same millisecond may have overtaken the
     /// start request.
     pub visible_after_ms: Option<u64>,
+    /// When a report last listed the run.
+    pub listed_ms: Option<u64>,
     /// Last reported progress.
     pub progress_percent: u32,
     /// When the progress last changed.
@@ -54,6 +56,7 @@
             state: RunState::Starting,
             start_sent_ms: now_ms,
             visible_after_ms: None,
+            listed_ms: None,
             progress_percent: 0,
             progressed_ms: now_ms,
             tail_ms_or_cpu_millis: 0,
