Give up tasks that crash the servers they start on

Cause: only runs that end as failed count as attempts. A run that is lost with its server was started again without limit, in the same millisecond. Change: runs that had just been started when a server crashed are suspected and counted; the count is recorded with the task. Suspects start one by one, so that the next crash has one cause. A task that was the only suspect of two crashes, or one of several of three, fails its job; one that outlives a start is cleared. A crash found only after the lease or the registration has expired counts when the server is back; a server that left as announced does not.

--- /dev/null
+++ b/crates/fleet/src/crashes.rs
@@ -0,0 +1,179 @@
+//! Tasks that crash the servers they start on.
+//!
+//! When a server crashes, the runs that had just started there are suspected. A suspected task starts alone on a server,
+//! so that the next crash tells which task causes it; its job fails after a few. A task that outlives its start is no
+//! longer suspected. The counts are recorded with the task, so that they outlast a change of owner.
+
+use smol_str::SmolStr;
+
+use crate::record::Phase;
+use crate::server::Server;
+use crate::shard::{ServerKey, Shard, TaskRef, to_u32};
+use crate::task::Run;
+
+/// Age at which a listed run has outlived its start; servers crash within a few milliseconds of it.
+pub(crate) const OUTLIVED_START_MS: u64 = 500;
+
+/// Crashes after which a task is given up if it was the only suspect of the last one.
+const SOLE_SUSPECT_CRASHES_MAX: u32 = 2;
+
+/// Crashes after which a task is given up in any case; other suspects of three crashes in a row are improbable.
+const CRASHES_MAX: u32 = 3;
+
+/// Wait after which a suspected task starts beside other recent starts; on a busy server there is always one.
+pub(crate) const ALONE_WAIT_MAX_MS: u64 = 1_500;
+
+/// Lapsed servers that are remembered; more at a time were cut off rather than crashed.
+const LAPSED_SERVERS_MAX: usize = 64;
+
+/// Server that lapsed and left the registrations. If it comes back as another incarnation, it had crashed.
+#[derive(Clone, Debug)]
+pub(crate) struct LapsedServer {
+    name: SmolStr,
+    started_unix_ms: u64,
+    suspects: Vec<(TaskRef, u32)>,
+}
+
+impl Shard {
+    /// Runs on a server that may have crashed it: those not known to have outlived their start.
+    pub(crate) fn crash_suspects(&self, server: ServerKey) -> Vec<(TaskRef, u32)> {
+        let mut suspects = Vec::new();
+        for &(task_ref, number) in &self.servers[server].runs {
+            if self.is_recent_start(task_ref, server, number) {
+                suspects.push((task_ref, number));
+            }
+        }
+        suspects
+    }
+
+    fn is_recent_start(&self, task_ref: TaskRef, server: ServerKey, number: u32) -> bool {
+        let task = self.task(task_ref);
+        task.run_position(server, number)
+            .is_some_and(|position| !task.runs[position].outlived_start)
+    }
+
+    /// Whether a task must not start on a server at present because a crash could then have several causes.
+    pub(crate) fn would_blur_crash(
+        &self,
+        task_ref: TaskRef,
+        server: ServerKey,
+        now_ms: u64,
+    ) -> bool {
+        let state = &self.servers[server];
+        if state.suspected_run.is_some() {
+            return true;
+        }
+        let task = self.task(task_ref);
+        task.suspected
+            && now_ms < task.ready_since_ms + ALONE_WAIT_MAX_MS
+            && state
+                .runs
+                .iter()
+                .any(|&(other, number)| self.is_recent_start(other, server, number))
+    }
+
+    /// Suspects runs of a server that lapsed; whether it crashed is known only when it is back.
+    pub(crate) fn suspect_lapsed(&mut self, server: ServerKey) {
+        let suspects = self.crash_suspects(server);
+        for &(task_ref, _) in &suspects {
+            self.task_mut(task_ref).suspected = true;
+        }
+        self.servers[server].lapsed_suspects = suspects;
+    }
+
+    /// Remembers the suspects of a server that is dropped, in case it comes back.
+    pub(crate) fn remember_lapsed(&mut self, server: &Server) {
+        if server.lapsed_suspects.is_empty() {
+            return;
+        }
+        self.lapsed_servers.push(LapsedServer {
+            name: server.entry.name.clone(),
+            started_unix_ms: server.started_unix_ms,
+            suspects: server.lapsed_suspects.clone(),
+        });
+        let excess = self.lapsed_servers.len().saturating_sub(LAPSED_SERVERS_MAX);
+        self.lapsed_servers.drain(..excess);
+    }
+
+    /// Counts the crash of a server that registers again after it was dropped.
+    pub(crate) fn count_remembered_crash(&mut self, server: ServerKey, now_ms: u64) {
+        let entry = &self.servers[server].entry;
+        let position = self.lapsed_servers.iter().position(|lapsed| {
+            lapsed.name == entry.name && lapsed.started_unix_ms < entry.started_unix_ms
+        });
+        let Some(position) = position else { return };
+        let lapsed = self.lapsed_servers.remove(position);
+        self.count_crash(server, &lapsed.suspects, now_ms);
+    }
+
+    /// Counts a crash for the runs that may have caused it, and gives up tasks that keep crashing servers.
+    pub(crate) fn count_crash(
+        &mut self,
+        server: ServerKey,
+        suspects: &[(TaskRef, u32)],
+        now_ms: u64,
+    ) {
+        for &(task_ref, number) in suspects {
+            let Some(job) = self.jobs.get_mut(task_ref.job) else {
+                continue;
+            };
+            job.mark_changed(now_ms);
+            self.changed.push(task_ref.job);
+            let task = self.task_mut(task_ref);
+            task.suspected = true;
+            if !task.crashed_runs.contains(&number) {
+                task.crashed_runs.push(number);
+            }
+            let crashes = to_u32(task.crashed_runs.len());
+            self.log_decision(
+                "crash_suspected",
+                Some(task_ref),
+                Some(server),
+                [
+                    ("run", u64::from(number)),
+                    ("crashes", u64::from(crashes)),
+                    ("suspects", suspects.len() as u64),
+                ],
+            );
+            let is_given_up = crashes >= CRASHES_MAX
+                || (suspects.len() == 1 && crashes >= SOLE_SUSPECT_CRASHES_MAX);
+            let is_done = self.task(task_ref).done;
+            if !is_given_up || is_done || !self.jobs[task_ref.job].is_live() {
+                continue;
+            }
+            self.log_decision(
+                "job_given_up",
+                Some(task_ref),
+                Some(server),
+                [("crashes", u64::from(crashes))],
+            );
+            self.end_job(task_ref.job, Phase::Failed, now_ms);
+        }
+    }
+
+    /// Ends the suspicion against a task, since a server has outlived a start of it.
+    pub(crate) fn clear_suspicion(&mut self, task_ref: TaskRef, server: ServerKey, number: u32) {
+        if self.servers[server].suspected_run == Some((task_ref, number)) {
+            self.servers[server].suspected_run = None;
+        }
+        let task = self.task_mut(task_ref);
+        if !task.suspected {
+            return;
+        }
+        task.suspected = false;
+        task.crashed_runs.clear();
+        self.log_decision(
+            "suspicion_ended",
+            Some(task_ref),
+            Some(server),
+            [("run", u64::from(number))],
+        );
+    }
+}
+
+impl Run {
+    /// Whether a report at `now_ms` that lists the run shows that it has outlived its start.
+    pub(crate) fn outlives_start(&self, now_ms: u64) -> bool {
+        self.outlived_start || now_ms >= self.start_sent_ms + OUTLIVED_START_MS
+    }
+}
--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -25,7 +25,8 @@
 /// Wait of a poll of a server with tasks: tail latencies and progress are half a second old anyway.
 const POLL_WAIT_MS: u64 = 900;
 
-/// Wait of a poll of a server whose service tasks are near their latency targets: tail latencies cover half a second.
+/// Wait of a poll of a server whose service tasks are near their latency targets: tail latencies cover half a second. A
+/// server with a suspected run gets no other task before the next report.
 const NEAR_TARGET_POLL_WAIT_MS: u64 = 400;
 
 /// Wait of a poll of a server without tasks: shorter than the time after which a server counts as silent.
@@ -63,6 +64,7 @@
                         Some(server),
                         [("silent_ms", silent_ms)],
                     );
+                    self.suspect_lapsed(server);
                     for (task_ref, number) in runs {
                         self.abandon_run(
                             task_ref,
@@ -135,6 +137,7 @@
         let Some(state) = self.servers.remove(server) else {
             return;
         };
+        self.remember_lapsed(&state);
         let name = state.entry.name;
         if let Ok(index) = self
             .server_index
@@ -162,7 +165,7 @@
         }
         let wait_ms = if state.runs.is_empty() {
             IDLE_POLL_WAIT_MS
-        } else if state.throttle.is_near_target() {
+        } else if state.throttle.is_near_target() || state.suspected_run.is_some() {
             NEAR_TARGET_POLL_WAIT_MS
         } else {
             POLL_WAIT_MS
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -86,6 +86,7 @@
             done: task.done,
             last_run: task.last_run,
             failed_runs: task.failed_runs.clone(),
+            crashed_runs: task.crashed_runs.clone(),
             remote: task.remote,
             checkpoint: if task.done {
                 String::new()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod arrival;
 pub mod bounds;
 pub mod claim;
+mod crashes;
 pub mod expiry;
 pub mod handover;
 pub mod headroom;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -76,7 +76,7 @@
         if !server.is_usable(now_ms) || server.entry.service != job.queue.service {
             return false;
         }
-        if self.has_trial_run(key) {
+        if self.has_trial_run(key) || self.would_blur_crash(task_ref, key, now_ms) {
             return false;
         }
         if spec.memory_mb > server.memory_free_mb()
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -45,6 +45,9 @@
     /// Whether another shard runs the task.
     #[prost(bool, tag = "8")]
     pub remote: bool,
+    /// Run numbers that may have crashed their server.
+    #[prost(uint32, repeated, tag = "9")]
+    pub crashed_runs: Vec<u32>,
 }
 
 /// Recorded progress of a job.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -32,9 +32,17 @@
                 let key = self.servers.insert(Server::new(entry.clone()));
                 self.server_index.insert(index, (name, key));
                 self.servers_changed = true;
+                self.count_remembered_crash(key, now_ms);
                 key
             }
         };
+        let server = &self.servers[key];
+        let is_new_incarnation = entry.started_unix_ms != 0
+            && server.started_unix_ms != 0
+            && entry.started_unix_ms > server.started_unix_ms;
+        if is_new_incarnation {
+            self.end_incarnation(key, entry.started_unix_ms, now_ms);
+        }
         let server = &mut self.servers[key];
         if entry.draining && server.draining_since_ms.is_none() {
             server.draining_since_ms = Some(now_ms);
@@ -42,15 +50,8 @@
         if !entry.draining {
             server.draining_since_ms = None;
         }
-        let is_new_incarnation = entry.started_unix_ms != 0
-            && server.started_unix_ms != 0
-            && entry.started_unix_ms > server.started_unix_ms;
         server.entry = entry;
         server.registered = true;
-        if is_new_incarnation {
-            let started_unix_ms = server.entry.started_unix_ms;
-            self.end_incarnation(key, started_unix_ms, now_ms);
-        }
         key
     }
 
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -36,6 +36,8 @@
         let silent_ms = now_ms.saturating_sub(state.last_contact_ms);
         state.claimed = true;
         state.fenced = false;
+        // The same incarnation answers, so the server had not crashed.
+        state.lapsed_suspects.clear();
         if report.sent_ms >= state.last_contact_ms || !was_claimed {
             state.clock_ms = report.clock_ms;
             state.last_contact_ms = now_ms;
@@ -142,6 +144,9 @@
                 ("number", end.number),
             ],
         );
+        if matches!(end.kind, EndKind::Done | EndKind::Failed) {
+            self.clear_suspicion(task_ref, server, end.run);
+        }
         match end.kind {
             EndKind::Done => {
                 self.servers[server].suspension.record_success();
@@ -277,6 +282,8 @@
         let is_wanted = is_live && !task.done;
         let run = &mut task.runs[position];
         run.listed_ms = Some(now_ms);
+        run.outlived_start = run.outlives_start(now_ms);
+        let outlived_start = run.outlived_start;
         run.tail_ms_or_cpu_millis = status.tail_ms_or_cpu_millis;
         if run.progress_percent != status.progress_percent || run.rate_percent == 0 {
             run.progress_percent = status.progress_percent;
@@ -293,6 +300,9 @@
             RunState::Running if is_wanted => {}
             _ => self.stop_run(task_ref, server, status.run, now_ms),
         }
+        if outlived_start {
+            self.clear_suspicion(task_ref, server, status.run);
+        }
         let suspension = &mut self.servers[server].suspension;
         let is_trial_run = suspension
             .trial_since_ms()
@@ -331,6 +341,7 @@
         task.unresolved = false;
         if let Some(run) = task.runs.last_mut() {
             run.state = RunState::Running;
+            run.outlived_start = true;
             run.visible_after_ms = Some(now_ms);
             run.progress_percent = status.progress_percent;
             run.rate_percent = rate_percent;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -62,6 +62,11 @@
         now_ms: u64,
     ) {
         self.add_run(task_ref, server, number, now_ms);
+        if self.task(task_ref).suspected {
+            self.servers[server]
+                .suspected_run
+                .get_or_insert((task_ref, number));
+        }
         let state = &self.servers[server];
         let tickets = &self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
             [task_ref.step as usize]
@@ -130,6 +135,9 @@
         }
         state.memory_used_mb -= spec.memory_mb;
         state.gpus_used -= spec.gpus;
+        if state.suspected_run == Some((task_ref, number)) {
+            state.suspected_run = None;
+        }
         Some(run)
     }
 
@@ -317,6 +325,14 @@
 
     /// Ends a server's incarnation after a restart or loss; none of its runs continue.
     pub(crate) fn end_incarnation(&mut self, server: ServerKey, started_unix_ms: u64, now_ms: u64) {
+        // A draining server was expected to leave.
+        let suspects = if self.servers[server].draining_since_ms.is_some() {
+            Vec::new()
+        } else {
+            let mut suspects = self.crash_suspects(server);
+            suspects.append(&mut self.servers[server].lapsed_suspects);
+            suspects
+        };
         self.log_decision(
             "server_life_ended",
             None,
@@ -327,5 +343,6 @@
             self.abandon_run(task_ref, server, number, AbandonReason::Interrupted, now_ms);
         }
         self.servers[server].begin_incarnation(started_unix_ms);
+        self.count_crash(server, &suspects, now_ms);
     }
 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -53,6 +53,10 @@
     pub unrecorded_ends: VecDeque<UnrecordedEnd>,
     /// Runs on the server: task and run number.
     pub runs: Vec<(TaskRef, u32)>,
+    /// Run of a suspected task that has not outlived its start; no other task starts meanwhile.
+    pub suspected_run: Option<(TaskRef, u32)>,
+    /// Runs that may have crashed the server, which was not heard of again before their lease expired.
+    pub lapsed_suspects: Vec<(TaskRef, u32)>,
     /// CPU in use by tasks other than best-effort ones, in millicores.
     pub cpu_used_millis: u32,
     /// CPU requested by best-effort tasks, in millicores.
@@ -92,6 +96,8 @@
             acknowledged_end: 0,
             unrecorded_ends: VecDeque::new(),
             runs: Vec::new(),
+            suspected_run: None,
+            lapsed_suspects: Vec::new(),
             cpu_used_millis: 0,
             best_effort_used_millis: 0,
             service_used_millis: 0,
@@ -113,6 +119,7 @@
         self.last_seen_end = 0;
         self.acknowledged_end = 0;
         self.unrecorded_ends.clear();
+        self.lapsed_suspects.clear();
         self.suspension = Suspension::default();
         self.throttle = Throttle::default();
         self.full_until_ms = 0;
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -7,6 +7,7 @@
 
 use crate::action::{Action, Decision};
 use crate::bounds::Bounds;
+use crate::crashes::LapsedServer;
 use crate::handover::Predecessors;
 use crate::interference::InterferenceModel;
 use crate::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
@@ -203,6 +204,8 @@
     /// Jobs whose records have to be purged, and whether another shard is their home.
     pub(crate) purged: Vec<(JobId, bool)>,
     pub(crate) actions: Vec<Action>,
+    /// Servers that lapsed and left the registrations with runs that may have crashed them, oldest first.
+    pub(crate) lapsed_servers: Vec<LapsedServer>,
     pub(crate) interference: InterferenceModel,
     /// When the interference estimates were last recorded.
     pub(crate) interference_recorded_ms: u64,
@@ -243,6 +246,7 @@
             changed: Vec::new(),
             purged: Vec::new(),
             actions: Vec::new(),
+            lapsed_servers: Vec::new(),
             interference,
             interference_recorded_ms: now_ms,
         }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -34,6 +34,8 @@
     pub visible_after_ms: Option<u64>,
     /// When a report last listed the run.
     pub listed_ms: Option<u64>,
+    /// Whether the server is known not to have crashed at the start of the run.
+    pub outlived_start: bool,
     /// Last reported progress.
     pub progress_percent: u32,
     /// When the progress last changed.
@@ -57,6 +59,7 @@
             start_sent_ms: now_ms,
             visible_after_ms: None,
             listed_ms: None,
+            outlived_start: false,
             progress_percent: 0,
             progressed_ms: now_ms,
             tail_ms_or_cpu_millis: 0,
@@ -91,6 +94,10 @@
     pub last_run: u32,
     /// Numbers of failed runs.
     pub failed_runs: Vec<u32>,
+    /// Whether the task may have crashed a server at its last start.
+    pub suspected: bool,
+    /// Numbers of the runs that may have crashed their server, since a start was last outlived.
+    pub crashed_runs: Vec<u32>,
     /// Newest checkpoint; empty for none.
     pub checkpoint: SmolStr,
     /// Servers on which the task failed or made no progress.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -73,6 +73,7 @@
             index: task_ref.index,
             last_run: task.last_run,
             checkpoint: task.checkpoint.to_string(),
+            crashed_runs: task.crashed_runs.clone(),
             ..TaskRecord::default()
         };
         let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
@@ -128,6 +129,8 @@
             task.remote = false;
             task.last_run = record.last_run.max(run_number_base);
             task.checkpoint = SmolStr::new(&record.checkpoint);
+            task.crashed_runs.clone_from(&record.crashed_runs);
+            task.suspected = !task.crashed_runs.is_empty();
             task.unresolved = !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
         }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -17,6 +17,9 @@
 /// End of the owner's authority in tests that are not about it.
 pub const AUTHORITY_END_MS: u64 = 1_000_000_000;
 
+/// Start of the first incarnation of every server.
+const FIRST_START_UNIX_MS: u64 = 5;
+
 /// Time limits as used in deployments.
 pub const BOUNDS: Bounds = Bounds {
     lease_max_ms: 10_000,
@@ -153,9 +156,13 @@
     /// Reports on behalf of a server; the poll was sent just before.
     pub fn report(&mut self, name: &str, running: &[RunStatus], ended: &[RunEnd]) {
         let key = self.key(name);
+        let started_unix_ms = self
+            .shard
+            .server(key)
+            .map_or(0, |server| server.started_unix_ms);
         let report = Report {
             sent_ms: self.now_ms,
-            started_unix_ms: 5,
+            started_unix_ms: started_unix_ms.max(FIRST_START_UNIX_MS),
             clock_ms: self.now_ms + 7,
             running: running.to_vec(),
             ended: ended.to_vec(),
@@ -164,6 +171,20 @@
         self.collect();
     }
 
+    /// A server that crashed answers again as a new incarnation.
+    pub fn restart(&mut self, name: &str) {
+        let key = self.key(name);
+        let server = self.shard.server(key).expect("the server is known");
+        let report = Report {
+            sent_ms: self.now_ms,
+            started_unix_ms: server.started_unix_ms.max(FIRST_START_UNIX_MS) + 1,
+            clock_ms: 1,
+            ..Report::default()
+        };
+        self.shard.apply_report(key, &report, self.now_ms);
+        self.collect();
+    }
+
     /// Writes all pending records.
     pub fn write_records(&mut self) {
         for _ in 0..100 {
