Fail a job whose delegated task was given up

Cause: a shard to which a long-running task was delegated could give it up, and the home shard, which callers ask, showed the job as running for ever. Change: the record of the failed delegated job also writes an entry into the inbox of the home shard, which fails the job; the entry goes with the purge. Costs one read and one entry for each delegated job that fails. Tests: a_delegated_task_that_is_given_up_fails_the_job_at_home and jobs_precede_entries_that_refer_to_them.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -17,9 +17,7 @@
         if let Some(key) = self.find_job(id) {
             self.accept_transfers(key, &stored.transfers, now_ms);
             self.jobs[key].transfer_keys.extend(stored.transfer_keys);
-            if stored.cancelled {
-                self.cancel(key, now_ms);
-            }
+            self.end_from_outside(key, stored.cancelled, stored.delegates_failed, now_ms);
             return;
         }
         let recorded = stored
@@ -88,8 +86,21 @@
         }
         self.accept_transfers(key, &stored.transfers, now_ms);
         self.open_steps(key, now_ms);
-        if stored.cancelled {
+        self.end_from_outside(key, stored.cancelled, stored.delegates_failed, now_ms);
+    }
+
+    /// Ends a job that its caller cancelled, or whose delegated tasks were given up.
+    fn end_from_outside(
+        &mut self,
+        key: JobKey,
+        cancelled: bool,
+        delegates_failed: bool,
+        now_ms: u64,
+    ) {
+        if cancelled {
             self.cancel(key, now_ms);
+        } else if delegates_failed && self.jobs[key].is_live() {
+            self.end_job(key, Phase::Failed, now_ms);
         }
     }
 
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -15,7 +15,7 @@
 const INTERFERENCE_WRITE_INTERVAL_MS: u64 = 4_000;
 
 /// Entries needed to purge one job.
-const PURGED_JOB_ENTRIES: usize = 3;
+const PURGED_JOB_ENTRIES: usize = 4;
 
 /// Time for which ends that do not finish a job are collected, so that one call records several. The end of a job is
 /// written at once, since its caller waits.
@@ -124,7 +124,16 @@
         } else {
             0
         };
-        2 + cancellations + 2 * self.transfers.len() + self.consumed_transfer_keys.len()
+        2 + cancellations
+            + usize::from(self.must_tell_home())
+            + 2 * self.transfers.len()
+            + self.consumed_transfer_keys.len()
+    }
+
+    /// Whether the home shard has to be told that delegated tasks were given up.
+    #[must_use]
+    pub fn must_tell_home(&self) -> bool {
+        self.is_delegated && self.progress.phase() == Phase::Failed
     }
 }
 
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -183,6 +183,8 @@
     pub progress: Option<Progress>,
     /// Whether a cancellation is recorded.
     pub cancelled: bool,
+    /// Whether a shard to which tasks were delegated has given one up.
+    pub delegates_failed: bool,
     /// Whether another shard is the job's home and this one runs only delegated tasks.
     pub is_delegated: bool,
     /// Tasks that other shards delegated to this one.
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -5,7 +5,7 @@
 use common::{DELEGATION_WAIT_MS, Harness, queue, run_status, service_step, task_id};
 use primrosestack_fleet::job::{JobId, JobSpec};
 use primrosestack_fleet::ledger::JobRecord;
-use primrosestack_fleet::record::{StoredJob, Transfer};
+use primrosestack_fleet::record::{Phase, StoredJob, Transfer};
 use smol_str::SmolStr;
 
 /// A full failure domain with one delegated task, and the record of its transfer.
@@ -118,6 +118,32 @@
     assert_eq!(batch.jobs[0].progress.delegate_domains, ["cxs"]);
 }
 
+/// Guards against a job being shown as running for ever after the shard to which a task was delegated gave it up.
+#[test]
+fn a_delegated_task_that_is_given_up_fails_the_job_at_home() {
+    let (mut source, job, record) = delegated_task();
+    let mut target = Harness::open(&["two"]);
+    target
+        .shard
+        .add_job(job, delegated_job(&record, 200), target.now_ms);
+    for _ in 0..2 {
+        target.plan();
+        assert_eq!(target.confirm_starts().len(), 1);
+        target.restart("two");
+        target.claim("two");
+    }
+    let batch = target.shard.take_batch(target.now_ms);
+    assert!(batch.jobs[0].must_tell_home());
+    let failure = StoredJob {
+        delegates_failed: true,
+        ..StoredJob::default()
+    };
+    source.shard.add_job(job, failure, source.now_ms);
+    let batch = source.shard.take_batch(source.now_ms);
+    assert_eq!(batch.jobs[0].progress.phase(), Phase::Failed);
+    assert!(!batch.jobs[0].must_tell_home());
+}
+
 /// Guards against delegating short tasks, whose ends the job waits for.
 #[test]
 fn short_tasks_are_not_delegated() {
--- a/src/daemon/inbox.rs
+++ b/src/daemon/inbox.rs
@@ -1,4 +1,5 @@
-//! The inbox of a shard: accepted jobs, cancellations, tasks that other shards transferred, and changes of owner.
+//! The inbox of a shard: accepted jobs, cancellations, tasks that other shards transferred, failures of tasks that were
+//! delegated to other shards, and changes of owner.
 //!
 //! The store orders these entries. An owner reads a change of owner before any job that was accepted after it, so it
 //! never starts a job of its successor's term, which the successor considers not started.
@@ -88,6 +89,10 @@
             stored.cancelled = true;
             id
         }
+        InboxKey::Failure(id) => {
+            stored.delegates_failed = true;
+            id
+        }
         InboxKey::Term => return None,
     };
     Some((id, stored))
@@ -115,6 +120,7 @@
             job.created_revision = job.created_revision.max(entry.created_revision);
         }
         job.cancelled |= entry.cancelled;
+        job.delegates_failed |= entry.delegates_failed;
         job.transfers.extend(entry.transfers);
         job.transfer_keys.extend(entry.transfer_keys);
     }
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use primrosestack_fleet::ledger::Batch;
-use primrosestack_platform::store::Transaction;
+use primrosestack_fleet::prelude::JobId;
+use primrosestack_fleet::record::Home;
+use primrosestack_platform::store::{StoreFailure, Transaction};
 use prost::Message;
 
 use crate::daemon::clock::now_ms;
+use crate::daemon::inbox::decode_or_log;
 use crate::daemon::keys;
 use crate::daemon::owner::OwnedShard;
 use crate::logs::Line;
@@ -59,10 +62,14 @@
     if batch.is_empty() {
         return true;
     }
-    match owned
-        .write_in_term("write_records", &transaction_of(owned, &batch))
-        .await
-    {
+    let result = match homes_to_tell(owned, &batch).await {
+        Ok(homes) => {
+            let transaction = transaction_of(owned, &batch, &homes);
+            owned.write_in_term("write_records", &transaction).await
+        }
+        Err(failure) => Err(failure),
+    };
+    match result {
         Ok(revision) => {
             owned.shard.borrow_mut().batch_written(&batch);
             owned.recorded.notify_waiters();
@@ -87,9 +94,30 @@
     }
 }
 
-fn transaction_of(owned: &OwnedShard, batch: &Batch) -> Transaction {
+/// Home shards of the delegated jobs that failed; a job that was purged has none.
+async fn homes_to_tell(
+    owned: &OwnedShard,
+    batch: &Batch,
+) -> Result<Vec<(JobId, String)>, StoreFailure> {
+    let mut homes = Vec::new();
+    for job in &batch.jobs {
+        if !job.must_tell_home() {
+            continue;
+        }
+        let result = owned.node.store.read(&keys::home(job.id)).await;
+        owned.node.record_store_call("read_home", &result);
+        let home: Option<Home> = result?.as_ref().and_then(decode_or_log);
+        homes.extend(home.map(|home| (job.id, home.failure_domain)));
+    }
+    Ok(homes)
+}
+
+fn transaction_of(owned: &OwnedShard, batch: &Batch, homes: &[(JobId, String)]) -> Transaction {
     let domain = &owned.failure_domain;
     let mut transaction = Transaction::default();
+    for (id, home) in homes {
+        transaction = transaction.put(keys::failure(home, *id), Vec::new());
+    }
     for job in &batch.jobs {
         transaction = transaction.put(keys::progress(domain, job.id), job.progress.encode_to_vec());
         if job.deletes_spec {
@@ -125,7 +153,9 @@
             .remove(keys::progress(domain, id))
             .remove(keys::cancellation(domain, id));
         if !is_delegated {
-            transaction = transaction.remove(keys::home(id));
+            transaction = transaction
+                .remove(keys::home(id))
+                .remove(keys::failure(domain, id));
         }
     }
     if let Some(servers) = &batch.servers {
--- a/src/daemon/keys.rs
+++ b/src/daemon/keys.rs
@@ -42,6 +42,12 @@
     format_smolstr!("primrose/inbox/{failure_domain}/cancel/{id}")
 }
 
+/// Failure of a job's delegated tasks, in the inbox of its home shard.
+#[must_use]
+pub fn failure(failure_domain: &str, id: JobId) -> SmolStr {
+    format_smolstr!("primrose/inbox/{failure_domain}/failed/{id}")
+}
+
 /// Prefix of the progress records of a shard's jobs.
 #[must_use]
 pub fn progress_prefix(failure_domain: &str) -> SmolStr {
@@ -85,6 +91,8 @@
     Job(JobId),
     /// Cancellation of a job.
     Cancellation(JobId),
+    /// Failure of a job's delegated tasks.
+    Failure(JobId),
     /// A job with tasks that its home shard delegated to this shard.
     DelegatedJob(JobId),
     /// Tasks that another shard transferred.
@@ -105,6 +113,7 @@
     match kind {
         "job" => Some(InboxKey::Job(id)),
         "cancel" => Some(InboxKey::Cancellation(id)),
+        "failed" => Some(InboxKey::Failure(id)),
         "guest" => Some(InboxKey::DelegatedJob(id)),
         "part" => Some(InboxKey::Transfer(id)),
         _ => None,
@@ -112,13 +121,13 @@
 }
 
 impl InboxKey {
-    /// Order in which entries are processed: transfers and cancellations need their job to be known.
+    /// Order in which entries are processed: transfers, cancellations and failures need their job to be known.
     #[must_use]
     pub fn processing_order(self) -> u8 {
         match self {
             Self::Job(_) | Self::DelegatedJob(_) | Self::Term => 0,
             Self::Transfer(_) => 1,
-            Self::Cancellation(_) => 2,
+            Self::Cancellation(_) | Self::Failure(_) => 2,
         }
     }
 }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -306,17 +306,19 @@
         report
     }
 
-    /// Adds a job or cancellation that is in the store.
+    /// Adds a job, its cancellation or the failure of its delegated tasks, as found in the store.
     pub fn receive_job(self: &Rc<Self>, id: JobId, stored: StoredJob) {
         let is_known = self.shard.borrow().find_job(id).is_some();
         let is_cancellation = stored.cancelled;
+        let delegates_failed = stored.delegates_failed;
         self.shard.borrow_mut().add_job(id, stored, now_ms());
-        if !is_known || is_cancellation {
+        if !is_known || is_cancellation || delegates_failed {
             Line::info("job_received")
                 .with("job", id)
                 .with("shard", &self.failure_domain)
                 .with("era", self.leadership.term)
                 .with("cancelled", is_cancellation)
+                .with("delegates_failed", delegates_failed)
                 .write();
         }
         self.plan_and_execute();
--- a/tests/inbox.rs
+++ b/tests/inbox.rs
@@ -43,12 +43,13 @@
     assert!(matches!(update, InboxUpdate::Jobs(jobs) if jobs.len() == 1));
 }
 
-/// Guards against transferred tasks and cancellations that are dropped because they precede their job in key order.
+/// Guards against transferred tasks, cancellations and failures that are dropped because they precede their job in key order.
 #[test]
 fn jobs_precede_entries_that_refer_to_them() {
     let id = JobId(1);
     let items = [
         item(keys::cancellation("poa", id), Vec::new(), 12),
+        item(keys::failure("poa", id), Vec::new(), 12),
         item(
             keys::transfer("poa", id, "cxs-1-4", 0),
             Transfer::default().encode_to_vec(),
@@ -66,6 +67,7 @@
     assert!(jobs[0].1.is_delegated);
     assert_eq!(jobs[1].1.transfers.len(), 1);
     assert!(jobs[2].1.cancelled);
+    assert!(jobs[3].1.delegates_failed);
 }
 
 /// Guards against a host that has just started and knows no owner of a shard reporting 0 queued jobs for it.
