Limit the time for which an owner acts without confirmation to 6 s

Cause: the time was the longest lease that servers accept, 10 s there. A successor waits for it before it starts tasks that may run on lost servers. Change: at most 6 s. The record of a term tells the time of each owner, so that owners of an earlier release, which act longer, are still waited for. Tests: tasks_of_a_lost_server_start_soon_after_their_owner_is_replaced, fails with the limit undone; the_longest_authority_counts. Two tests had the old wait of 10.6 s as a number; they now check the last millisecond before the end of the wait and the first after it.

--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -19,6 +19,11 @@
 /// longer than a change of owner takes, and short enough to restart its tasks elsewhere soon.
 pub const LEASE_MS: u64 = 4_500;
 
+/// Longest time for which an owner acts without a confirmation of its term. An owner that vanishes for good is noticed
+/// after 2.1 s and replaced half a second later; the tasks that it leaves on lost servers then start elsewhere within the
+/// 10 s that the service contract allows.
+const AUTHORITY_MAX_MS: u64 = 6_000;
+
 /// Part of the drain time that is left for a start that has been decided to reach its server.
 const START_TRANSIT_MS: u64 = 500;
 
@@ -39,7 +44,7 @@
     /// Leader lease: time for which an owner may act after the store last confirmed its term.
     #[must_use]
     pub fn authority_ms(&self) -> u64 {
-        self.lease_max_ms
+        AUTHORITY_MAX_MS.min(self.lease_max_ms)
     }
 
     /// Age of the registrations from which no task is started: a server may have been draining since.
@@ -61,9 +66,11 @@
             / CLOCK_DRIFT_NUMERATOR
     }
 
-    /// Time after a change of owner until every lease granted by the previous owner has expired.
+    /// Time after a change of owner until every lease granted by earlier owners has expired. `authority_ms` is the
+    /// longest time for which one of them may act without a confirmation; owners of earlier releases do not tell it, and
+    /// act for as long as the longest lease.
     #[must_use]
-    pub fn predecessor_expiry_ms(&self) -> u64 {
-        Self::lease_upper_bound_ms(self.authority_ms())
+    pub fn predecessor_expiry_ms(&self, authority_ms: Option<u64>) -> u64 {
+        Self::lease_upper_bound_ms(authority_ms.unwrap_or(self.lease_max_ms))
     }
 }
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -234,10 +234,7 @@
         if term >= self.term {
             return;
         }
-        let wait_ms = self
-            .bounds
-            .predecessor_expiry_ms()
-            .saturating_sub(owned_for_ms);
+        let wait_ms = self.predecessor_expiry_ms.saturating_sub(owned_for_ms);
         self.predecessors.insert(Answer {
             term,
             received_ms: now_ms,
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -113,6 +113,18 @@
     /// Address of its peer listener.
     #[prost(string, tag = "2")]
     pub address: String,
+    /// Time for which it acts without a confirmation of its term; 0 if its release does not tell.
+    #[prost(uint64, tag = "3")]
+    pub authority_ms: u64,
+}
+
+/// Longest time for which one of several owners acts without a confirmation of its term; `None` if one of them does not
+/// tell, or if there is none.
+#[must_use]
+pub fn longest_authority_ms(owners: &[TermOwner]) -> Option<u64> {
+    let is_told = owners.iter().all(|owner| owner.authority_ms > 0);
+    let longest = owners.iter().map(|owner| owner.authority_ms).max();
+    longest.filter(|_| is_told)
 }
 
 /// Leader term of a shard, which fences servers and the store.
@@ -138,10 +150,11 @@
 impl Term {
     /// Adds the owner of this term to those of earlier ones.
     #[must_use]
-    pub fn with_owner(mut self, address: impl Into<String>) -> Self {
+    pub fn with_owner(mut self, address: impl Into<String>, authority_ms: u64) -> Self {
         self.owners.push(TermOwner {
             term: self.number,
             address: address.into(),
+            authority_ms,
         });
         let excess = self.owners.len().saturating_sub(OWNERS_MAX);
         self.owners.drain(..excess);
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -189,6 +189,8 @@
     pub(crate) ready: Vec<TaskRef>,
     /// Servers of earlier owners that have not answered yet, sorted.
     pub(crate) unclaimed: Vec<SmolStr>,
+    /// Time after the beginning of the term until all leases granted by earlier owners have expired.
+    pub(crate) predecessor_expiry_ms: u64,
     /// When all leases granted by earlier owners have expired.
     pub(crate) settle_deadline_ms: u64,
     /// Whether all runs of earlier owners that may still exist are known.
@@ -212,15 +214,18 @@
 }
 
 impl Shard {
-    /// Opens a shard at the beginning of a term, with the servers recorded by earlier owners.
+    /// Opens a shard at the beginning of a term, with the servers recorded by earlier owners and the longest time for
+    /// which one of these may act without a confirmation, if known.
     #[must_use]
     pub fn open(
         bounds: Bounds,
         term: u64,
         term_revision: u64,
         servers: &ServerSet,
+        predecessor_authority_ms: Option<u64>,
         now_ms: u64,
     ) -> Self {
+        let predecessor_expiry_ms = bounds.predecessor_expiry_ms(predecessor_authority_ms);
         let mut unclaimed: Vec<SmolStr> = servers.names.iter().map(SmolStr::new).collect();
         unclaimed.sort();
         let settled = unclaimed.is_empty();
@@ -237,7 +242,8 @@
             queues: Vec::new(),
             ready: Vec::new(),
             unclaimed,
-            settle_deadline_ms: now_ms + bounds.predecessor_expiry_ms(),
+            predecessor_expiry_ms,
+            settle_deadline_ms: now_ms + predecessor_expiry_ms,
             settled,
             predecessors: Predecessors::default(),
             registrations_as_of_ms: None,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -120,7 +120,8 @@
             names: previous.iter().map(ToString::to_string).collect(),
             ..ServerSet::default()
         };
-        let mut shard = Shard::open(BOUNDS, term, 100, &known, START_MS);
+        let authority_ms = Some(BOUNDS.authority_ms());
+        let mut shard = Shard::open(BOUNDS, term, 100, &known, authority_ms, START_MS);
         shard.set_queues([queue(0), queue(2)]);
         shard.set_servers(servers.iter().map(|name| entry(name)), START_MS);
         Self {
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -4,8 +4,14 @@
 
 use common::{Harness, run_end, run_status, service_step, step, task_id};
 use primrosestack_fleet::handover::Handover;
-use primrosestack_fleet::record::Progress;
+use primrosestack_fleet::record::{Progress, Term, longest_authority_ms};
 use primrosestack_fleet::report::EndKind;
+use test_case::test_case;
+
+/// Time until all leases of earlier owners have expired.
+fn predecessor_expiry_ms() -> u64 {
+    common::BOUNDS.predecessor_expiry_ms(Some(common::BOUNDS.authority_ms()))
+}
 
 /// Guards against a task being started again because one server reports the stop of its first run while its second run
 /// is done on a server that has not been claimed yet.
@@ -66,7 +72,7 @@
     harness.submit_at(7, 0, vec![step(1)], 50);
     harness.claim("one");
     harness.write_records();
-    harness.now_ms += common::BOUNDS.predecessor_expiry_ms() - 1;
+    harness.now_ms += predecessor_expiry_ms() - 1;
     harness.claim("one");
     harness.plan();
     assert!(harness.starts.is_empty());
@@ -76,6 +82,37 @@
     assert_eq!(harness.starts.len(), 1);
 }
 
+/// Guards against a long-running task staying without a run after its server and its owner are both gone for good. It may
+/// miss 10 s, of which noticing and replacing the owner takes 2.6 s.
+#[test]
+fn tasks_of_a_lost_server_start_soon_after_their_owner_is_replaced() {
+    const START_WITHIN_MS: u64 = 10_000 - 2_600;
+    let mut harness = Harness::open_term(2, &["one", "gone"], &["one"]);
+    harness.submit_at(7, 0, vec![service_step(1, "web")], 50);
+    harness.claim("one");
+    harness.write_records();
+    harness.now_ms += START_WITHIN_MS;
+    harness.claim("one");
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against an owner of an earlier release, which acts for as long as the longest lease, being waited for too
+/// briefly: its tasks would run twice.
+#[test_case(&[6_000, 5_000], Some(6_000); "all tell")]
+#[test_case(&[6_000, 0], None; "one does not tell")]
+#[test_case(&[], None; "no owner is known")]
+fn the_longest_authority_counts(authorities_ms: &[u64], longest_ms: Option<u64>) {
+    let mut term = Term::default();
+    for &authority_ms in authorities_ms {
+        term.number += 1;
+        term = term.with_owner("host:1", authority_ms);
+    }
+    assert_eq!(longest_authority_ms(&term.owners), longest_ms);
+    let wait_ms = common::BOUNDS.predecessor_expiry_ms(longest_ms);
+    assert!(wait_ms > longest_ms.unwrap_or(common::BOUNDS.lease_max_ms));
+}
+
 /// Guards against jobs accepted in the new term waiting for silent servers.
 #[test]
 fn a_job_accepted_after_the_change_starts_at_once() {
@@ -217,14 +254,14 @@
     harness.write_records();
     harness.submit_at(1, 0, vec![step(1)], 50);
     harness.shard.apply_handover(&handover, harness.now_ms);
-    harness.now_ms += 9_000;
+    harness.now_ms += predecessor_expiry_ms() - 1;
     harness.claim("two");
     harness.plan();
     assert!(
         harness.starts.is_empty(),
         "the first owner's lease may still be valid"
     );
-    harness.now_ms += 2_000;
+    harness.now_ms += 1;
     harness.claim("two");
     harness.plan();
     assert_eq!(harness.starts[0].1.task.job, job);
@@ -259,11 +296,15 @@
     harness.claim("one");
     harness.write_records();
     harness.submit_at(1, 0, vec![step(1)], 50);
-    harness.shard.predecessor_ended(2, 2_000, harness.now_ms);
-    harness.now_ms += 6_000;
+    harness.shard.predecessor_ended(2, 500, harness.now_ms);
+    harness.now_ms += predecessor_expiry_ms() - 500 - 1;
     harness.claim("one");
     harness.plan();
     assert!(harness.starts.is_empty());
+    harness.now_ms += 1;
+    harness.claim("one");
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
 }
 
 /// Guards against the predecessor's lease being forgotten after a server's first answer. If the server is then silent
--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -230,7 +230,10 @@
         cpu_millis: node.settings.cpu_millis,
         owners: previous_term.owners.clone(),
     }
-    .with_owner(node.settings.peer_address.to_string());
+    .with_owner(
+        node.settings.peer_address.to_string(),
+        node.bounds.authority_ms(),
+    );
     let sent_ms = now_ms();
     let transaction = Transaction::default()
         .expect_revision(term_key.clone(), current.map_or(0, |item| item.revision))
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -110,11 +110,14 @@
         let registrations_sent_ms = now_ms();
         let registrations = node.store.list(SERVERS_PREFIX).await?;
         let now = now_ms();
+        let mut predecessors = owners.clone();
+        predecessors.retain(|owner| owner.term < leadership.term);
         let mut shard = Shard::open(
             node.bounds,
             leadership.term,
             leadership.start_revision,
             &recorded_servers,
+            record::longest_authority_ms(&predecessors),
             sent_ms,
         );
         if let Some(configuration) = node.configuration.borrow().as_ref() {
