Start tasks delegated in the current term without waiting

Cause: found while looking for the cause of LOST elsewhere. A long-running task delegated to a shard whose owner had just changed waited until all leases of earlier owners had expired, although none of them can have started it: tasks have no runs when they are delegated. Change: only transfers from before the term wait. Tests: a_delegated_task_waits_for_earlier_owners_only_if_they_may_run_it; its first case fails without the change.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -14,8 +14,9 @@
 impl Shard {
     /// Adds a job read from the store, or merges its transfers and cancellation into a known job.
     pub fn add_job(&mut self, id: JobId, stored: StoredJob, now_ms: u64) {
+        let predates_term = stored.created_revision <= self.term_revision;
         if let Some(key) = self.find_job(id) {
-            self.accept_transfers(key, &stored.transfers, now_ms);
+            self.accept_transfers(key, &stored.transfers, predates_term, now_ms);
             self.jobs[key].transfer_keys.extend(stored.transfer_keys);
             self.end_from_outside(key, stored.cancelled, stored.delegates_failed, now_ms);
             return;
@@ -65,7 +66,6 @@
             unrecorded_since_ms: now_ms,
             spec,
         };
-        let predates_term = stored.created_revision <= self.term_revision;
         let key = self.jobs.insert(job);
         let index = self.job_index.partition_point(|(job_id, _)| *job_id < id);
         self.job_index.insert(index, (id, key));
@@ -84,7 +84,7 @@
         if predates_term {
             self.mark_unresolved(key);
         }
-        self.accept_transfers(key, &stored.transfers, now_ms);
+        self.accept_transfers(key, &stored.transfers, predates_term, now_ms);
         self.open_steps(key, now_ms);
         self.end_from_outside(key, stored.cancelled, stored.delegates_failed, now_ms);
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -204,6 +204,6 @@
     pub transfers: Vec<Transfer>,
     /// Keys of `transfers`.
     pub transfer_keys: Vec<SmolStr>,
-    /// Revision at which the job was accepted; 0 if unknown.
+    /// Revision at which the job was accepted, or its tasks were transferred; 0 if unknown.
     pub created_revision: u64,
 }
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -105,8 +105,15 @@
         }
     }
 
-    /// Accepts tasks that another shard delegated to this one.
-    pub(crate) fn accept_transfers(&mut self, key: JobKey, transfers: &[Transfer], now_ms: u64) {
+    /// Accepts tasks that another shard delegated to this one. Tasks have no runs when they are delegated, so those
+    /// delegated since this term began cannot run under an earlier owner.
+    pub(crate) fn accept_transfers(
+        &mut self,
+        key: JobKey,
+        transfers: &[Transfer],
+        predates_term: bool,
+        now_ms: u64,
+    ) {
         for record in transfers.iter().flat_map(|transfer| &transfer.tasks) {
             let task_ref = TaskRef {
                 job: key,
@@ -131,7 +138,7 @@
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.crashed_runs.clone_from(&record.crashed_runs);
             task.suspected = !task.crashed_runs.is_empty();
-            task.unresolved = !settled && run_number_base > 0;
+            task.unresolved = predates_term && !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
         }
     }
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -7,6 +7,7 @@
 use primrosestack_fleet::ledger::JobRecord;
 use primrosestack_fleet::record::{Phase, StoredJob, Transfer};
 use smol_str::SmolStr;
+use test_case::test_case;
 
 /// A full failure domain with one delegated task, and the record of its transfer.
 fn delegated_task() -> (Harness, JobId, JobRecord) {
@@ -54,6 +55,24 @@
     assert_eq!(starts[0].1.task, task_id(job, 0, 16));
 }
 
+/// Guards against a delegated task waiting for the leases of earlier owners of its new shard, which cannot have started it.
+#[test_case(200, 1; "delegated since the term began")]
+#[test_case(50, 0; "delegated to an earlier owner")]
+fn a_delegated_task_waits_for_earlier_owners_only_if_they_may_run_it(
+    created_revision: u64,
+    starts: usize,
+) {
+    let (_, job, record) = delegated_task();
+    let mut target = Harness::open_term(2, &["gone", "two"], &["two"]);
+    target.claim("two");
+    target.write_records();
+    target
+        .shard
+        .add_job(job, delegated_job(&record, created_revision), target.now_ms);
+    target.plan();
+    assert_eq!(target.starts.len(), starts);
+}
+
 /// Guards against both shards starting a delegated task.
 #[test]
 fn the_home_shard_does_not_start_delegated_tasks() {
