--- a/src/daemon/output.rs
+++ b/src/daemon/output.rs
@@ -12,6 +12,9 @@
 /// Lets many lines share a system call.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Bytes per system call. Longer writes to a pipe may be split, and mixed with those of other processes.
+const WRITE_MAX_BYTES: usize = 4_096;
+
 /// Log output that never blocks its caller.
 pub struct Output {
     line: Vec<u8>,
@@ -31,16 +34,18 @@
             while let Ok(first) = lines.recv() {
                 let mut text = first;
                 for line in lines.try_iter() {
+                    if text.len() + line.len() > WRITE_MAX_BYTES {
+                        write_or_ignore(&mut output, &text);
+                        text.clear();
+                    }
                     text.extend(line);
                 }
+                write_or_ignore(&mut output, &text);
                 let count = dropped_in_writer.swap(0, Ordering::Relaxed);
                 if count > 0 {
-                    text.extend(
-                        format!("level=warn event=log_lines_dropped count={count}\n").bytes(),
-                    );
+                    let line = format!("level=warn event=log_lines_dropped count={count}\n");
+                    write_or_ignore(&mut output, line.as_bytes());
                 }
-                // If standard output is closed, there is nowhere left to report it.
-                let _closed = output.write_all(&text).and_then(|()| output.flush());
                 std::thread::sleep(WRITE_INTERVAL);
             }
         });
@@ -52,6 +57,11 @@
     }
 }
 
+/// Writes to standard output. If it is closed, there is nowhere left to report it.
+fn write_or_ignore(output: &mut io::Stdout, text: &[u8]) {
+    let _closed = output.write_all(text).and_then(|()| output.flush());
+}
+
 impl Write for Output {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.line.extend_from_slice(bytes);
