Keep records of jobs with many transfers within one transaction

Each transfer takes two entries of the transaction that records its job, and each consumed one takes one at the job's end. A job with 14 transfers while the store was away, or 27 at its end, took more than the 32 entries of a transaction. The store rejects that, and the record was sent again for ever, before all others of the shard. Change: at most 8 unrecorded transfers a job; consumed transfers are removed with as many records as they need. Tests: transfers_that_wait_for_the_store_fit_one_transaction and consumed_transfers_fit_transactions fail without the change.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -100,20 +100,23 @@
 
 fn record_of(key: JobKey, job: &Job) -> JobRecord {
     let has_ended = job.phase != Phase::Live;
-    JobRecord {
+    let mut record = JobRecord {
         id: job.id,
         progress: progress_of(key, job),
         deletes_spec: has_ended && job.spec_stored,
         is_delegated: job.is_delegated,
         transfers: job.outbound_transfers.clone(),
         spec: (!job.outbound_transfers.is_empty()).then(|| job.spec.clone()),
-        consumed_transfer_keys: if has_ended {
-            job.transfer_keys.clone()
-        } else {
-            Vec::new()
-        },
+        consumed_transfer_keys: Vec::new(),
         version: job.version,
+    };
+    if has_ended {
+        // The rest is removed with later records of the job.
+        let room = BATCH_ENTRIES_MAX.saturating_sub(record.entry_count());
+        let keys = job.transfer_keys.iter().take(room);
+        record.consumed_transfer_keys = keys.cloned().collect();
     }
+    record
 }
 
 impl JobRecord {
@@ -214,13 +217,20 @@
                 continue;
             };
             job.recorded_version = job.recorded_version.max(version);
+            let mut are_keys_left = false;
             if let Some(record) = batch.jobs.iter().find(|record| record.id == job.id) {
                 job.outbound_transfers.drain(..record.transfers.len());
+                job.transfer_keys
+                    .drain(..record.consumed_transfer_keys.len());
+                are_keys_left = !job.transfer_keys.is_empty();
             }
             job.recorded_phase = phase;
             if phase != Phase::Live {
                 job.spec_stored = false;
-                job.transfer_keys.clear();
+                if are_keys_left {
+                    job.mark_changed(job.unrecorded_since_ms);
+                    self.changed.push(key);
+                }
             }
         }
         for name in &batch.server_names {
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -13,6 +13,10 @@
 /// Wait after which a task is delegated; local servers often have free capacity again within one poll.
 const DELEGATE_AFTER_MS: u64 = 1_200;
 
+/// Maximum number of transfers of a job that are not recorded yet. Each takes two entries of the transaction that records
+/// the job.
+const UNRECORDED_TRANSFERS_MAX: usize = 8;
+
 /// Maximum number of tasks delegated at a time; the next report of the other shard shows its remaining capacity.
 const DELEGATED_TASKS_MAX: usize = 4;
 
@@ -30,6 +34,10 @@
             if count >= DELEGATED_TASKS_MAX {
                 break;
             }
+            let job = &self.jobs[task_ref.job];
+            if job.outbound_transfers.len() >= UNRECORDED_TRANSFERS_MAX {
+                continue;
+            }
             let step = self.step_spec(task_ref).clone();
             let fitting = others.iter_mut().find_map(|(domain, load)| {
                 let free_capacity = &mut load.free_capacity;
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -6,7 +6,7 @@
 use primrosestack_fleet::job::{JobId, JobSpec};
 use primrosestack_fleet::ledger::JobRecord;
 use primrosestack_fleet::record::{Phase, StoredJob, Transfer};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use test_case::test_case;
 
 /// A full failure domain with one delegated task, and the record of its transfer.
@@ -163,6 +163,70 @@
     assert!(!batch.jobs[0].must_tell_home());
 }
 
+/// Entries that a transaction of the store takes besides those of the owner.
+const ENTRIES_MAX: usize = 28;
+
+/// Guards against records of a shard being held up by one that the store rejects: a job with many transfers took more
+/// entries than a transaction has.
+#[test]
+fn transfers_that_wait_for_the_store_fit_one_transaction() {
+    let mut source = Harness::open(&["one"]);
+    source.submit(7, 0, vec![service_step(16 + 40, "a")]);
+    source.plan();
+    source.confirm_starts();
+    source.write_records();
+    source.now_ms += DELEGATION_WAIT_MS;
+    let delegate_all = |source: &mut Harness| {
+        for _ in 0..20 {
+            let other = Harness::open(&["two", "three", "four", "five"]).load();
+            let mut others = vec![(SmolStr::new("cxs"), other)];
+            source.shard.delegate_tasks(&mut others, source.now_ms);
+            source.now_ms += 100;
+        }
+    };
+    let mut delegated = 0;
+    for _ in 0..10 {
+        delegate_all(&mut source);
+        let batch = source.shard.take_batch(source.now_ms);
+        let transfers: usize = batch.jobs.iter().map(|record| record.transfers.len()).sum();
+        assert!(2 + 2 * transfers <= ENTRIES_MAX);
+        source.shard.batch_written(&batch);
+        delegated += transfers;
+    }
+    assert_eq!(delegated, 40, "all are delegated in the end");
+}
+
+/// Guards against the same at the end of a delegated job that was transferred in many parts.
+#[test]
+fn consumed_transfers_fit_transactions() {
+    let (_, job, record) = delegated_task();
+    let mut target = Harness::open(&["two"]);
+    let mut stored = delegated_job(&record, 200);
+    stored.transfer_keys = (0..40).map(|n| format_smolstr!("part-{n}")).collect();
+    target.shard.add_job(job, stored, target.now_ms);
+    let cancelled = StoredJob {
+        cancelled: true,
+        ..StoredJob::default()
+    };
+    target.shard.add_job(job, cancelled, target.now_ms);
+    let mut removed = Vec::new();
+    while target.shard.batch_due_ms(target.now_ms).is_some() {
+        let batch = target.shard.take_batch(target.now_ms);
+        let keys = batch
+            .jobs
+            .iter()
+            .flat_map(|record| &record.consumed_transfer_keys);
+        let keys: Vec<SmolStr> = keys.cloned().collect();
+        assert!(2 + keys.len() <= ENTRIES_MAX);
+        assert!(!keys.is_empty(), "each record removes some");
+        removed.extend(keys);
+        target.shard.batch_written(&batch);
+    }
+    removed.sort();
+    removed.dedup();
+    assert_eq!(removed.len(), 40);
+}
+
 /// Guards against delegating short tasks, whose ends the job waits for.
 #[test]
 fn short_tasks_are_not_delegated() {
