Release a shard to a nearer host only after it has settled

Change: a remote owner that has not settled keeps the shard; one that is too weak for it still releases it, and a stop releases as before. Tests: an_unsettled_owner_keeps_the_shard_unless_it_is_too_weak.

--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -89,13 +89,19 @@
     pub cpu_millis: u32,
 }
 
-/// Whether an owner should step down for another host that reaches both the store and the owner.
+/// Whether an owner should step down for another host that reaches both the store and the owner. A nearer host waits until
+/// the owner has settled: each change of owner begins a new wait for the leases of servers that do not answer.
 #[must_use]
-pub fn should_step_down(owner: Candidate, other: Candidate, owned_for_ms: u64) -> bool {
+pub fn should_step_down(
+    owner: Candidate,
+    other: Candidate,
+    owned_for_ms: u64,
+    is_settled: bool,
+) -> bool {
     let is_nearer = other.is_local && !owner.is_local;
     let is_weaker = is_much_stronger(owner.cpu_millis, other.cpu_millis);
     let is_stronger = other.is_local && is_much_stronger(other.cpu_millis, owner.cpu_millis);
-    owned_for_ms >= OWNERSHIP_MIN_MS && ((is_nearer && !is_weaker) || is_stronger)
+    owned_for_ms >= OWNERSHIP_MIN_MS && ((is_nearer && !is_weaker && is_settled) || is_stronger)
 }
 
 /// Minimum interval between polls of one server, so that an owner with little CPU can still renew the leases of all
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -36,13 +36,25 @@
     other: Candidate,
     steps_down: bool,
 ) {
-    assert_eq!(should_step_down(owner, other, OWNED_MS), steps_down);
+    assert_eq!(should_step_down(owner, other, OWNED_MS, true), steps_down);
+}
+
+/// Guards against several changes of owner in a row, each of which waits for the same silent servers from its beginning. An
+/// owner that is too weak for the shard steps down all the same.
+#[test_case(REMOTE, SMALL, false; "remote for local")]
+#[test_case(SMALL, LARGE, true; "small for large")]
+fn an_unsettled_owner_keeps_the_shard_unless_it_is_too_weak(
+    owner: Candidate,
+    other: Candidate,
+    steps_down: bool,
+) {
+    assert_eq!(should_step_down(owner, other, OWNED_MS, false), steps_down);
 }
 
 /// Guards against a shard flapping between hosts.
 #[test]
 fn an_owner_keeps_a_shard_for_a_minimum_time() {
-    assert!(!should_step_down(SMALL, LARGE, 1_000));
+    assert!(!should_step_down(SMALL, LARGE, 1_000, true));
 }
 
 /// Guards against a small host claiming a shard before a large one has tried.
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -255,7 +255,8 @@
             cpu_millis: request.cpu_millis,
         };
         let owned_for_ms = now_ms().saturating_sub(self.opened_ms);
-        if claim::should_step_down(owner, other, owned_for_ms) {
+        let is_settled = self.shard.borrow().is_settled();
+        if claim::should_step_down(owner, other, owned_for_ms, is_settled) {
             self.successor_cpu_millis.set(Some(other.cpu_millis));
         }
     }
