Start a task handed over once its last run is known to have ended

Cause: after a change of owner, a task whose end was reported by its own server still waited until every other server had answered, or its lease had expired. Change: the handover tells the highest run number of each task in flight; an end with it, or a higher one, releases the task. Without a handover, or from an owner of an earlier version, tasks wait as before. 3 to 6 bytes a task in flight.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -27,6 +27,9 @@
     /// Whether only owners before this one may have started the task.
     #[prost(bool, tag = "5")]
     pub inherited: bool,
+    /// Highest run number that the owner used; 0 if unknown.
+    #[prost(uint32, tag = "6")]
+    pub last_run: u32,
 }
 
 impl InFlightTask {
@@ -146,9 +149,10 @@
         earliest
     }
 
-    /// Tasks that earlier owners may have in flight, sorted; `None` if that is not known.
-    fn in_flight(&self, term: u64) -> Option<Vec<TaskId>> {
-        let mut known: Option<Vec<TaskId>> = None;
+    /// Tasks that earlier owners may have in flight, with their highest run numbers if known, sorted; `None` if the tasks
+    /// are not known.
+    fn in_flight(&self, term: u64) -> Option<Vec<(TaskId, u32)>> {
+        let mut known: Option<Vec<(TaskId, u32)>> = None;
         for answer in self.unbroken(term).into_iter().rev() {
             let Some(handover) = &answer.handover else {
                 known = None;
@@ -157,15 +161,19 @@
             if handover.unopened {
                 continue;
             }
-            let mut tasks: Vec<TaskId> = Vec::with_capacity(handover.in_flight.len());
+            let mut tasks: Vec<(TaskId, u32)> = Vec::with_capacity(handover.in_flight.len());
             for task in &handover.in_flight {
                 let id = task.id();
-                let may_run = !task.inherited
-                    || known
-                        .as_ref()
-                        .is_none_or(|known| known.binary_search(&id).is_ok());
-                if may_run {
-                    tasks.push(id);
+                if !task.inherited {
+                    tasks.push((id, task.last_run));
+                    continue;
+                }
+                let Some(earlier) = &known else {
+                    tasks.push((id, 0));
+                    continue;
+                };
+                if let Ok(index) = earlier.binary_search_by_key(&id, |(id, _)| *id) {
+                    tasks.push(earlier[index]);
                 }
             }
             tasks.sort_unstable();
@@ -197,6 +205,7 @@
                     step: task_ref.step,
                     index: task_ref.index,
                     inherited: task.runs.is_empty() && !has_unrecorded_end,
+                    last_run: task.last_run,
                 });
             }
         }
@@ -256,13 +265,24 @@
             return;
         };
         let mut released = Vec::new();
+        let mut awaited = Vec::new();
         for (key, job) in &self.jobs {
             for (task_ref, task) in job.tasks(key) {
-                if task.unresolved && in_flight.binary_search(&self.task_id(task_ref)).is_err() {
-                    released.push(task_ref);
+                if !task.unresolved {
+                    continue;
+                }
+                let id = self.task_id(task_ref);
+                match in_flight.binary_search_by_key(&id, |(id, _)| *id) {
+                    Ok(index) if !task.has_ended(in_flight[index].1) => {
+                        awaited.push((task_ref, in_flight[index].1));
+                    }
+                    _ => released.push(task_ref),
                 }
             }
         }
+        for (task_ref, run) in awaited {
+            self.task_mut(task_ref).awaited_run = run;
+        }
         self.log_decision(
             "handover_taken",
             None,
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -131,6 +131,10 @@
         self.remove_run(task_ref, server, end.run);
         let task = self.task_mut(task_ref);
         task.last_run = task.last_run.max(end.run);
+        task.ended_run = task.ended_run.max(end.run);
+        if task.has_ended(task.awaited_run) {
+            task.unresolved = false;
+        }
         if !end.checkpoint.is_empty() {
             task.checkpoint = end.checkpoint.clone();
         }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -84,6 +84,10 @@
     pub done: bool,
     /// Whether an earlier owner may have started the task on a server that is not claimed yet.
     pub unresolved: bool,
+    /// Highest run number that earlier owners used for the task; 0 if unknown.
+    pub awaited_run: u32,
+    /// Highest run number whose end was reported to this owner.
+    pub ended_run: u32,
     /// Whether another shard runs the task.
     pub remote: bool,
     /// Whether the task is in the shard's ready queue.
@@ -115,6 +119,12 @@
             .position(|run| run.server == server && run.number == number)
     }
 
+    /// Whether the task's last run by earlier owners is known to have ended; `last_run` is 0 if unknown.
+    #[must_use]
+    pub fn has_ended(&self, last_run: u32) -> bool {
+        last_run > 0 && self.ended_run >= last_run
+    }
+
     /// Whether the task has state that needs a record.
     #[must_use]
     pub fn has_history(&self) -> bool {
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -113,6 +113,32 @@
     assert!(wait_ms > longest_ms.unwrap_or(common::BOUNDS.lease_max_ms));
 }
 
+/// Guards against a task waiting for servers that do not answer although its own server reports that its last run has
+/// ended, and against starting it while a later run may be on one of them.
+#[test_case(0, true; "the last run has ended")]
+#[test_case(1, false; "a later run may go on")]
+fn a_task_handed_over_waits_only_for_its_last_run(later_runs: u32, starts: bool) {
+    let mut first = Harness::open(&["one", "gone"]);
+    let job = first.submit(1, 0, vec![service_step(1, "a")]);
+    first.plan();
+    let run = first.confirm_starts()[0].1.run;
+    let mut handover = first.handover();
+    handover.in_flight[0].last_run += later_runs;
+    let lapsed = run_end(1, task_id(job, 0, 0), run, EndKind::LeaseExpired);
+    for end_comes_first in [true, false] {
+        let mut second = Harness::open_term(2, &["one", "gone"], &["one"]);
+        second.submit_at(1, 0, vec![service_step(1, "a")], 50);
+        if end_comes_first {
+            second.report("one", &[], std::slice::from_ref(&lapsed));
+        }
+        second.shard.apply_handover(&handover, second.now_ms);
+        second.report("one", &[], std::slice::from_ref(&lapsed));
+        second.write_records();
+        second.plan();
+        assert_eq!(!second.starts.is_empty(), starts);
+    }
+}
+
 /// Guards against jobs accepted in the new term waiting for silent servers.
 #[test]
 fn a_job_accepted_after_the_change_starts_at_once() {
