Keep the handovers of a host's earlier terms

Cause: a host kept one handover per shard. If it owned a shard again, the handover of its earlier term was replaced, and it answered its successors, or itself, as if it had been restarted: all tasks of that term waited for their leases. Change: handovers are kept by term, up to 8 a shard. Tests: handovers_of_several_terms_are_kept.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -84,6 +84,34 @@
     }
 }
 
+/// Terms per shard whose handovers a host keeps; successors ask for terms within the time of one lease.
+const KEPT_HANDOVERS_MAX: usize = 8;
+
+/// Handovers of the terms in which this host owned a shard. A host may own a shard again before the successors of its
+/// earlier term have asked.
+#[derive(Clone, Debug, Default)]
+pub struct PastTerms {
+    /// Newest last.
+    handovers: Vec<Handover>,
+}
+
+impl PastTerms {
+    /// Keeps the handover of a term, instead of an earlier one of the same term.
+    pub fn insert(&mut self, handover: Handover) {
+        self.handovers
+            .retain(|existing| existing.term != handover.term);
+        self.handovers.push(handover);
+        let excess = self.handovers.len().saturating_sub(KEPT_HANDOVERS_MAX);
+        self.handovers.drain(..excess);
+    }
+
+    /// Handover of a term; `None` if this process did not own the shard in it.
+    #[must_use]
+    pub fn find(&self, term: u64) -> Option<&Handover> {
+        self.handovers.iter().find(|handover| handover.term == term)
+    }
+}
+
 /// Answer of an earlier owner to its successor; it gives no orders in its term afterwards.
 #[derive(Clone, Debug)]
 struct Answer {
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, run_end, run_status, service_step, step, task_id};
-use primrosestack_fleet::handover::Handover;
+use primrosestack_fleet::handover::{Handover, PastTerms};
 use primrosestack_fleet::record::{Progress, Term, longest_authority_ms};
 use primrosestack_fleet::report::EndKind;
 use test_case::test_case;
@@ -439,3 +439,23 @@
     third.plan();
     assert_eq!(third.starts.len(), 1, "all leases have ended");
 }
+
+/// Guards against a host that owns a shard again answering for its earlier term as if it had been restarted: its own
+/// handover was replaced by that of the new term.
+#[test]
+fn handovers_of_several_terms_are_kept() {
+    let mut past = PastTerms::default();
+    past.insert(Harness::open(&["one"]).handover());
+    past.insert(Handover::unopened(3));
+    past.insert(Handover {
+        settled: true,
+        ..Handover::unopened(3)
+    });
+    assert!(past.find(1).is_some());
+    assert!(past.find(2).is_none());
+    assert!(past.find(3).is_some_and(|handover| handover.settled));
+    for term in 4..100 {
+        past.insert(Handover::unopened(term));
+    }
+    assert!(past.find(1).is_none(), "the number is limited");
+}
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use primrosestack_fleet::handover::Handover;
+use primrosestack_fleet::handover::{Handover, PastTerms};
 use primrosestack_fleet::intake::{self, Load};
 use primrosestack_fleet::interference::InterferenceEstimate;
 use primrosestack_fleet::load_views::LoadViews;
@@ -68,7 +68,7 @@
     pub active_requests: Cell<u64>,
     home_cache: RefCell<Vec<(JobId, SmolStr)>>,
     /// Handovers of shards that this host gave up, sorted by failure domain.
-    handovers: RefCell<Vec<(SmolStr, Handover)>>,
+    past_terms: RefCell<Vec<(SmolStr, PastTerms)>>,
     /// Highest terms of successors that requested a handover, sorted by failure domain.
     successors: RefCell<Vec<(SmolStr, u64)>>,
     store_health: Cell<StoreHealth>,
@@ -125,7 +125,7 @@
             stopping: Cell::new(false),
             active_requests: Cell::new(0),
             home_cache: RefCell::new(Vec::new()),
-            handovers: RefCell::new(Vec::new()),
+            past_terms: RefCell::new(Vec::new()),
             successors: RefCell::new(Vec::new()),
             store_health: Cell::new(StoreHealth::default()),
             settings,
@@ -152,11 +152,18 @@
 
     /// Stores the handover of a shard for its next owner.
     pub fn save_handover(&self, failure_domain: &SmolStr, handover: Handover) {
-        upsert(&self.handovers, failure_domain, handover);
+        let mut past_terms = self.past_terms.borrow_mut();
+        let found =
+            past_terms.binary_search_by(|(existing, _)| existing.as_str().cmp(failure_domain));
+        let index = found.unwrap_or_else(|index| {
+            past_terms.insert(index, (failure_domain.clone(), PastTerms::default()));
+            index
+        });
+        past_terms[index].1.insert(handover);
     }
 
     /// Steps down in favour of a successor with a later term. Returns the handover of `handover_term` if this process
-    /// owned the shard in that term, and has not owned it again since.
+    /// owned the shard in that term.
     pub fn yield_shard(
         &self,
         failure_domain: &str,
@@ -169,11 +176,11 @@
         }
         let term = successor_term.max(self.successor_term(failure_domain));
         upsert(&self.successors, failure_domain, term);
-        let handovers = self.handovers.borrow();
-        let saved = handovers
+        let past_terms = self.past_terms.borrow();
+        let (_, saved) = past_terms
             .iter()
             .find(|(domain, _)| domain == failure_domain)?;
-        Some(saved.1.clone()).filter(|saved| saved.term == handover_term)
+        saved.find(handover_term).cloned()
     }
 
     /// Highest term of a successor that requested a handover; this host must not act in an earlier term.
