Do not wait for servers at whose address another one answers

A server that was replaced under its address before the new owner reached it stayed on the list of servers to wait for, until all leases had expired. Change: the answer of another server ends the wait for the one before.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -132,6 +132,11 @@
             return;
         };
         if !state.claimed && state.runs.is_empty() {
+            // The runs that earlier owners may have started there ended with the server.
+            let name = state.entry.name.clone();
+            if let Ok(index) = self.unclaimed.binary_search(&name) {
+                self.unclaimed.remove(index);
+            }
             return;
         }
         self.end_incarnation(server, 0, now_ms);
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -139,6 +139,21 @@
     }
 }
 
+/// Guards against waiting for the leases of a server at whose address another one answers.
+#[test]
+fn a_replaced_server_is_not_waited_for() {
+    let mut harness = Harness::open_term(2, &["one", "two"], &["one", "two"]);
+    harness.submit_at(7, 0, vec![service_step(1, "a")], 50);
+    harness.claim("one");
+    harness.write_records();
+    harness.plan();
+    assert!(harness.starts.is_empty());
+    let replaced = harness.key("two");
+    harness.shard.server_replaced(replaced, harness.now_ms);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
+
 /// Guards against jobs accepted in the new term waiting for silent servers.
 #[test]
 fn a_job_accepted_after_the_change_starts_at_once() {
