Count no throttled task as the trial run of a server

A server on trial gets no other task before its trial run has ended or served. A best-effort task that is halted beside a service task does neither, and the server stayed closed for as long as it was halted. Change: runs at less than half their rate do not count as the trial run. Tests: a_halted_task_does_not_keep_a_server_on_trial fails without the change.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -14,6 +14,9 @@
 /// task going.
 const FORCED_START_RATE_PERCENT: u32 = 4;
 
+/// Rate from which a run shows whether a server on trial works: it then ends in twice its time at most.
+const TRIAL_RATE_MIN_PERCENT: u32 = 50;
+
 /// Result of choosing a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -122,7 +125,7 @@
     }
 
     /// Whether a server on trial already has a run that will show whether it works again. Runs started before the
-    /// suspension do not count, since long-running ones may never end.
+    /// suspension do not count, since long-running ones may never end, nor do throttled ones, which hardly progress.
     fn has_trial_run(&self, key: ServerKey) -> bool {
         let server = &self.servers[key];
         let Some(since_ms) = server.suspension.trial_since_ms() else {
@@ -130,8 +133,10 @@
         };
         server.runs.iter().any(|&(task_ref, number)| {
             let task = self.task(task_ref);
-            task.run_position(key, number)
-                .is_some_and(|position| task.runs[position].start_sent_ms >= since_ms)
+            task.run_position(key, number).is_some_and(|position| {
+                let run = &task.runs[position];
+                run.start_sent_ms >= since_ms && run.rate_percent >= TRIAL_RATE_MIN_PERCENT
+            })
         })
     }
 
--- a/crates/fleet/tests/trust.rs
+++ b/crates/fleet/tests/trust.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Harness, run_end, service_step, step};
+use common::{Harness, best_effort_step, run_end, service_step, step};
 use primrosestack_fleet::job::JobId;
 use primrosestack_fleet::report::EndKind;
 
@@ -64,3 +64,21 @@
     harness.plan();
     assert_eq!(harness.starts.len(), 2);
 }
+
+/// Guards against a server staying closed to all other tasks because its trial run is a best-effort task that is halted.
+#[test]
+fn a_halted_task_does_not_keep_a_server_on_trial() {
+    let (mut harness, service) = on_trial();
+    harness.report_tails("one", service, 5);
+    harness.submit(3, 2, vec![best_effort_step(1, "batch")]);
+    harness.plan();
+    assert_eq!(harness.confirm_starts().len(), 1, "the trial run");
+    for _ in 0..6 {
+        harness.now_ms += 400;
+        harness.report_tails("one", service, 40);
+    }
+    assert_eq!(harness.rates.last().map(|rate| rate.3), Some(0));
+    harness.submit(4, 0, vec![service_step(1, "web")]);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
