Count runs that a shard does not know until they are gone

Cause: found in a review of the rule that what is being stopped still counts. A server can list runs that its new owner does not know or want, such as those of a cancelled and purged job. They were told to stop, and their capacity was given away at once. Change: such a server gets no start until a report no longer lists them. Their size may be unknown, so the whole server waits, one or two reports. Tests: unknown_runs_count_until_they_are_gone fails without the change. The other tests of the file show that a server whose capacity has shrunk gets no start until it fits again; they passed before.

--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -72,6 +72,13 @@
         for status in &report.running {
             self.apply_run_status(server, status, now_ms);
         }
+        let is_unwanted = |status: &RunStatus| {
+            self.find_task(status.task).is_none_or(|task_ref| {
+                let task = self.task(task_ref);
+                task.run_position(server, status.run).is_none()
+            })
+        };
+        self.servers[server].has_unwanted_runs = report.running.iter().any(is_unwanted);
         self.abandon_unlisted_runs(server, report, poll_sent_ms, now_ms);
         self.throttle_best_effort(server, now_ms);
         let jobs = &self.jobs;
