Count only crashes that a task may have caused

Cause: found in a review by one who had not seen the work. A crash that was noticed late counted for a task that had outlived a later start, or that had been delegated since. Servers that drained and lapsed counted as crashed, as did a start that another server at the address refused. A server that came back as the same incarnation was not forgotten. One that came back under another name was not recognised. Change: counts skip runs up to the last one that outlived its start, and delegated tasks; draining servers and refused starts raise none; a server is recognised by its address too.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -30,6 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LapsedServer {
     name: SmolStr,
+    address: SmolStr,
     started_unix_ms: u64,
     suspects: Vec<(TaskRef, u32)>,
 }
@@ -74,6 +75,10 @@
 
     /// Suspects runs of a server that lapsed; whether it crashed is known only when it is back.
     pub(crate) fn suspect_lapsed(&mut self, server: ServerKey) {
+        // A draining server was expected to leave.
+        if self.servers[server].draining_since_ms.is_some() {
+            return;
+        }
         let suspects = self.crash_suspects(server);
         for &(task_ref, _) in &suspects {
             self.task_mut(task_ref).suspected = true;
@@ -88,6 +93,7 @@
         }
         self.lapsed_servers.push(LapsedServer {
             name: server.entry.name.clone(),
+            address: server.entry.address.clone(),
             started_unix_ms: server.started_unix_ms,
             suspects: server.lapsed_suspects.clone(),
         });
@@ -95,15 +101,20 @@
         self.lapsed_servers.drain(..excess);
     }
 
-    /// Counts the crash of a server that registers again after it was dropped.
+    /// Counts the crash of a server that registers again after it was dropped, perhaps by another name. One that was
+    /// only cut off is forgotten.
     pub(crate) fn count_remembered_crash(&mut self, server: ServerKey, now_ms: u64) {
         let entry = &self.servers[server].entry;
-        let position = self.lapsed_servers.iter().position(|lapsed| {
-            lapsed.name == entry.name && lapsed.started_unix_ms < entry.started_unix_ms
-        });
+        let position = self
+            .lapsed_servers
+            .iter()
+            .position(|lapsed| lapsed.name == entry.name || lapsed.address == entry.address);
         let Some(position) = position else { return };
+        let started_unix_ms = entry.started_unix_ms;
         let lapsed = self.lapsed_servers.remove(position);
-        self.count_crash(server, &lapsed.suspects, now_ms);
+        if lapsed.started_unix_ms < started_unix_ms {
+            self.count_crash(server, &lapsed.suspects, now_ms);
+        }
     }
 
     /// Counts a crash for the runs that may have caused it, and gives up tasks that keep crashing servers.
@@ -114,9 +125,14 @@
         now_ms: u64,
     ) {
         for &(task_ref, number) in suspects {
-            let Some(job) = self.jobs.get_mut(task_ref.job) else {
+            if !self.jobs.contains_key(task_ref.job) {
                 continue;
-            };
+            }
+            let task = self.task(task_ref);
+            if task.remote || number <= task.outlived_run {
+                continue;
+            }
+            let job = &mut self.jobs[task_ref.job];
             job.mark_changed(now_ms);
             self.changed.push(task_ref.job);
             let task = self.task_mut(task_ref);
@@ -157,6 +173,7 @@
             self.servers[server].suspected_run = None;
         }
         let task = self.task_mut(task_ref);
+        task.outlived_run = task.outlived_run.max(number);
         if !task.suspected {
             return;
         }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -218,7 +218,17 @@
                     run.state = RunState::Unconfirmed;
                 }
             }
-            StartReply::WrongInstance => self.end_incarnation(server, 0, now_ms),
+            StartReply::WrongInstance => {
+                // Not started, so this run cannot be the cause of a crash.
+                self.abandon_run(
+                    task_ref,
+                    server,
+                    request.run,
+                    AbandonReason::NotStartedOrStopped,
+                    now_ms,
+                );
+                self.end_incarnation(server, 0, now_ms);
+            }
             StartReply::Fenced => {
                 self.servers[server].fenced = true;
                 self.abandon_run(
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -186,6 +186,29 @@
         self.collect();
     }
 
+    /// A server crashes after the pending starts, and is claimed again 3 s later; nothing is planned.
+    pub fn crash(&mut self, name: &str) {
+        self.confirm_starts();
+        self.now_ms += 3_000;
+        self.restart(name);
+        self.write_records();
+        self.claim(name);
+    }
+
+    /// Writes a batch and returns its jobs with a task that is recorded as the possible cause of a crash.
+    pub fn recorded_suspects(&mut self) -> Vec<JobId> {
+        let batch = self.shard.take_batch(self.now_ms);
+        let mut suspects = Vec::new();
+        for record in &batch.jobs {
+            let mut tasks = record.progress.tasks.iter();
+            if tasks.any(|task| !task.crashed_runs.is_empty()) {
+                suspects.push(record.id);
+            }
+        }
+        self.shard.batch_written(&batch);
+        suspects
+    }
+
     /// Writes all pending records.
     pub fn write_records(&mut self) {
         for _ in 0..100 {
