Give up a task only after two crashes of which it was the sole suspect

Cause: found in the review. A task was given up at its second crash if it was the only suspect of that one, although it could have been one of a dozen at the first. Two crashes of servers with other causes within a few seconds could fail the job of a task that had been near both. Tests: two_crashes_with_other_causes_do_not_fail_a_job fails without the change.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -14,7 +14,7 @@
 /// Age at which a listed run has outlived its start; servers crash within a few milliseconds of it.
 pub(crate) const OUTLIVED_START_MS: u64 = 500;
 
-/// Crashes after which a task is given up if it was the only suspect of the last one.
+/// Crashes after which a task is given up if it was their only suspect.
 const SOLE_SUSPECT_CRASHES_MAX: u32 = 2;
 
 /// Crashes after which a task is given up in any case; other suspects of three crashes in a row are improbable.
@@ -139,7 +139,9 @@
             task.suspected = true;
             if !task.crashed_runs.contains(&number) {
                 task.crashed_runs.push(number);
+                task.sole_crashes += u32::from(suspects.len() == 1);
             }
+            let sole_crashes = task.sole_crashes;
             let crashes = to_u32(task.crashed_runs.len());
             self.log_decision(
                 "crash_suspected",
@@ -151,8 +153,7 @@
                     ("suspects", suspects.len() as u64),
                 ],
             );
-            let is_given_up = crashes >= CRASHES_MAX
-                || (suspects.len() == 1 && crashes >= SOLE_SUSPECT_CRASHES_MAX);
+            let is_given_up = crashes >= CRASHES_MAX || sole_crashes >= SOLE_SUSPECT_CRASHES_MAX;
             let is_done = self.task(task_ref).done;
             if !is_given_up || is_done || !self.jobs[task_ref.job].is_live() {
                 continue;
@@ -179,6 +180,7 @@
         }
         task.suspected = false;
         task.crashed_runs.clear();
+        task.sole_crashes = 0;
         self.log_decision(
             "suspicion_ended",
             Some(task_ref),
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -87,6 +87,7 @@
             last_run: task.last_run,
             failed_runs: task.failed_runs.clone(),
             crashed_runs: task.crashed_runs.clone(),
+            sole_crashes: task.sole_crashes,
             remote: task.remote,
             checkpoint: if task.done {
                 String::new()
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -48,6 +48,9 @@
     /// Run numbers that may have crashed their server.
     #[prost(uint32, repeated, tag = "9")]
     pub crashed_runs: Vec<u32>,
+    /// How many of them were the only ones that may have crashed their server.
+    #[prost(uint32, tag = "10")]
+    pub sole_crashes: u32,
 }
 
 /// Recorded progress of a job.
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -102,6 +102,8 @@
     pub suspected: bool,
     /// Numbers of the runs that may have crashed their server, since a start was last outlived.
     pub crashed_runs: Vec<u32>,
+    /// How many of them were the only suspects.
+    pub sole_crashes: u32,
     /// Highest number of a run that outlived its start; earlier runs are no longer suspected.
     pub outlived_run: u32,
     /// Newest checkpoint; empty for none.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -82,6 +82,7 @@
             last_run: task.last_run,
             checkpoint: task.checkpoint.to_string(),
             crashed_runs: task.crashed_runs.clone(),
+            sole_crashes: task.sole_crashes,
             ..TaskRecord::default()
         };
         let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
@@ -145,6 +146,7 @@
             task.last_run = record.last_run.max(run_number_base);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.crashed_runs.clone_from(&record.crashed_runs);
+            task.sole_crashes = record.sole_crashes;
             task.suspected = !task.crashed_runs.is_empty();
             task.unresolved = predates_term && !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
--- a/crates/fleet/tests/crash_suspects.rs
+++ b/crates/fleet/tests/crash_suspects.rs
@@ -303,3 +303,30 @@
     target.crash("two");
     assert_eq!(target.shard.job_status(job), Some(JobStatus::Failed));
 }
+
+/// Guards against failing a job whose task was near two crashes with other causes: it was one of many suspects of the first
+/// and alone on its server at the second.
+#[test]
+fn two_crashes_with_other_causes_do_not_fail_a_job() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let jobs: Vec<JobId> = (1..=8)
+        .map(|id| harness.submit(id, 0, vec![step(1)]))
+        .collect();
+    harness.plan();
+    let starts = harness.confirm_starts();
+    let first = harness.name(starts[0].0);
+    let other = if first == "one" { "two" } else { "one" };
+    harness.now_ms += 3_000;
+    harness.report(other, &[], &[]);
+    harness.restart(&first);
+    harness.claim(&first);
+    harness.write_records();
+    harness.plan();
+    harness.confirm_starts();
+    harness.now_ms += 3_000;
+    harness.restart(other);
+    harness.write_records();
+    for job in jobs {
+        assert_ne!(harness.shard.job_status(job), Some(JobStatus::Failed));
+    }
+}
