Start nothing by the registration of an earlier life of a server

Cause: found in the review. A server that answers as a new incarnation before it has registered again was used by its earlier registration; its kind and labels may have changed. Change: it gets no start before its registration is as new as its answers. A registration that does not tell its start counts as before. Tests: a_new_life_gets_no_start_by_the_registration_of_the_one_before fails without the change. a_crash_is_counted_when_the_server_is_back_late let the server answer as a newer life than the one it had registered; it now answers as the one registered, and checks the same.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -159,7 +159,15 @@
     /// Whether the server is registered, claimed by this owner and not draining.
     #[must_use]
     pub fn is_placeable(&self) -> bool {
-        self.registered && self.claimed && self.recorded && !self.fenced && !self.entry.draining
+        // A registration of an earlier life does not tell the kind of this one.
+        let is_entry_current =
+            self.entry.started_unix_ms == 0 || self.entry.started_unix_ms >= self.started_unix_ms;
+        self.registered
+            && is_entry_current
+            && self.claimed
+            && self.recorded
+            && !self.fenced
+            && !self.entry.draining
     }
 
     #[must_use]
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -158,3 +158,31 @@
     harness.plan();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Guards against starts by the registration of an earlier life: the server may be of another kind now.
+#[test]
+fn a_new_life_gets_no_start_by_the_registration_of_the_one_before() {
+    let mut harness = Harness::open(&[]);
+    let first = ServerEntry {
+        started_unix_ms: 5,
+        ..entry("one")
+    };
+    harness.shard.set_server(first, harness.now_ms);
+    harness.claim("one");
+    harness.write_records();
+    harness.restart("one");
+    harness.claim("one");
+    harness.submit(1, 0, vec![step(1)]);
+    harness.plan();
+    assert!(
+        harness.starts.is_empty(),
+        "its capacity and labels are not known"
+    );
+    let second = ServerEntry {
+        started_unix_ms: 6,
+        ..entry("one")
+    };
+    harness.shard.set_server(second, harness.now_ms);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -201,7 +201,7 @@
         harness
             .shard
             .set_server(started_entry(10 + crash), harness.now_ms);
-        harness.restart("one");
+        harness.claim("one");
         harness.write_records();
         harness.claim("one");
     }
