Count the wait for earlier owners from the commit of the new term

Cause: found in the review. The wait began when the transaction was sent. On a slow store an earlier owner could confirm its term after that and before the commit, and act for longer than the new owner waited; the margin is 480 ms. Change: it begins when the answer to the transaction has arrived. Measured: compiled; no test of its own, since the daemon's takeover has no test harness.

--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -92,6 +92,8 @@
         lease: u64,
         sent_ms: u64,
     ) -> Result<Rc<Self>, StoreFailure> {
+        // An earlier owner may have confirmed its term until the transaction was committed.
+        let committed_ms = now_ms();
         let servers_key = keys::servers(&failure_domain);
         let recorded_servers = node.store.read(&servers_key).await?;
         let recorded_servers: ServerSet = match recorded_servers {
@@ -118,7 +120,7 @@
             leadership.start_revision,
             &recorded_servers,
             record::longest_authority_ms(&predecessors),
-            sent_ms,
+            committed_ms,
         );
         if let Some(configuration) = node.configuration.borrow().as_ref() {
             shard.set_queues(queues_of(configuration));
