--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -139,7 +139,11 @@
             return;
         };
         let is_current = task.server == Some(origin.server) && task.attempt == listed.attempt;
-        let is_newer = listed.attempt > task.attempt;
+        // The journal outlives what this owner has heard of a task: an ended attempt older than the recorded one is no
+        // news, even if it is the first that is reported to this owner.
+        let is_superseded =
+            listed.state != TaskState::Running && task.has_later_checkpoint(listed.attempt);
+        let is_newer = listed.attempt > task.attempt && !is_superseded;
         let is_over = matches!(task.phase, Phase::Ended | Phase::Ending);
         // A success that arrives late: the attempt ended before its lease was considered expired.
         let has_succeeded = listed.state == TaskState::Succeeded;
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -83,6 +83,13 @@
     pub fn is_placed(&self) -> bool {
         self.server.is_some()
     }
+
+    /// Whether the journal has a checkpoint of an attempt after this one.
+    #[must_use]
+    pub fn has_later_checkpoint(&self, attempt: Attempt) -> bool {
+        let committed = self.committed_checkpoint.as_ref();
+        committed.is_some_and(|committed| committed.attempt > attempt)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::*;
+use primrosestack_core::journal::{Entry, Head, decode_entries};
 use primrosestack_core::ownership::Role;
 use primrosestack_core::prelude::*;
 use test_case::test_case;
@@ -351,3 +352,49 @@
     assert!(cluster.owner_shard().job(JobId(9)).is_none());
     assert_eq!(cluster.all_attempts(), attempts);
 }
+
+/// Guards against a new owner that takes the report of an earlier attempt for news and records its checkpoint after
+/// that of a later attempt (fault test, seeds 7340129 and 7358623).
+#[test]
+fn a_new_owner_records_no_checkpoint_older_than_the_journals() {
+    let mut cluster = start_cluster_with_job(2, 2, 1);
+    let first = cluster.server_of(task(1, 0)).expect("the task is running");
+    let mut earlier = cluster.servers[&first].attempts.clone();
+    for attempt in earlier.values_mut() {
+        attempt.state = TaskState::Stopped;
+        attempt.checkpoint = Some("earlier".into());
+    }
+    cluster.request_reclaim(&first);
+    cluster.run(6_000);
+    let second = cluster.server_of(task(1, 0)).expect("the task is running");
+    let later = cluster.all_attempts();
+    cluster.request_reclaim(&second);
+    cluster.run(6_000);
+    // The acknowledgement of the first attempt is lost with the owner.
+    for backend in cluster.servers.values_mut() {
+        backend.attempts.clear();
+    }
+    let backend = cluster.servers.get_mut(&first).expect("exists");
+    backend.attempts = earlier;
+    let owner = cluster.owner().expect("a host owns the shard");
+    cluster.kill(&owner);
+    cluster.run_until(6_000, "a new owner", Cluster::is_claimed);
+    cluster.run(20_000);
+    let (_, value) = &cluster.store.values["shard/fd/0/head"];
+    let head = Head::read(value).expect("a readable head");
+    let entries = decode_entries(&head.tail).expect("a readable tail");
+    let recorded: Vec<Attempt> = entries.iter().filter_map(evicted_attempt).collect();
+    assert!(recorded.contains(&later[0]));
+    assert!(recorded.is_sorted(), "{recorded:?}");
+    assert_eq!(cluster.running(task(1, 0)), 1);
+}
+
+fn evicted_attempt(entry: &Entry) -> Option<Attempt> {
+    let Entry::Evicted(evicted) = entry else {
+        return None;
+    };
+    Some(Attempt {
+        term: evicted.attempt_term,
+        counter: evicted.attempt_counter,
+    })
+}
