Record a success that was reported, instead of waiting to hear it again

Cause: a fault of the core. A server was silent for longer than its leases, so its task ran again elsewhere; then the server came back and reported that the first attempt had succeeded. The owner stopped the second attempt, held the task for 15 s and waited for one more report of the success. The server crashed before that, and the task ran a second time although this owner knew of its success. The check was right and is unchanged. Class: a fact that was heard is dropped, because its source is expected to repeat it. Change: once the later attempt is over, the task is ending and Ended is committed. The hold and its constant are gone. A success that is listed for a task whose Ended waits for its commit is no longer acknowledged: as before for the current attempt, the next owner can still hear it from the server. Cost: none per task; a set lookup when a task is requeued. Result: a_reported_success_outlives_its_server fails before ("the task runs again") and passes after.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -5,7 +5,7 @@
 use crate::placement::{Placement, ReclaimAction, TaskRequest};
 use crate::prelude::*;
 use crate::shard::{Call, Shard};
-use crate::tasks::{EvictionStep, JobState, Phase, evicted_entry};
+use crate::tasks::{EvictionStep, JobState, Phase, ended_entry, evicted_entry};
 
 /// Maximum number of starts per event; it bounds the run time and the actions of one call.
 const STARTS_MAX: usize = 512;
@@ -13,10 +13,6 @@
 /// Divisor of the CPU size of a task that is throttled because it cannot be evicted.
 const THROTTLE_DIVISOR: u32 = 4;
 
-/// Time for which a task whose earlier attempt succeeded is not started again. Several reports of that success arrive
-/// in this time, unless the server is lost.
-const EARLIER_SUCCESS_HOLD: DurationMs = DurationMs(15_000);
-
 impl Shard {
     /// Periodic work on tasks.
     pub(crate) fn tick_tasks(&mut self) {
@@ -212,9 +208,15 @@
     /// Makes a task whose attempt is certainly over pending again, or moves it to the state that its job requires.
     pub(crate) fn requeue(&mut self, id: TaskId) {
         self.detach(id);
+        let earlier_succeeded = self.earlier_succeeded.remove(&id);
         match self.durable.jobs.get(&id.job).map(|job| job.state) {
             None | Some(JobState::Ended) => {}
             Some(JobState::Cancelled) => self.durable.finish(id, self.now),
+            // The server that reported the success may never report again.
+            Some(_) if earlier_succeeded => {
+                self.enter_rack_pool(id);
+                self.end(id);
+            }
             Some(JobState::Parked(_)) => {
                 if let Some(task) = self.durable.task_mut(id) {
                     task.phase = Phase::Parked;
@@ -222,20 +224,17 @@
             }
             Some(JobState::Active) => {
                 self.enter_rack_pool(id);
-                if self.earlier_succeeded.remove(&id) {
-                    self.hold(id, self.now + EARLIER_SUCCESS_HOLD);
-                } else {
-                    self.queue(id);
-                }
+                self.queue(id);
             }
         }
     }
 
-    fn hold(&mut self, id: TaskId, due: MonoMs) {
+    /// Records the success of a task. The server keeps it until the record is committed.
+    pub(crate) fn end(&mut self, id: TaskId) {
         if let Some(task) = self.durable.task_mut(id) {
-            task.phase = Phase::Held;
+            task.phase = Phase::Ending;
         }
-        self.retries.insert((due, id));
+        self.append(ended_entry(id.job, id.index, 1));
     }
 
     /// Retries a task whose attempt is over at a later time.
@@ -246,7 +245,10 @@
         }
         self.detach(id);
         self.enter_rack_pool(id);
-        self.hold(id, due);
+        if let Some(task) = self.durable.task_mut(id) {
+            task.phase = Phase::Held;
+        }
+        self.retries.insert((due, id));
     }
 
     fn enter_rack_pool(&mut self, id: TaskId) {
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -6,7 +6,7 @@
 use crate::placement::TaskUsage;
 use crate::prelude::*;
 use crate::shard::Shard;
-use crate::tasks::{EvictionStep, JobState, Phase, ended_entry, evicted_entry};
+use crate::tasks::{EvictionStep, JobState, Phase, evicted_entry};
 
 /// Server and time of a report, and the call that it answers.
 #[derive(Clone, Copy)]
@@ -148,10 +148,13 @@
         // A success that arrives late: the attempt ended before its lease was considered expired.
         let has_succeeded = listed.state == TaskState::Succeeded;
         let ended_unreported = task.server.is_none() && has_succeeded;
+        let awaits_record = has_succeeded && task.phase == Phase::Ending;
         if has_succeeded && !is_current && !is_over && task.server.is_some() {
             self.stop_for_earlier_success(listed.task);
         } else if is_current {
             self.current_attempt(origin, listed);
+        } else if awaits_record {
+            // If this owner is lost before the commit, the next one learns of the success from the server.
         } else if !is_over && (is_newer || ended_unreported) {
             self.adopt(origin, &listed);
             self.current_attempt(origin, listed);
@@ -161,7 +164,7 @@
     }
 
     /// Stops the current attempt of a task because an earlier one succeeded. The current attempt keeps its reservation
-    /// until it has stopped. The success is not acknowledged yet, so the next report lists it again.
+    /// until it has stopped; then the task has ended.
     fn stop_for_earlier_success(&mut self, id: TaskId) {
         let Some(task) = self.durable.task_mut(id) else {
             return;
@@ -296,11 +299,11 @@
                 self.requeue(id);
                 return;
             }
-            _ => task.phase = Phase::Ending,
+            _ => {}
         }
         self.free_server(id);
         self.start_succeeded(key, id.job);
-        self.append(ended_entry(id.job, id.index, 1));
+        self.end(id);
     }
 
     fn failed(&mut self, key: ServerKey, id: TaskId) {
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -7,6 +7,7 @@
 use primrosestack_core::prelude::*;
 use primrosestack_core::tasks::JobState;
 use primrosestack_core::view::{ServerState, TaskPhase};
+use smol_str::SmolStr;
 use test_case::test_case;
 
 /// Guards against a new shard that is not acquired, accepted tasks that are not started, leases that are not renewed
@@ -428,3 +429,43 @@
     assert_eq!(state(&cluster), Some(JobState::Active));
     assert_eq!(cluster.running_total(), 1);
 }
+
+/// Starts a job of one task whose first attempt succeeds on a server that cannot be reached, and waits until it runs
+/// again. Returns the servers of both attempts.
+fn succeeds_unseen_and_runs_again(cluster: &mut Cluster) -> [SmolStr; 2] {
+    cluster.submit(job(1, 1));
+    cluster.run(3_000);
+    let first = cluster.server_of(task(1, 0)).expect("the task is running");
+    cluster.isolate_server(&first);
+    cluster.end_attempts(task(1, 0), &TaskState::Succeeded);
+    cluster.run_until(18_000, "a start elsewhere", |cluster| {
+        cluster.running(task(1, 0)) == 1
+    });
+    cluster.run(3_000);
+    let second = cluster.server_of(task(1, 0)).expect("the task is running");
+    [first, second]
+}
+
+fn reboot(cluster: &mut Cluster, server: &SmolStr) {
+    let backend = cluster.servers.get_mut(server).expect("exists");
+    backend.attempts.clear();
+    backend.boot_id += 1;
+}
+
+/// Guards against a task that runs again after its success was reported, because the server that reported it is lost
+/// before it reports once more (fault test, seeds 7346824 and 7372839).
+#[test]
+fn a_reported_success_outlives_its_server() {
+    let mut cluster = start_cluster(2, 2);
+    let [first, _] = succeeds_unseen_and_runs_again(&mut cluster);
+    cluster.cut_links.clear();
+    cluster.run_until(3_000, "the second attempt is stopped", |cluster| {
+        cluster.running(task(1, 0)) == 0
+    });
+    reboot(&mut cluster, &first);
+    cluster.run_until(30_000, "the job ends", |cluster| {
+        assert_eq!(cluster.running_total(), 0, "the task runs again");
+        let job = cluster.owner_shard().job(JobId(1)).expect("a known job");
+        job.state == JobState::Ended
+    });
+}
