End a task at once whose stopped attempt waits for its record

Cause: a fault of the core. An earlier success that was reported while the record of a stopped attempt waited for its commit (store down) turned the task to stopping. Its attempt no longer counted as running on its server; if that server was lost, neither a report nor a lapse followed, and the task stayed so until the owner changed. Class: a state that only an event leaves which can fail to come. Change: such a task is ended directly, since its attempt is over. The note of an earlier success goes with the end, so that no later job with this id can find it. Result: an_earlier_success_ends_a_task_that_waits_for_its_record fails before (not reached within 60 s) and passes after.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -234,6 +234,7 @@
         if let Some(task) = self.durable.task_mut(id) {
             task.phase = Phase::Ending;
         }
+        self.earlier_succeeded.remove(&id);
         self.append(ended_entry(id.job, id.index, 1));
     }
 
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -169,10 +169,15 @@
         let Some(task) = self.durable.task_mut(id) else {
             return;
         };
+        self.earlier_succeeded.insert(id);
+        if task.phase == Phase::Evicting(EvictionStep::Stopped) {
+            // No report or lapse of that attempt will follow.
+            self.requeue(id);
+            return;
+        }
         task.phase = Phase::Stopping;
         let attempt = task.attempt;
         let server = task.server;
-        self.earlier_succeeded.insert(id);
         if let Some(key) = server {
             self.stop_attempt(key, attempt);
         }
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -469,3 +469,31 @@
         job.state == JobState::Ended
     });
 }
+
+/// Guards against a task that never ends, because an earlier success is reported while the checkpoint of a stopped
+/// attempt waits for its commit, and the server of that attempt is lost.
+#[test]
+fn an_earlier_success_ends_a_task_that_waits_for_its_record() {
+    let mut cluster = start_cluster(2, 2);
+    let [first, second] = succeeds_unseen_and_runs_again(&mut cluster);
+    cluster.mode = StoreMode::Unavailable;
+    let backend = cluster.servers.get_mut(&second).expect("exists");
+    for attempt in backend.attempts.values_mut() {
+        attempt.state = TaskState::Stopped;
+        attempt.checkpoint = Some("checkpoint".into());
+    }
+    cluster.run(3_000);
+    cluster.cut_links.clear();
+    cluster.isolate_server(&second);
+    cluster.run(5_000);
+    reboot(&mut cluster, &second);
+    cluster.cut_links.clear();
+    cluster.run(5_000);
+    reboot(&mut cluster, &first);
+    cluster.mode = StoreMode::Up;
+    cluster.run_until(60_000, "the job ends", |cluster| {
+        assert_eq!(cluster.running_total(), 0, "the task runs again");
+        let job = cluster.owner_shard().job(JobId(1)).expect("a known job");
+        job.state == JobState::Ended
+    });
+}
