Record the failures of a job, so that they count across owners

Seen: fault test: "still running". Cause: a fault of the core. An owner counted in memory on which servers and in how many rounds a job had failed, and lost the count with its term. Tasks of the job failed after 25 s each; after three rounds the shard was handed back to its preferred owner, which began at zero, and the job was not parked 150 s after the last fault. A job whose tasks fail later than owners change is never parked. The check was right and is unchanged. Class: evidence for a lasting decision kept only in the memory of an owner. A new owner takes the counts over. Quarantine stays in memory: a faulty server can count once more against a job after a takeover, until it is quarantined again. Cost, by the code: for a job that fails one record per round up to the fourth and per further server, in group commits; for other jobs none. Not measured; no slope in docs/CAPACITY.md yet.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -4,7 +4,7 @@
 
 use smol_str::format_smolstr;
 
-use crate::journal::{Entry, ParkReason, Parked};
+use crate::journal::{Entry, Failed, ParkReason, Parked};
 use crate::placement::RackPoolKey;
 use crate::prelude::*;
 use crate::shard::Shard;
@@ -117,7 +117,12 @@
 impl Shard {
     /// Records a successful start: the server is not faulty, and the job can run.
     pub(crate) fn start_succeeded(&mut self, key: ServerKey, job: JobId) {
-        self.failures.remove(&job);
+        if self.failures.remove(&job).is_some() {
+            self.append(Entry::Failed(Failed {
+                job: job.0,
+                ..Failed::default()
+            }));
+        }
         if let Some(server) = self.fleet.get_mut(key) {
             server.health.record_outcome(job, true);
             server.health.probe_at = None;
@@ -133,12 +138,7 @@
         counts_against_job: bool,
     ) -> MonoMs {
         if counts_against_job {
-            let failures = self.failures.entry(job).or_default();
-            failures.servers.insert(key);
-            if self.now >= failures.next_round {
-                failures.rounds = failures.rounds.saturating_add(1);
-                failures.next_round = self.now + DurationMs(RETRY_MIN_MS);
-            }
+            self.count_against_job(key, job);
         }
         if let Some(server) = self.fleet.get_mut(key) {
             server.health.record_outcome(job, false);
@@ -153,6 +153,49 @@
         self.now + DurationMs(RETRY_MIN_MS << failures.min(6))
     }
 
+    /// Counts a failure, and records it if it may matter for parking, so that the next owner need not see as many again.
+    fn count_against_job(&mut self, key: ServerKey, job: JobId) {
+        let failures = self.failures.entry(job).or_default();
+        let mut matters = failures.servers.insert(key);
+        if self.now >= failures.next_round {
+            failures.rounds = failures.rounds.saturating_add(1);
+            failures.next_round = self.now + DurationMs(RETRY_MIN_MS);
+            matters |= failures.rounds <= PARK_MIN_ROUNDS;
+        }
+        if matters && self.is_active(job) {
+            self.record_failure(key, job, false);
+        }
+    }
+
+    fn record_failure(&mut self, key: ServerKey, job: JobId, excused: bool) {
+        let Some(server) = self.fleet.get(key) else {
+            return;
+        };
+        let Some(failures) = self.failures.get(&job) else {
+            return;
+        };
+        let failed = Failed {
+            job: job.0,
+            rounds: failures.rounds,
+            server: server.name.to_string(),
+            excused,
+        };
+        self.append(Entry::Failed(failed));
+    }
+
+    /// Takes over the failures that earlier owners recorded.
+    pub(crate) fn restore_failures(&mut self) {
+        for (job, journaled) in &self.durable.failures {
+            let servers = journaled.servers.iter();
+            let failures = JobFailures {
+                servers: servers.filter_map(|name| self.fleet.key(name)).collect(),
+                rounds: journaled.rounds,
+                next_round: self.now,
+            };
+            self.failures.insert(*job, failures);
+        }
+    }
+
     fn consider_quarantine(&mut self, key: ServerKey) {
         let Some(server) = self.fleet.get(key) else {
             return;
@@ -177,8 +220,9 @@
         }
         // The server caused these failures, so they do not count against the jobs.
         for job in jobs {
-            if let Some(failures) = self.failures.get_mut(&job) {
-                failures.servers.remove(&key);
+            let failures = self.failures.get_mut(&job);
+            if failures.is_some_and(|failures| failures.servers.remove(&key)) {
+                self.record_failure(key, job, true);
             }
         }
         self.log("server_quarantined", None, &name);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -187,7 +187,7 @@
                 self.claiming.remove(&key.key());
             }
             Entry::ServerAdded(server) => self.server_journaled(&server.name),
-            Entry::Ended(_) | Entry::Answered(_) | Entry::ServerGone(_) => {}
+            Entry::Ended(_) | Entry::Answered(_) | Entry::ServerGone(_) | Entry::Failed(_) => {}
         }
     }
 
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -232,6 +232,22 @@
     pub reason: i32,
 }
 
+/// A failure that counts against a job.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Failed {
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+    /// Rounds of failures so far; 0 if the job can run, so that its earlier failures no longer count.
+    #[prost(uint32, tag = "2")]
+    pub rounds: u32,
+    /// Server that the job failed on.
+    #[prost(string, tag = "3")]
+    pub server: String,
+    /// Whether the server, and not the job, caused the failures there.
+    #[prost(bool, tag = "4")]
+    pub excused: bool,
+}
+
 /// A claimed or answered idempotency key.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct KeyEntry {
@@ -318,12 +334,15 @@
     /// A server is gone and runs nothing.
     #[prost(string, tag = "10")]
     ServerGone(String),
+    /// A failure counts against a job.
+    #[prost(message, tag = "11")]
+    Failed(Failed),
 }
 
 /// A record of the journal.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Record {
-    #[prost(oneof = "Entry", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Entry", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub entry: Option<Entry>,
 }
 
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -116,6 +116,7 @@
             }
             self.register_server(key);
         }
+        self.restore_failures();
         self.hold_tasks();
         for key in self.fleet.keys() {
             self.journal_server(key);
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -5,7 +5,9 @@
 
 use smol_str::SmolStr;
 
-use crate::journal::{Accepted, Ended, Entry, Evicted, ParkReason, RackPoolRun, ServerEntry};
+use crate::journal::{
+    Accepted, Ended, Entry, Evicted, Failed, ParkReason, RackPoolRun, ServerEntry,
+};
 use crate::keys::Keys;
 use crate::placement::RackPoolKey;
 use crate::prelude::*;
@@ -115,6 +117,14 @@
     pub unfinished: u32,
 }
 
+/// Journaled failures of a job that may still run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JournaledFailures {
+    /// Servers that the job failed on.
+    pub servers: BTreeSet<SmolStr>,
+    pub rounds: u32,
+}
+
 /// Journaled data of a server that may run tasks of the shard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JournaledServer {
@@ -133,6 +143,8 @@
     pub racks: BTreeMap<RackPoolKey, SmolStr>,
     /// Servers by name.
     pub servers: BTreeMap<SmolStr, JournaledServer>,
+    /// Failures that count against jobs.
+    pub failures: BTreeMap<JobId, JournaledFailures>,
     finished: VecDeque<(MonoMs, JobId)>,
 }
 
@@ -181,6 +193,7 @@
             Entry::ServerGone(name) => {
                 self.servers.remove(name.as_str());
             }
+            Entry::Failed(failed) => self.count_failure(failed),
         }
     }
 
@@ -237,6 +250,7 @@
     }
 
     fn set_state(&mut self, id: JobId, state: JobState) {
+        self.failures.remove(&id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -246,6 +260,26 @@
         }
     }
 
+    fn count_failure(&mut self, failed: &Failed) {
+        let id = JobId(failed.job);
+        let state = self.jobs.get(&id).map(|job| job.state);
+        if !matches!(state, Some(JobState::Active | JobState::Parked(_))) {
+            return;
+        }
+        if failed.rounds == 0 {
+            self.failures.remove(&id);
+            return;
+        }
+        let failures = self.failures.entry(id).or_default();
+        failures.rounds = failed.rounds;
+        let server = failed.server.as_str();
+        if failed.excused {
+            failures.servers.remove(server);
+        } else if !server.is_empty() {
+            failures.servers.insert(server.into());
+        }
+    }
+
     fn end_range(&mut self, ended: Ended, now: MonoMs) {
         let first = TaskId::from(ended.first);
         for offset in 0..ended.tasks {
@@ -276,6 +310,7 @@
         if job.state != JobState::Cancelled {
             job.state = JobState::Ended;
         }
+        self.failures.remove(&id.job);
         self.finished.push_back((now, id.job));
     }
 
@@ -314,6 +349,9 @@
         for job in self.jobs.values() {
             job.write(&mut entries);
         }
+        for (job, failures) in &self.failures {
+            failures.write(*job, &mut entries);
+        }
         self.keys.write(&mut entries);
         entries
     }
@@ -346,6 +384,22 @@
     }
 }
 
+impl JournaledFailures {
+    fn write(&self, job: JobId, entries: &mut Vec<Entry>) {
+        let servers = self.servers.iter().map(SmolStr::as_str);
+        // A job whose servers are all excused keeps its rounds.
+        let servers = servers.chain(self.servers.is_empty().then_some(""));
+        entries.extend(servers.map(|server| {
+            Entry::Failed(Failed {
+                job: job.0,
+                rounds: self.rounds,
+                server: server.to_owned(),
+                excused: false,
+            })
+        }));
+    }
+}
+
 impl Job {
     fn write(&self, entries: &mut Vec<Entry>) {
         let id = self.spec.id;
--- a/crates/core/tests/codecs.rs
+++ b/crates/core/tests/codecs.rs
@@ -1,7 +1,7 @@
 //! Tests of the encoding of all values that a shard reads from the store.
 
 use primrosestack_core::journal::{
-    Accepted, Bound, Cancelled, Entry, Head, HostEntry, JournalError, KeyEntry, Parked,
+    Accepted, Bound, Cancelled, Entry, Failed, Head, HostEntry, JournalError, KeyEntry, Parked,
     RackPoolRun, ServerEntry, SnapshotRef, UnreleasedEntry, decode_entries, encode_entry,
 };
 use primrosestack_core::prelude::*;
@@ -43,7 +43,7 @@
 
 fn entry() -> impl Strategy<Value = Entry> {
     let runs = vec((0_u32..3, 0_u32..4), 0..4);
-    let parts = (0..10, any::<u64>(), 0_u32..6, 0_u32..3, "[a-c]{0,3}", runs);
+    let parts = (0..11, any::<u64>(), 0_u32..6, 0_u32..3, "[a-c]{0,3}", runs);
     parts.prop_map(|(kind, number, index, rack_pool, text, runs)| {
         let job = JobId(number % 4);
         let task = TaskId { job, index };
@@ -81,6 +81,12 @@
                 rack_pool,
                 ..ServerEntry::default()
             }),
+            9 => Entry::Failed(Failed {
+                job: job.0,
+                rounds: index,
+                server: text,
+                excused: rack_pool == 1,
+            }),
             _ => Entry::ServerGone(text),
         }
     })
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use common::*;
-use primrosestack_core::journal::{Entry, Head, decode_entries};
+use primrosestack_core::journal::{Entry, Head, ParkReason, decode_entries};
 use primrosestack_core::ownership::Role;
 use primrosestack_core::prelude::*;
+use primrosestack_core::tasks::JobState;
 use test_case::test_case;
 
 fn start_cluster_with_job(servers: usize, servers_per_rack: usize, tasks: u32) -> Cluster {
@@ -398,3 +399,25 @@
         counter: evicted.attempt_counter,
     })
 }
+
+/// Guards against a job that fails everywhere and is never parked, because every new owner counts its failures from the
+/// beginning (fault test, seeds 7386269 and 8202140).
+#[test]
+fn failures_of_a_job_count_across_owners() {
+    let mut cluster = start_cluster_with_job(2, 2, 1);
+    for round in 1..=4 {
+        if round == 3 {
+            let owner = cluster.owner().expect("a host owns the shard");
+            cluster.kill(&owner);
+            cluster.run_until(6_000, "a new owner", Cluster::is_claimed);
+        }
+        cluster.run_until(60_000, "a start", |cluster| {
+            cluster.running(task(1, 0)) == 1
+        });
+        cluster.run(3_000);
+        cluster.end_attempts(task(1, 0), &TaskState::Failed { code: 1 });
+        cluster.run(3_000);
+    }
+    let job = cluster.owner_shard().job(JobId(1)).expect("a known job");
+    assert_eq!(job.state, JobState::Parked(ParkReason::FailsEverywhere));
+}
