Hold an old declaration until the previous owner's leases have ended

Cause: a fault of the core. An operator declared a server gone while it was down; the successor heard it as an observer. The server returned and the owner started a task there. Then the successor took over, still had the server for gone, dropped it without asking and started the task elsewhere 1.9 s after the first start. Class: a statement about a moment applied later as if it still held. Change: at a takeover a journaled server that this host has for gone is a declared one: it is claimed; an answer cancels the declaration, and otherwise it takes effect at the end of the waiting time, as for an owner. Cost: tasks of such a server wait up to 16.4 s after a takeover; one claim per server. Result: an_old_declaration_waits_for_the_previous_owners_leases fails before ("runs twice, also at w1") and passes after.

--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -1,9 +1,9 @@
 //! Recovery of a new owner: it reads the snapshot and the tail, then claims the servers.
 
-use crate::journal::{Entry, JournalError, decode_entries};
+use crate::journal::{JournalError, decode_entries};
 use crate::ownership::Role;
 use crate::prelude::*;
-use crate::servers::{Journaled, Server};
+use crate::servers::{Journaled, Membership};
 use crate::shard::{Call, Shard};
 use crate::snapshot::verify_snapshot;
 use crate::tasks::{DurableState, JobState, Phase};
@@ -109,10 +109,10 @@
                     server.size = journaled.size;
                 }
             }
-            if self.fleet.get(key).is_some_and(Server::is_gone) {
-                // Declared gone before this host became the owner.
-                self.append(Entry::ServerGone(name.to_string()));
-                continue;
+            if let Some(server) = self.fleet.get_mut(key).filter(|server| server.is_gone()) {
+                // It may have returned since, and the previous owner may have started tasks there.
+                server.membership = Membership::Member;
+                server.declared_gone = true;
             }
             self.register_server(key);
         }
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -421,3 +421,31 @@
     let job = cluster.owner_shard().job(JobId(1)).expect("a known job");
     assert_eq!(job.state, JobState::Parked(ParkReason::FailsEverywhere));
 }
+
+/// Guards against a new owner that takes a server for gone because it was declared gone before the takeover, although
+/// the server has returned and runs tasks of the previous owner (fault test, seed 8400248).
+#[test]
+fn an_old_declaration_waits_for_the_previous_owners_leases() {
+    let mut cluster = start_cluster_with_job(2, 2, 1);
+    let owner = cluster.owner().expect("a host owns the shard");
+    let successor = cluster.successor();
+    let server = cluster.server_of(task(1, 0)).expect("the task is running");
+    let other = server_name(usize::from(server == server_name(0)));
+    cluster.isolate_server(&server);
+    let backend = cluster.servers.get_mut(&server).expect("exists");
+    backend.attempts.clear();
+    backend.boot_id += 1;
+    let declared = server.clone();
+    cluster.send(&successor, Event::ServerDeclaredGone { server: declared });
+    cluster.cut_links.clear();
+    cluster.cut_link(&owner, &other);
+    cluster.run_until(10_000, "a start on the server that returned", |cluster| {
+        cluster.server_of(task(1, 0)) == Some(server.clone())
+    });
+    let attempts = cluster.all_attempts();
+    cluster.kill(&owner);
+    cluster.run_until(6_000, "a new owner", Cluster::is_claimed);
+    cluster.run(30_000);
+    assert_eq!(cluster.owner(), Some(successor));
+    assert_eq!(cluster.all_attempts(), attempts, "the task goes on");
+}
