--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -6,7 +6,7 @@
 use crate::placement::TaskUsage;
 use crate::prelude::*;
 use crate::shard::Shard;
-use crate::tasks::{EvictionStep, JobState, Phase, ended_entry, evicted_entry};
+use crate::tasks::{EvictionStep, JobState, Phase, evicted_entry};
 
 /// Server and time of a report, and the call that it answers.
 #[derive(Clone, Copy)]
@@ -139,15 +139,22 @@
             return;
         };
         let is_current = task.server == Some(origin.server) && task.attempt == listed.attempt;
-        let is_newer = listed.attempt > task.attempt;
+        // The journal outlives what this owner has heard of a task: an ended attempt older than the recorded one is no
+        // news, even if it is the first that is reported to this owner.
+        let is_superseded =
+            listed.state != TaskState::Running && task.has_later_checkpoint(listed.attempt);
+        let is_newer = listed.attempt > task.attempt && !is_superseded;
         let is_over = matches!(task.phase, Phase::Ended | Phase::Ending);
         // A success that arrives late: the attempt ended before its lease was considered expired.
         let has_succeeded = listed.state == TaskState::Succeeded;
         let ended_unreported = task.server.is_none() && has_succeeded;
+        let awaits_record = has_succeeded && task.phase == Phase::Ending;
         if has_succeeded && !is_current && !is_over && task.server.is_some() {
             self.stop_for_earlier_success(listed.task);
         } else if is_current {
             self.current_attempt(origin, listed);
+        } else if awaits_record {
+            // If this owner is lost before the commit, the next one learns of the success from the server.
         } else if !is_over && (is_newer || ended_unreported) {
             self.adopt(origin, &listed);
             self.current_attempt(origin, listed);
@@ -157,15 +164,20 @@
     }
 
     /// Stops the current attempt of a task because an earlier one succeeded. The current attempt keeps its reservation
-    /// until it has stopped. The success is not acknowledged yet, so the next report lists it again.
+    /// until it has stopped; then the task has ended.
     fn stop_for_earlier_success(&mut self, id: TaskId) {
         let Some(task) = self.durable.task_mut(id) else {
             return;
         };
+        self.earlier_succeeded.insert(id);
+        if task.phase == Phase::Evicting(EvictionStep::Stopped) {
+            // No report or lapse of that attempt will follow.
+            self.requeue(id);
+            return;
+        }
         task.phase = Phase::Stopping;
         let attempt = task.attempt;
         let server = task.server;
-        self.earlier_succeeded.insert(id);
         if let Some(key) = server {
             self.stop_attempt(key, attempt);
         }
@@ -292,11 +304,11 @@
                 self.requeue(id);
                 return;
             }
-            _ => task.phase = Phase::Ending,
+            _ => {}
         }
         self.free_server(id);
         self.start_succeeded(key, id.job);
-        self.append(ended_entry(id.job, id.index, 1));
+        self.end(id);
     }
 
     fn failed(&mut self, key: ServerKey, id: TaskId) {
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -4,8 +4,10 @@
 mod common;
 
 use common::*;
+use primrosestack_core::journal::{Entry, Head, ParkReason, decode_entries};
 use primrosestack_core::ownership::Role;
 use primrosestack_core::prelude::*;
+use primrosestack_core::tasks::JobState;
 use test_case::test_case;
 
 fn start_cluster_with_job(servers: usize, servers_per_rack: usize, tasks: u32) -> Cluster {
@@ -351,3 +353,99 @@
     assert!(cluster.owner_shard().job(JobId(9)).is_none());
     assert_eq!(cluster.all_attempts(), attempts);
 }
+
+/// Guards against a new owner that takes the report of an earlier attempt for news and records its checkpoint after
+/// that of a later attempt (fault test, seeds 7340129 and 7358623).
+#[test]
+fn a_new_owner_records_no_checkpoint_older_than_the_journals() {
+    let mut cluster = start_cluster_with_job(2, 2, 1);
+    let first = cluster.server_of(task(1, 0)).expect("the task is running");
+    let mut earlier = cluster.servers[&first].attempts.clone();
+    for attempt in earlier.values_mut() {
+        attempt.state = TaskState::Stopped;
+        attempt.checkpoint = Some("earlier".into());
+    }
+    cluster.request_reclaim(&first);
+    cluster.run(6_000);
+    let second = cluster.server_of(task(1, 0)).expect("the task is running");
+    let later = cluster.all_attempts();
+    cluster.request_reclaim(&second);
+    cluster.run(6_000);
+    // The acknowledgement of the first attempt is lost with the owner.
+    for backend in cluster.servers.values_mut() {
+        backend.attempts.clear();
+    }
+    let backend = cluster.servers.get_mut(&first).expect("exists");
+    backend.attempts = earlier;
+    let owner = cluster.owner().expect("a host owns the shard");
+    cluster.kill(&owner);
+    cluster.run_until(6_000, "a new owner", Cluster::is_claimed);
+    cluster.run(20_000);
+    let (_, value) = &cluster.store.values["shard/fd/0/head"];
+    let head = Head::read(value).expect("a readable head");
+    let entries = decode_entries(&head.tail).expect("a readable tail");
+    let recorded: Vec<Attempt> = entries.iter().filter_map(evicted_attempt).collect();
+    assert!(recorded.contains(&later[0]));
+    assert!(recorded.is_sorted(), "{recorded:?}");
+    assert_eq!(cluster.running(task(1, 0)), 1);
+}
+
+fn evicted_attempt(entry: &Entry) -> Option<Attempt> {
+    let Entry::Evicted(evicted) = entry else {
+        return None;
+    };
+    Some(Attempt {
+        term: evicted.attempt_term,
+        counter: evicted.attempt_counter,
+    })
+}
+
+/// Guards against a job that fails everywhere and is never parked, because every new owner counts its failures from the
+/// beginning (fault test, seeds 7386269 and 8202140).
+#[test]
+fn failures_of_a_job_count_across_owners() {
+    let mut cluster = start_cluster_with_job(2, 2, 1);
+    for round in 1..=4 {
+        if round == 3 {
+            let owner = cluster.owner().expect("a host owns the shard");
+            cluster.kill(&owner);
+            cluster.run_until(6_000, "a new owner", Cluster::is_claimed);
+        }
+        cluster.run_until(60_000, "a start", |cluster| {
+            cluster.running(task(1, 0)) == 1
+        });
+        cluster.run(3_000);
+        cluster.end_attempts(task(1, 0), &TaskState::Failed { code: 1 });
+        cluster.run(3_000);
+    }
+    let job = cluster.owner_shard().job(JobId(1)).expect("a known job");
+    assert_eq!(job.state, JobState::Parked(ParkReason::FailsEverywhere));
+}
+
+/// Guards against a new owner that takes a server for gone because it was declared gone before the takeover, although
+/// the server has returned and runs tasks of the previous owner (fault test, seed 8400248).
+#[test]
+fn an_old_declaration_waits_for_the_previous_owners_leases() {
+    let mut cluster = start_cluster_with_job(2, 2, 1);
+    let owner = cluster.owner().expect("a host owns the shard");
+    let successor = cluster.successor();
+    let server = cluster.server_of(task(1, 0)).expect("the task is running");
+    let other = server_name(usize::from(server == server_name(0)));
+    cluster.isolate_server(&server);
+    let backend = cluster.servers.get_mut(&server).expect("exists");
+    backend.attempts.clear();
+    backend.boot_id += 1;
+    let declared = server.clone();
+    cluster.send(&successor, Event::ServerDeclaredGone { server: declared });
+    cluster.cut_links.clear();
+    cluster.cut_link(&owner, &other);
+    cluster.run_until(10_000, "a start on the server that returned", |cluster| {
+        cluster.server_of(task(1, 0)) == Some(server.clone())
+    });
+    let attempts = cluster.all_attempts();
+    cluster.kill(&owner);
+    cluster.run_until(6_000, "a new owner", Cluster::is_claimed);
+    cluster.run(30_000);
+    assert_eq!(cluster.owner(), Some(successor));
+    assert_eq!(cluster.all_attempts(), attempts, "the task goes on");
+}
