--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -220,65 +220,29 @@
             }
             StartReply::WrongInstance => {
                 // Not started, so this run cannot be the cause of a crash.
-                self.abandon_run(
-                    task_ref,
-                    server,
-                    request.run,
-                    AbandonReason::NotStartedOrStopped,
-                    now_ms,
-                );
+                self.abandon_start(task_ref, server, request.run, now_ms);
                 self.end_incarnation(server, 0, now_ms);
             }
             StartReply::Fenced => {
                 self.servers[server].fenced = true;
-                self.abandon_run(
-                    task_ref,
-                    server,
-                    request.run,
-                    AbandonReason::NotStartedOrStopped,
-                    now_ms,
-                );
+                self.abandon_start(task_ref, server, request.run, now_ms);
             }
             StartReply::NoCapacity => {
                 self.servers[server].full_until_ms = now_ms + FULL_SERVER_RETRY_MS;
-                self.abandon_run(
-                    task_ref,
-                    server,
-                    request.run,
-                    AbandonReason::NotStartedOrStopped,
-                    now_ms,
-                );
+                self.abandon_start(task_ref, server, request.run, now_ms);
             }
             StartReply::Refused => {
                 self.servers[server].suspension.record_stall(now_ms);
-                self.abandon_run(
-                    task_ref,
-                    server,
-                    request.run,
-                    AbandonReason::NotStartedOrStopped,
-                    now_ms,
-                );
+                self.abandon_start(task_ref, server, request.run, now_ms);
             }
             StartReply::NoTicket => {
                 let step = &mut self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize]
                     .steps[task_ref.step as usize];
                 step.tickets_expire_ms = 0;
-                self.abandon_run(
-                    task_ref,
-                    server,
-                    request.run,
-                    AbandonReason::NotStartedOrStopped,
-                    now_ms,
-                );
+                self.abandon_start(task_ref, server, request.run, now_ms);
             }
             StartReply::Stale | StartReply::Late => {
-                self.abandon_run(
-                    task_ref,
-                    server,
-                    request.run,
-                    AbandonReason::NotStartedOrStopped,
-                    now_ms,
-                );
+                self.abandon_start(task_ref, server, request.run, now_ms);
             }
         }
     }
@@ -303,6 +267,12 @@
         }
     }
 
+    /// Abandons a run that its server refused to start.
+    fn abandon_start(&mut self, task_ref: TaskRef, server: ServerKey, number: u32, now_ms: u64) {
+        let reason = AbandonReason::NotStartedOrStopped;
+        self.abandon_run(task_ref, server, number, reason, now_ms);
+    }
+
     /// Abandons a run that is known not to be running.
     pub(crate) fn abandon_run(
         &mut self,
