Do not wait anew for servers that no owner since has reached

Cause: the wait for an owner's leases began with its answer, also for servers to which it had granted none because they never answered it. Change: a handover names the servers of earlier owners that never answered; for these only the earlier leases count. About 14 bytes for each such server.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -61,6 +61,9 @@
     /// Whether the owner gave no orders in its term and does not know which tasks earlier owners started.
     #[prost(bool, tag = "5")]
     pub unopened: bool,
+    /// Servers of earlier owners that never answered this one, so that it granted them no lease; sorted.
+    #[prost(string, repeated, tag = "6")]
+    pub unreached_servers: Vec<String>,
 }
 
 impl Handover {
@@ -123,6 +126,19 @@
     handover: Option<Handover>,
 }
 
+impl Answer {
+    /// Whether the owner may have granted a lease to a server.
+    fn may_have_granted(&self, server: &str) -> bool {
+        let Some(handover) = &self.handover else {
+            return true;
+        };
+        let unreached = &handover.unreached_servers;
+        unreached
+            .binary_search_by(|name| name.as_str().cmp(server))
+            .is_err()
+    }
+}
+
 /// Answers of earlier owners, sorted by term.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Predecessors {
@@ -157,12 +173,14 @@
         answers
     }
 
-    /// When all leases of earlier owners have expired according to their answers.
-    fn leases_end_ms(&self, term: u64, own_lease_ms: u64) -> Option<u64> {
+    /// When all leases that earlier owners granted to a server have expired according to their answers.
+    fn leases_end_ms(&self, term: u64, own_lease_ms: u64, server: &str) -> Option<u64> {
         let mut answered_end_ms = 0;
         let mut earliest: Option<u64> = None;
         for answer in self.unbroken(term) {
-            answered_end_ms = answered_end_ms.max(answer.received_ms + own_lease_ms);
+            if answer.may_have_granted(server) {
+                answered_end_ms = answered_end_ms.max(answer.received_ms + own_lease_ms);
+            }
             let earlier_end_ms = if answer.term <= 1 {
                 Some(0)
             } else {
@@ -248,9 +266,23 @@
             settled: self.settled,
             settle_in_ms,
             unopened: false,
+            unreached_servers: self.unclaimed.iter().map(ToString::to_string).collect(),
         }
     }
 
+    /// Shortens the wait for earlier owners to the leases that these may have granted to the servers that have not
+    /// answered yet.
+    pub(crate) fn shorten_wait(&mut self) {
+        let lease_ms = Bounds::lease_upper_bound_ms(LEASE_MS.min(self.bounds.lease_max_ms));
+        let mut latest_ms = 0;
+        for server in &self.unclaimed {
+            let end_ms = self.predecessors.leases_end_ms(self.term, lease_ms, server);
+            let Some(end_ms) = end_ms else { return };
+            latest_ms = latest_ms.max(end_ms);
+        }
+        self.settle_deadline_ms = self.settle_deadline_ms.min(latest_ms);
+    }
+
     /// Applies the handover of an earlier owner: queues all tasks that the owners before this one did not have in
     /// flight, and shortens the wait for their leases.
     pub fn apply_handover(&mut self, handover: &Handover, now_ms: u64) {
@@ -285,10 +317,7 @@
         if self.settled {
             return;
         }
-        let lease_ms = Bounds::lease_upper_bound_ms(LEASE_MS.min(self.bounds.lease_max_ms));
-        if let Some(end_ms) = self.predecessors.leases_end_ms(self.term, lease_ms) {
-            self.settle_deadline_ms = self.settle_deadline_ms.min(end_ms);
-        }
+        self.shorten_wait();
         let Some(in_flight) = self.predecessors.in_flight(self.term) else {
             return;
         };
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -93,6 +93,7 @@
         let name = &self.servers[server].entry.name;
         if let Ok(index) = self.unclaimed.binary_search(name) {
             self.unclaimed.remove(index);
+            self.shorten_wait();
         }
         // The server's runs are known only once the report that is being applied has been processed.
         self.settle_deadline_ms = self.settle_deadline_ms.max(now_ms);
