Postpone starts of a task while the servers of its last starts are away

Cause: a crash is counted when the server comes back. Until then the lapse of its lease only made the task a suspect, and it was started on one more server for each 4.9 s. Class: a limit that counts only what is proved, while the proof can take any time. Change: a lapse soon after a start counts as a possible crash. With three of these the task waits until one of the servers is heard of again, 30 s at most, and is not delegated meanwhile. A server that answers as the same incarnation takes its lapse back. The decision is logged as start_postponed. Tests: crash_absence.rs; 5 of its 9 cases fail without the change (started 7 times with servers away for 30 s), all pass with it. They also show that a task whose servers were only out of reach runs again and is not failed.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -3,6 +3,9 @@
 //! When a server crashes, the runs that had just started there are suspected. A suspected task starts alone on a server,
 //! so that the next crash tells which task causes it; its job fails after a few. A task that outlives its start is no
 //! longer suspected. The counts are recorded with the task, so that they outlast a change of owner.
+//!
+//! A server that lapses after a start may have crashed, or may be out of reach. Until one of them is heard of again, a
+//! task with as many of these as crashes would fail it is not started.
 
 use smol_str::SmolStr;
 
@@ -23,6 +26,9 @@
 /// Wait after which a suspected task starts beside other recent starts; on a busy server there is always one.
 pub(crate) const ALONE_WAIT_MAX_MS: u64 = 1_500;
 
+/// Wait for servers that lapsed after starts of a task and may have crashed: longer than a server takes to restart.
+const LAPSED_SERVER_WAIT_MS: u64 = 30_000;
+
 /// Lapsed servers that are remembered; more at a time were cut off rather than crashed.
 const LAPSED_SERVERS_MAX: usize = 64;
 
@@ -74,18 +80,51 @@
     }
 
     /// Suspects runs of a server that lapsed; whether it crashed is known only when it is back.
-    pub(crate) fn suspect_lapsed(&mut self, server: ServerKey) {
+    pub(crate) fn suspect_lapsed(&mut self, server: ServerKey, now_ms: u64) {
         // A draining server was expected to leave.
         if self.servers[server].draining_since_ms.is_some() {
             return;
         }
         let suspects = self.crash_suspects(server);
-        for &(task_ref, _) in &suspects {
-            self.task_mut(task_ref).suspected = true;
+        for &(task_ref, number) in &suspects {
+            let task = self.task_mut(task_ref);
+            task.suspected = true;
+            task.lapsed_runs.push(number);
+            task.lapsed_ms = now_ms;
+            if !self.awaits_lapsed_servers(task_ref, now_ms) {
+                continue;
+            }
+            let task = self.task(task_ref);
+            let inputs = [
+                ("crashes", task.crashed_runs.len() as u64),
+                ("lapses", task.lapsed_runs.len() as u64),
+                ("wait_ms", LAPSED_SERVER_WAIT_MS),
+            ];
+            self.log_decision("start_postponed", Some(task_ref), Some(server), inputs);
         }
         self.servers[server].lapsed_suspects = suspects;
     }
 
+    /// Whether a task waits until it is known whether the servers of its last starts have crashed.
+    pub(crate) fn awaits_lapsed_servers(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+        let task = self.task(task_ref);
+        let crashes = to_u32(task.crashed_runs.len() + task.lapsed_runs.len());
+        !task.lapsed_runs.is_empty()
+            && crashes >= CRASHES_MAX
+            && now_ms < task.lapsed_ms + LAPSED_SERVER_WAIT_MS
+    }
+
+    /// Ends the suspicion against runs on a server that had lapsed and turns out not to have crashed.
+    pub(crate) fn clear_lapse(&mut self, suspects: impl IntoIterator<Item = (TaskRef, u32)>) {
+        for (task_ref, number) in suspects {
+            if !self.jobs.contains_key(task_ref.job) {
+                continue;
+            }
+            let task = self.task_mut(task_ref);
+            task.lapsed_runs.retain(|&lapsed| lapsed != number);
+        }
+    }
+
     /// Remembers the suspects of a server that is dropped, in case it comes back.
     pub(crate) fn remember_lapsed(&mut self, server: &Server) {
         if server.lapsed_suspects.is_empty() {
@@ -114,6 +153,8 @@
         let lapsed = self.lapsed_servers.remove(position);
         if lapsed.started_unix_ms < started_unix_ms {
             self.count_crash(server, &lapsed.suspects, now_ms);
+        } else {
+            self.clear_lapse(lapsed.suspects);
         }
     }
 
@@ -124,6 +165,7 @@
         suspects: &[(TaskRef, u32)],
         now_ms: u64,
     ) {
+        self.clear_lapse(suspects.iter().copied());
         for &(task_ref, number) in suspects {
             if !self.jobs.contains_key(task_ref.job) {
                 continue;
@@ -175,6 +217,7 @@
         }
         let task = self.task_mut(task_ref);
         task.outlived_run = task.outlived_run.max(number);
+        task.lapsed_runs.retain(|&lapsed| lapsed > number);
         if !task.suspected {
             return;
         }
--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -64,7 +64,7 @@
                         Some(server),
                         [("silent_ms", silent_ms)],
                     );
-                    self.suspect_lapsed(server);
+                    self.suspect_lapsed(server, now_ms);
                     for (task_ref, number) in runs {
                         self.abandon_run(
                             task_ref,
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -70,7 +70,7 @@
             if !self.is_startable(task_ref) {
                 continue;
             }
-            if blocked_steps.contains(&step_key) {
+            if blocked_steps.contains(&step_key) || self.awaits_lapsed_servers(task_ref, now_ms) {
                 unplaced.push(task_ref);
                 continue;
             }
@@ -221,8 +221,10 @@
         let members: Vec<TaskRef> = (0..spec.tasks)
             .map(|index| TaskRef { index, ..task_ref })
             .collect();
-        let is_startable_member =
-            |member: &TaskRef| self.task(*member).runs.is_empty() && !self.task(*member).unresolved;
+        let is_startable_member = |member: &TaskRef| {
+            let task = self.task(*member);
+            task.runs.is_empty() && !task.unresolved && !self.awaits_lapsed_servers(*member, now_ms)
+        };
         if !members.iter().all(is_startable_member) {
             return false;
         }
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -37,11 +37,12 @@
         state.claimed = true;
         state.fenced = false;
         // The same incarnation answers, so the server had not crashed.
-        state.lapsed_suspects.clear();
+        let cleared = std::mem::take(&mut state.lapsed_suspects);
         if report.sent_ms >= state.last_contact_ms || !was_claimed {
             state.clock_ms = report.clock_ms;
             state.last_contact_ms = now_ms;
         }
+        self.clear_lapse(cleared);
         if !was_claimed {
             // A lease granted by the predecessor may still be valid; the server accepts no more from it.
             let lease_upper_bound_ms = Bounds::lease_upper_bound_ms(self.bounds.lease_ms());
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -106,6 +106,10 @@
     pub sole_crashes: u32,
     /// Highest number of a run that outlived its start; earlier runs are no longer suspected.
     pub outlived_run: u32,
+    /// Numbers of the runs whose server lapsed soon after their start and has not been heard of since.
+    pub lapsed_runs: Vec<u32>,
+    /// When the last of these servers lapsed.
+    pub lapsed_ms: u64,
     /// Newest checkpoint; empty for none.
     pub checkpoint: SmolStr,
     /// Servers on which the task failed or made no progress.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -66,6 +66,7 @@
             && step_allows_delegation
             && task.queued
             && task.runs.is_empty()
+            && !self.awaits_lapsed_servers(task_ref, now_ms)
             && now_ms >= task.ready_since_ms + DELEGATE_AFTER_MS
     }
 
--- /dev/null
+++ b/crates/fleet/tests/crash_absence.rs
@@ -0,0 +1,184 @@
+//! Servers that stay away for a while after a task has crashed them.
+
+mod common;
+
+use common::{Harness, entry, service_step, step};
+use primrosestack_fleet::job::{JobId, StepSpec};
+use primrosestack_fleet::report::{Report, ServerEntry};
+use primrosestack_fleet::shard::JobStatus;
+use test_case::test_case;
+
+const TICK_MS: u64 = 100;
+
+/// Time of silence after which the registration of a server disappears.
+const REGISTRATION_MS: u64 = 4_500;
+
+/// Start of the first incarnation of each server.
+const FIRST_START_UNIX_MS: u64 = 10;
+
+/// The service contract allows two more starts after three servers have crashed.
+const STARTS_MAX: usize = 5;
+
+/// A server of the simulation.
+struct Backend {
+    name: &'static str,
+    started_unix_ms: u64,
+    /// When it went silent; `None` while it answers.
+    silent_since_ms: Option<u64>,
+}
+
+/// Servers that go silent whenever a task starts on them.
+struct Simulation {
+    harness: Harness,
+    backends: Vec<Backend>,
+    absence_ms: u64,
+    /// Whether they crash; otherwise they are only out of reach.
+    crashes: bool,
+    starts: usize,
+}
+
+impl Simulation {
+    fn open(names: &[&'static str], absence_ms: u64, crashes: bool) -> Self {
+        let backend = |&name: &&'static str| Backend {
+            name,
+            started_unix_ms: FIRST_START_UNIX_MS,
+            silent_since_ms: None,
+        };
+        let mut simulation = Self {
+            harness: Harness::open_term(1, &[], names),
+            backends: names.iter().map(backend).collect(),
+            absence_ms,
+            crashes,
+            starts: 0,
+        };
+        for index in 0..names.len() {
+            simulation.register(index);
+            simulation.answer(index);
+        }
+        simulation.harness.write_records();
+        simulation
+    }
+
+    fn register(&mut self, index: usize) {
+        let backend = &self.backends[index];
+        let entry = ServerEntry {
+            started_unix_ms: backend.started_unix_ms,
+            ..entry(backend.name)
+        };
+        self.harness.shard.set_server(entry, self.harness.now_ms);
+    }
+
+    /// Answers a poll; nothing runs, since tasks end with the server.
+    fn answer(&mut self, index: usize) {
+        let backend = &self.backends[index];
+        let report = Report {
+            sent_ms: self.harness.now_ms,
+            started_unix_ms: backend.started_unix_ms,
+            clock_ms: self.harness.now_ms,
+            ..Report::default()
+        };
+        let key = self.harness.key(backend.name);
+        let now_ms = self.harness.now_ms;
+        self.harness.shard.apply_report(key, &report, now_ms);
+    }
+
+    fn run_for(&mut self, duration_ms: u64) {
+        let end_ms = self.harness.now_ms + duration_ms;
+        while self.harness.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now_ms = self.harness.now_ms;
+        for index in 0..self.backends.len() {
+            let backend = &mut self.backends[index];
+            let Some(since_ms) = backend.silent_since_ms else {
+                self.answer(index);
+                continue;
+            };
+            if now_ms >= since_ms + self.absence_ms {
+                backend.silent_since_ms = None;
+                backend.started_unix_ms += u64::from(self.crashes);
+                self.register(index);
+                self.answer(index);
+            } else if now_ms >= since_ms + REGISTRATION_MS {
+                self.harness.shard.unregister_server(backend.name);
+            }
+        }
+        self.harness.tick();
+        self.harness.write_records();
+        self.harness.plan();
+        for (key, _) in self.harness.confirm_starts() {
+            self.starts += 1;
+            let name = self.harness.name(key);
+            let started_on = self
+                .backends
+                .iter_mut()
+                .find(|backend| backend.name == name)
+                .expect("the server is simulated");
+            started_on.silent_since_ms = Some(now_ms);
+        }
+        self.harness.now_ms += TICK_MS;
+    }
+}
+
+const NAMES: [&str; 8] = [
+    "one", "two", "three", "four", "five", "six", "seven", "eight",
+];
+
+/// Guards against a task crashing one server after the other while the crashed ones need long to come back, so that
+/// their crashes are known only afterwards.
+#[test_case(3_000, step(1); "short task, 3 s")]
+#[test_case(8_000, step(1); "short task, 8 s")]
+#[test_case(12_000, step(1); "short task, 12 s")]
+#[test_case(20_000, step(1); "short task, 20 s")]
+#[test_case(30_000, step(1); "short task, 30 s")]
+#[test_case(30_000, service_step(1, "web"); "long-running task, 30 s")]
+#[test_case(600_000, step(1); "short task, servers never back")]
+fn a_crashing_task_is_limited_while_its_servers_are_away(absence_ms: u64, step: StepSpec) {
+    let mut simulation = Simulation::open(&NAMES, absence_ms, true);
+    let job = simulation.harness.submit(7, 0, vec![step]);
+    simulation.run_for(90_000);
+    assert!(
+        simulation.starts <= STARTS_MAX,
+        "started {} times",
+        simulation.starts
+    );
+    if absence_ms <= 30_000 {
+        let status = simulation.harness.shard.job_status(job);
+        assert_eq!(status, Some(JobStatus::Failed));
+    }
+}
+
+/// Guards against a task standing still for good, or its job failing, since servers went out of reach at its starts.
+#[test]
+fn a_task_starts_again_once_its_servers_are_back_in_reach() {
+    let mut simulation = Simulation::open(&NAMES, 20_000, false);
+    let job = simulation
+        .harness
+        .submit(7, 0, vec![service_step(1, "web")]);
+    simulation.run_for(19_000);
+    assert_eq!(simulation.starts, 3, "further starts wait for the servers");
+    simulation.run_for(3_000);
+    assert_eq!(
+        simulation.starts, 4,
+        "a server that is back explains a lapse"
+    );
+    let status = simulation.harness.shard.job_status(job);
+    assert_eq!(status, Some(JobStatus::Running));
+}
+
+/// Guards against other tasks waiting for servers that a task may have crashed.
+#[test]
+fn other_jobs_start_while_a_task_waits_for_its_servers() {
+    let mut simulation = Simulation::open(&NAMES, 600_000, true);
+    simulation.harness.submit(7, 0, vec![step(1)]);
+    simulation.run_for(20_000);
+    assert_eq!(simulation.starts, 3);
+    simulation.harness.submit(8, 0, vec![step(1)]);
+    simulation.harness.plan();
+    let starts = simulation.harness.confirm_starts();
+    let jobs: Vec<JobId> = starts.iter().map(|(_, start)| start.task.job).collect();
+    assert_eq!(jobs, [JobId(8)]);
+}
