Hand over what an owner knows of crashes

A task was started three more times after three servers had crashed. Cause: a cut-off owner counts crashes that it cannot record, and its handover did not tell them. A remote owner started the task 10 ms before its server crashed and released the shard 0.2 s later; the next owner knew of no run on that server and counted nothing when it came back. Change: the handover tells the crashes counted for a task, the lapses that are not explained yet, and the servers on which tasks had just started, with the incarnation. The successor counts a crash when such a server answers as a newer incarnation. Lapses are recorded with the task and transferred with it, so that a task delegated to and fro is limited too. Cost: some 60 bytes for each server with a start in the last second, 10 for each run there. Tests: crash_handover.rs. Without the new function crashes_are_counted_although_the_owner_changes_after_each_start starts the task 8 times (2 with it) and unrecorded_crashes_are_handed_over fails.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -129,9 +129,7 @@
             };
             task.last_run = record.last_run;
             task.failed_runs.clone_from(&record.failed_runs);
-            task.crashed_runs.clone_from(&record.crashed_runs);
-            task.sole_crashes = record.sole_crashes;
-            task.suspected = !task.crashed_runs.is_empty();
+            task.restore_suspicion(record, now_ms);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.remote = record.remote;
             if record.done && !task.done {
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -11,7 +11,7 @@
 
 use crate::record::Phase;
 use crate::server::Server;
-use crate::shard::{ServerKey, Shard, TaskRef, to_u32};
+use crate::shard::{JobKey, ServerKey, Shard, TaskRef, to_u32};
 use crate::task::Run;
 
 /// Age at which a listed run has outlived its start; servers crash within a few milliseconds of it.
@@ -30,15 +30,17 @@
 const LAPSED_SERVER_WAIT_MS: u64 = 30_000;
 
 /// Lapsed servers that are remembered; more at a time were cut off rather than crashed.
-const LAPSED_SERVERS_MAX: usize = 64;
+const LAPSED_SERVERS_MAX: usize = 256;
 
-/// Server that lapsed and left the registrations. If it comes back as another incarnation, it had crashed.
+/// Server that lapsed and left the registrations, or on which an earlier owner had just started tasks. If it comes back as another incarnation, it had crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct LapsedServer {
-    name: SmolStr,
-    address: SmolStr,
-    started_unix_ms: u64,
-    suspects: Vec<(TaskRef, u32)>,
+    pub(crate) name: SmolStr,
+    pub(crate) address: SmolStr,
+    /// Start of the incarnation that lapsed, in milliseconds since the Unix epoch.
+    pub(crate) started_unix_ms: u64,
+    /// Runs that may have crashed it.
+    pub(crate) suspects: Vec<(TaskRef, u32)>,
 }
 
 impl Shard {
@@ -71,7 +73,7 @@
             return true;
         }
         let task = self.task(task_ref);
-        task.suspected
+        task.is_suspected()
             && now_ms < task.ready_since_ms + ALONE_WAIT_MAX_MS
             && state
                 .runs
@@ -91,6 +93,7 @@
             task.suspected = true;
             task.lapsed_runs.push(number);
             task.lapsed_ms = now_ms;
+            self.mark_job_changed(task_ref.job, now_ms);
             if !self.awaits_lapsed_servers(task_ref, now_ms) {
                 continue;
             }
@@ -106,7 +109,7 @@
     }
 
     /// Whether a task waits until it is known whether the servers of its last starts have crashed.
-    pub(crate) fn awaits_lapsed_servers(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+    fn awaits_lapsed_servers(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let task = self.task(task_ref);
         let crashes = to_u32(task.crashed_runs.len() + task.lapsed_runs.len());
         !task.lapsed_runs.is_empty()
@@ -114,6 +117,11 @@
             && now_ms < task.lapsed_ms + LAPSED_SERVER_WAIT_MS
     }
 
+    /// Whether a task that may crash servers must not start at present, since it waits for servers that lapsed.
+    pub(crate) fn is_start_postponed(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+        self.awaits_lapsed_servers(task_ref, now_ms)
+    }
+
     /// Ends the suspicion against runs on a server that had lapsed and turns out not to have crashed.
     pub(crate) fn clear_lapse(&mut self, suspects: impl IntoIterator<Item = (TaskRef, u32)>) {
         for (task_ref, number) in suspects {
@@ -130,31 +138,42 @@
         if server.lapsed_suspects.is_empty() {
             return;
         }
-        self.lapsed_servers.push(LapsedServer {
+        self.remember_server(LapsedServer {
             name: server.entry.name.clone(),
             address: server.entry.address.clone(),
             started_unix_ms: server.started_unix_ms,
             suspects: server.lapsed_suspects.clone(),
         });
+    }
+
+    pub(crate) fn remember_server(&mut self, server: LapsedServer) {
+        self.lapsed_servers.push(server);
         let excess = self.lapsed_servers.len().saturating_sub(LAPSED_SERVERS_MAX);
         self.lapsed_servers.drain(..excess);
     }
 
-    /// Counts the crash of a server that registers again after it was dropped, perhaps by another name. One that was
-    /// only cut off is forgotten.
-    pub(crate) fn count_remembered_crash(&mut self, server: ServerKey, now_ms: u64) {
-        let entry = &self.servers[server].entry;
-        let position = self
-            .lapsed_servers
-            .iter()
-            .position(|lapsed| lapsed.name == entry.name || lapsed.address == entry.address);
-        let Some(position) = position else { return };
-        let started_unix_ms = entry.started_unix_ms;
-        let lapsed = self.lapsed_servers.remove(position);
-        if lapsed.started_unix_ms < started_unix_ms {
-            self.count_crash(server, &lapsed.suspects, now_ms);
-        } else {
-            self.clear_lapse(lapsed.suspects);
+    /// Counts the crash of a server that is heard of again after it was dropped, perhaps by another name, or after a
+    /// change of owner. One that was only cut off is forgotten.
+    pub(crate) fn count_remembered_crash(
+        &mut self,
+        server: ServerKey,
+        started_unix_ms: u64,
+        now_ms: u64,
+    ) {
+        if started_unix_ms == 0 {
+            return;
+        }
+        let entry = self.servers[server].entry.clone();
+        let is_same = |lapsed: &mut LapsedServer| {
+            lapsed.name == entry.name || lapsed.address == entry.address
+        };
+        let found: Vec<LapsedServer> = self.lapsed_servers.extract_if(.., is_same).collect();
+        for lapsed in found {
+            if lapsed.started_unix_ms < started_unix_ms {
+                self.count_crash(server, &lapsed.suspects, now_ms);
+            } else {
+                self.clear_lapse(lapsed.suspects);
+            }
         }
     }
 
@@ -174,16 +193,13 @@
             if task.remote || number <= task.outlived_run {
                 continue;
             }
-            let job = &mut self.jobs[task_ref.job];
-            job.mark_changed(now_ms);
-            self.changed.push(task_ref.job);
+            self.mark_job_changed(task_ref.job, now_ms);
             let task = self.task_mut(task_ref);
             task.suspected = true;
             if !task.crashed_runs.contains(&number) {
                 task.crashed_runs.push(number);
                 task.sole_crashes += u32::from(suspects.len() == 1);
             }
-            let sole_crashes = task.sole_crashes;
             let crashes = to_u32(task.crashed_runs.len());
             self.log_decision(
                 "crash_suspected",
@@ -195,19 +211,34 @@
                     ("suspects", suspects.len() as u64),
                 ],
             );
-            let is_given_up = crashes >= CRASHES_MAX || sole_crashes >= SOLE_SUSPECT_CRASHES_MAX;
-            let is_done = self.task(task_ref).done;
-            if !is_given_up || is_done || !self.jobs[task_ref.job].is_live() {
-                continue;
-            }
-            self.log_decision(
-                "job_given_up",
-                Some(task_ref),
-                Some(server),
-                [("crashes", u64::from(crashes))],
-            );
-            self.end_job(task_ref.job, Phase::Failed, now_ms);
+            self.give_up_if_due(task_ref, Some(server), now_ms);
+        }
+    }
+
+    /// Fails the job of a task that has crashed too many servers.
+    pub(crate) fn give_up_if_due(
+        &mut self,
+        task_ref: TaskRef,
+        server: Option<ServerKey>,
+        now_ms: u64,
+    ) {
+        let task = self.task(task_ref);
+        let crashes = to_u32(task.crashed_runs.len());
+        let is_due = crashes >= CRASHES_MAX || task.sole_crashes >= SOLE_SUSPECT_CRASHES_MAX;
+        if !is_due || task.done || !self.jobs[task_ref.job].is_live() {
+            return;
         }
+        let inputs = [("crashes", u64::from(crashes))];
+        self.log_decision("job_given_up", Some(task_ref), server, inputs);
+        self.end_job(task_ref.job, Phase::Failed, now_ms);
+    }
+
+    /// Schedules a record of the job and returns the version that it will have.
+    pub(crate) fn mark_job_changed(&mut self, job: JobKey, now_ms: u64) -> u64 {
+        self.changed.push(job);
+        let job = &mut self.jobs[job];
+        job.mark_changed(now_ms);
+        job.version
     }
 
     /// Ends the suspicion against a task, since a server has outlived a start of it.
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -8,6 +8,7 @@
 //! the owners before it as well, newest first, back to one that had settled.
 
 use crate::bounds::{Bounds, LEASE_MS};
+use crate::crash_handover::{RecentStarts, SuspectedTask};
 use crate::job::{JobId, TaskId};
 use crate::record::Phase;
 use crate::shard::Shard;
@@ -33,7 +34,7 @@
 }
 
 impl InFlightTask {
-    fn id(&self) -> TaskId {
+    pub(crate) fn id(&self) -> TaskId {
         TaskId {
             job: JobId(self.job),
             occurrence: self.occurrence,
@@ -64,6 +65,12 @@
     /// Servers of earlier owners that never answered this one, so that it granted them no lease; sorted.
     #[prost(string, repeated, tag = "6")]
     pub unreached_servers: Vec<String>,
+    /// Tasks that may have crashed servers.
+    #[prost(message, repeated, tag = "7")]
+    pub suspected_tasks: Vec<SuspectedTask>,
+    /// Servers of which it is not known whether the last starts there crashed them.
+    #[prost(message, repeated, tag = "8")]
+    pub recent_starts: Vec<RecentStarts>,
 }
 
 impl Handover {
@@ -267,6 +274,8 @@
             settle_in_ms,
             unopened: false,
             unreached_servers: self.unclaimed.iter().map(ToString::to_string).collect(),
+            suspected_tasks: self.suspected_tasks(),
+            recent_starts: self.recent_starts(),
         }
     }
 
@@ -289,6 +298,7 @@
         if handover.term >= self.term {
             return;
         }
+        self.inherit_suspicions(handover, now_ms);
         self.predecessors.insert(Answer {
             term: handover.term,
             received_ms: now_ms,
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -88,6 +88,7 @@
             failed_runs: task.failed_runs.clone(),
             crashed_runs: task.crashed_runs.clone(),
             sole_crashes: task.sole_crashes,
+            lapsed_runs: task.lapsed_runs.clone(),
             remote: task.remote,
             checkpoint: if task.done {
                 String::new()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod arrival;
 pub mod bounds;
 pub mod claim;
+pub mod crash_handover;
 mod crashes;
 pub mod expiry;
 pub mod handover;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -70,7 +70,7 @@
             if !self.is_startable(task_ref) {
                 continue;
             }
-            if blocked_steps.contains(&step_key) || self.awaits_lapsed_servers(task_ref, now_ms) {
+            if blocked_steps.contains(&step_key) || self.is_start_postponed(task_ref, now_ms) {
                 unplaced.push(task_ref);
                 continue;
             }
@@ -223,7 +223,7 @@
             .collect();
         let is_startable_member = |member: &TaskRef| {
             let task = self.task(*member);
-            task.runs.is_empty() && !task.unresolved && !self.awaits_lapsed_servers(*member, now_ms)
+            task.runs.is_empty() && !task.unresolved && !self.is_start_postponed(*member, now_ms)
         };
         if !members.iter().all(is_startable_member) {
             return false;
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -51,6 +51,9 @@
     /// How many of them were the only ones that may have crashed their server.
     #[prost(uint32, tag = "10")]
     pub sole_crashes: u32,
+    /// Run numbers whose server lapsed soon after their start and has not been heard of since.
+    #[prost(uint32, repeated, tag = "11")]
+    pub lapsed_runs: Vec<u32>,
 }
 
 /// Recorded progress of a job.
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -58,6 +58,7 @@
                 ],
             );
             self.mark_claimed(server, now_ms);
+            self.count_remembered_crash(server, report.started_unix_ms, now_ms);
         } else if silent_ms > crate::server::CONTACT_TIMEOUT_MS {
             self.log_decision(
                 "server_regained",
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -62,7 +62,7 @@
         now_ms: u64,
     ) {
         self.add_run(task_ref, server, number, now_ms);
-        if self.task(task_ref).suspected {
+        if self.task(task_ref).is_suspected() {
             self.servers[server]
                 .suspected_run
                 .get_or_insert((task_ref, number));
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::record::TaskRecord;
 use crate::shard::ServerKey;
 
 /// State of a run.
@@ -127,6 +128,21 @@
             .position(|run| run.server == server && run.number == number)
     }
 
+    /// Whether the task may have crashed the server of its last start.
+    #[must_use]
+    pub fn is_suspected(&self) -> bool {
+        self.suspected || !self.lapsed_runs.is_empty()
+    }
+
+    /// Restores what an earlier owner, or another shard, recorded of crashes.
+    pub fn restore_suspicion(&mut self, record: &TaskRecord, now_ms: u64) {
+        self.crashed_runs.clone_from(&record.crashed_runs);
+        self.sole_crashes = record.sole_crashes;
+        self.lapsed_runs.clone_from(&record.lapsed_runs);
+        self.lapsed_ms = now_ms;
+        self.suspected = !self.crashed_runs.is_empty();
+    }
+
     /// Whether the task's last run by earlier owners is known to have ended; `last_run` is 0 if unknown.
     #[must_use]
     pub fn has_ended(&self, last_run: u32) -> bool {
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -66,7 +66,7 @@
             && step_allows_delegation
             && task.queued
             && task.runs.is_empty()
-            && !self.awaits_lapsed_servers(task_ref, now_ms)
+            && !self.is_start_postponed(task_ref, now_ms)
             && now_ms >= task.ready_since_ms + DELEGATE_AFTER_MS
     }
 
@@ -84,6 +84,7 @@
             checkpoint: task.checkpoint.to_string(),
             crashed_runs: task.crashed_runs.clone(),
             sole_crashes: task.sole_crashes,
+            lapsed_runs: task.lapsed_runs.clone(),
             ..TaskRecord::default()
         };
         let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
@@ -146,9 +147,7 @@
             task.remote = false;
             task.last_run = record.last_run.max(run_number_base);
             task.checkpoint = SmolStr::new(&record.checkpoint);
-            task.crashed_runs.clone_from(&record.crashed_runs);
-            task.sole_crashes = record.sole_crashes;
-            task.suspected = !task.crashed_runs.is_empty();
+            task.restore_suspicion(record, now_ms);
             task.unresolved = predates_term && !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
         }
--- /dev/null
+++ b/crates/fleet/tests/crash_handover.rs
@@ -0,0 +1,197 @@
+//! Crashes under a task whose owner changes before they are counted or recorded.
+
+mod common;
+
+use common::{Harness, START_MS, entry, run_status, step, task_id};
+use primrosestack_fleet::handover::Handover;
+use primrosestack_fleet::job::{JobId, JobSpec};
+use primrosestack_fleet::record::{Progress, StoredJob};
+use primrosestack_fleet::report::{Report, ServerEntry};
+use primrosestack_fleet::shard::JobStatus;
+use test_case::test_case;
+
+const NAMES: [&str; 3] = ["one", "two", "three"];
+
+const JOB: JobId = JobId(7);
+
+/// Start of the first incarnation of each server; each crash adds one.
+const FIRST_START_UNIX_MS: u64 = 10;
+
+/// Time from a crash until the server answers again.
+const RESTART_MS: u64 = 3_000;
+
+/// Incarnations of the servers, which outlast the owners.
+struct Servers {
+    started_unix_ms: [u64; 3],
+}
+
+impl Servers {
+    fn open() -> Self {
+        Self {
+            started_unix_ms: [FIRST_START_UNIX_MS; 3],
+        }
+    }
+
+    fn crash(&mut self, name: &str) {
+        let index = NAMES.iter().position(|known| *known == name);
+        self.started_unix_ms[index.expect("the server is known")] += 1;
+    }
+
+    fn answer(&self, owner: &mut Harness) {
+        for (name, &started_unix_ms) in NAMES.iter().zip(&self.started_unix_ms) {
+            let registration = ServerEntry {
+                started_unix_ms,
+                ..entry(name)
+            };
+            owner.shard.set_server(registration, owner.now_ms);
+            let report = Report {
+                sent_ms: owner.now_ms,
+                started_unix_ms,
+                clock_ms: owner.now_ms,
+                ..Report::default()
+            };
+            let key = owner.key(name);
+            owner.shard.apply_report(key, &report, owner.now_ms);
+        }
+    }
+}
+
+/// Opens the term of an owner that reads what is recorded of the job.
+fn open_term(term: u64, now_ms: u64, progress: Option<Progress>) -> Harness {
+    let mut owner = Harness::open_term(term, &NAMES, &[]);
+    owner.now_ms = now_ms;
+    let stored = StoredJob {
+        spec: Some(JobSpec {
+            id: JOB.0,
+            command: "do".into(),
+            steps: vec![step(1)],
+            queue: Some(common::queue(0)),
+            ..JobSpec::default()
+        }),
+        progress,
+        created_revision: 50,
+        ..StoredJob::default()
+    };
+    owner.shard.add_job(JOB, stored, now_ms);
+    owner
+}
+fn recorded(owner: &mut Harness) -> Option<Progress> {
+    let batch = owner.shard.take_batch(owner.now_ms);
+    let record = batch.jobs.iter().find(|record| record.id == JOB);
+    let progress = record.map(|record| record.progress.clone());
+    owner.shard.batch_written(&batch);
+    progress
+}
+
+fn crashed_runs(progress: Option<&Progress>) -> usize {
+    let tasks = progress.map_or(&[][..], |progress| &progress.tasks);
+    tasks.iter().map(|task| task.crashed_runs.len()).sum()
+}
+
+/// Has the task started by an owner and crashes its server. Returns the number of starts, 0 or 1.
+fn start_and_crash(owner: &mut Harness, servers: &mut Servers) -> usize {
+    servers.answer(owner);
+    owner.write_records();
+    servers.answer(owner);
+    owner.plan();
+    let starts = owner.confirm_starts();
+    for (server, _) in &starts {
+        servers.crash(&owner.name(*server));
+    }
+    starts.len()
+}
+
+/// Guards against a task crashing one server after the other while its shard changes its owner after each start: the
+/// next owner does not know where the task had started, so that no crash is counted.
+#[test]
+fn crashes_are_counted_although_the_owner_changes_after_each_start() {
+    let mut servers = Servers::open();
+    let mut handover: Option<Handover> = None;
+    let mut progress = None;
+    let mut now_ms = START_MS;
+    let mut starts = 0;
+    for term in 1..=8 {
+        let mut owner = open_term(term, now_ms, progress.take());
+        if let Some(handover) = &handover {
+            owner.shard.apply_handover(handover, now_ms);
+        }
+        owner.now_ms += RESTART_MS;
+        starts += start_and_crash(&mut owner, &mut servers);
+        progress = recorded(&mut owner);
+        handover = Some(owner.handover());
+        now_ms = owner.now_ms;
+        if owner.shard.job_status(JOB) == Some(JobStatus::Failed) {
+            break;
+        }
+    }
+    assert_eq!(starts, 2, "the task was the only suspect twice");
+}
+
+/// Guards against crashes that were counted and not recorded being forgotten with their owner.
+#[test]
+fn unrecorded_crashes_are_handed_over() {
+    let mut servers = Servers::open();
+    let mut first = open_term(1, START_MS, None);
+    assert_eq!(start_and_crash(&mut first, &mut servers), 1);
+    first.now_ms += RESTART_MS;
+    servers.answer(&mut first);
+    let handover = first.handover();
+    let mut second = open_term(2, first.now_ms, None);
+    second.shard.apply_handover(&handover, first.now_ms);
+    let progress = recorded(&mut second);
+    assert_eq!(crashed_runs(progress.as_ref()), 1);
+}
+
+/// Guards against a task being suspected for good because its shard changed its owner just after its start.
+#[test_case(true; "it still runs")]
+#[test_case(false; "its start was not carried out")]
+fn a_server_that_did_not_crash_ends_the_suspicion(is_running: bool) {
+    let servers = Servers::open();
+    let mut first = open_term(1, START_MS, None);
+    servers.answer(&mut first);
+    first.write_records();
+    servers.answer(&mut first);
+    first.plan();
+    let started_on = first.confirm_starts()[0].0;
+    let name = first.name(started_on);
+    let handover = first.handover();
+    let mut second = open_term(2, first.now_ms, None);
+    second.shard.apply_handover(&handover, first.now_ms);
+    servers.answer(&mut second);
+    if is_running {
+        let run = run_status(task_id(JOB, 0, 0), 1);
+        let report = Report {
+            sent_ms: second.now_ms,
+            started_unix_ms: FIRST_START_UNIX_MS,
+            clock_ms: second.now_ms,
+            running: vec![run],
+            ..Report::default()
+        };
+        let key = second.key(&name);
+        second.shard.apply_report(key, &report, second.now_ms);
+    }
+    let handover = second.handover();
+    assert!(handover.suspected_tasks.is_empty());
+    assert!(handover.recent_starts.is_empty());
+}
+
+/// Guards against lapses after starts being forgotten with their owner, so that a task starts on one more server for
+/// each owner while its servers are away.
+#[test]
+fn lapses_are_recorded_and_handed_over() {
+    let mut servers = Servers::open();
+    let mut first = open_term(1, START_MS, None);
+    assert_eq!(start_and_crash(&mut first, &mut servers), 1);
+    first.now_ms += 6_000;
+    first.tick();
+    let handover = first.handover();
+    let lapsed: usize = handover
+        .suspected_tasks
+        .iter()
+        .map(|task| task.record.lapsed_runs.len())
+        .sum();
+    assert_eq!(lapsed, 1);
+    assert_eq!(handover.recent_starts.len(), 1);
+    let progress = recorded(&mut first).expect("the lapse is recorded");
+    assert_eq!(progress.tasks[0].lapsed_runs.len(), 1);
+}
