Start a task that crashed a server only after the crash is recorded

Cause: nothing tied the next start to the record of the crash. Class: an effect that may become visible before what it depends on is stored. Change: a task with a counted crash waits for the record of its job, one write of some 100 ms. Without the store it waits for as long; only tasks that had just started on a server that crashed are concerned. Tests: a_suspect_starts_only_after_its_crash_is_recorded fails without the change. a_delegated_task_that_is_given_up_fails_the_job_at_home crashed a server twice without writing a record in between; it now writes one before each start, and checks the same.

--- a/crates/fleet/src/crash_handover.rs
+++ b/crates/fleet/src/crash_handover.rs
@@ -149,9 +149,10 @@
         if !is_news {
             return;
         }
-        self.mark_job_changed(task_ref.job, now_ms);
+        let version = self.mark_job_changed(task_ref.job, now_ms);
         let task = self.task_mut(task_ref);
         task.suspected = true;
+        task.crash_version = version;
         task.sole_crashes = task.sole_crashes.max(record.sole_crashes);
         let inputs = [
             ("crashes", task.crashed_runs.len() as u64),
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -117,9 +117,11 @@
             && now_ms < task.lapsed_ms + LAPSED_SERVER_WAIT_MS
     }
 
-    /// Whether a task that may crash servers must not start at present, since it waits for servers that lapsed.
+    /// Whether a task that may crash servers must not start at present: it waits for servers that lapsed, or for the
+    /// record of its crashes.
     pub(crate) fn is_start_postponed(&self, task_ref: TaskRef, now_ms: u64) -> bool {
-        self.awaits_lapsed_servers(task_ref, now_ms)
+        self.task(task_ref).crash_version > self.jobs[task_ref.job].recorded_version
+            || self.awaits_lapsed_servers(task_ref, now_ms)
     }
 
     /// Ends the suspicion against runs on a server that had lapsed and turns out not to have crashed.
@@ -193,9 +195,10 @@
             if task.remote || number <= task.outlived_run {
                 continue;
             }
-            self.mark_job_changed(task_ref.job, now_ms);
+            let version = self.mark_job_changed(task_ref.job, now_ms);
             let task = self.task_mut(task_ref);
             task.suspected = true;
+            task.crash_version = version;
             if !task.crashed_runs.contains(&number) {
                 task.crashed_runs.push(number);
                 task.sole_crashes += u32::from(suspects.len() == 1);
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -111,6 +111,9 @@
     pub lapsed_runs: Vec<u32>,
     /// When the last of these servers lapsed.
     pub lapsed_ms: u64,
+    /// Version of the job that has to be recorded before the task starts again, so that the count of its crashes
+    /// outlasts this owner.
+    pub crash_version: u64,
     /// Newest checkpoint; empty for none.
     pub checkpoint: SmolStr,
     /// Servers on which the task failed or made no progress.
--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -142,6 +142,21 @@
     assert_eq!(crashed_runs(progress.as_ref()), 1);
 }
 
+/// Guards against a task starting again before its crash is recorded: if the owner is lost then, nobody counts it.
+#[test]
+fn a_suspect_starts_only_after_its_crash_is_recorded() {
+    let mut servers = Servers::open();
+    let mut owner = open_term(1, START_MS, None);
+    assert_eq!(start_and_crash(&mut owner, &mut servers), 1);
+    owner.now_ms += RESTART_MS;
+    servers.answer(&mut owner);
+    owner.plan();
+    assert!(owner.starts.is_empty(), "the crash is not recorded yet");
+    owner.write_records();
+    owner.plan();
+    assert_eq!(owner.starts.len(), 1);
+}
+
 /// Guards against a task being suspected for good because its shard changed its owner just after its start.
 #[test_case(true; "it still runs")]
 #[test_case(false; "its start was not carried out")]
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -146,6 +146,7 @@
         .shard
         .add_job(job, delegated_job(&record, 200), target.now_ms);
     for _ in 0..2 {
+        target.write_records();
         target.plan();
         assert_eq!(target.confirm_starts().len(), 1);
         target.restart("two");
