Write one batch of records at a time

Both batches held the same transfers, and the second one removed them again. Worse, a batch that waits for a read can be written after a later one and put an older state of a job over it; its ends were acknowledged by then. Class: two writers of one state, ordered by luck. Change: a lock around taking and writing a batch; the shard gives out no second batch meanwhile. Tests: no_batch_is_taken_while_another_is_being_written fails without the change.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -161,9 +161,13 @@
             .min()
     }
 
-    /// Takes the next batch. The caller must report the result with [`Self::batch_written`] or [`Self::batch_failed`].
+    /// Takes the next batch. The caller must report the result with [`Self::batch_written`] or [`Self::batch_failed`];
+    /// until then there is no other batch, which could be written before this one and be overwritten by it.
     pub fn take_batch(&mut self, now_ms: u64) -> Batch {
         let mut batch = Batch::default();
+        if self.batch_in_flight {
+            return batch;
+        }
         if self.servers_changed
             || now_ms >= self.interference_recorded_ms + INTERFERENCE_WRITE_INTERVAL_MS
         {
@@ -209,11 +213,13 @@
             .purged
             .drain(..purged_max.min(self.purged.len()))
             .collect();
+        self.batch_in_flight = !batch.is_empty();
         batch
     }
 
     /// Records that the batch is in the store.
     pub fn batch_written(&mut self, batch: &Batch) {
+        self.batch_in_flight = false;
         for &(key, version, phase) in &batch.versions {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
@@ -255,6 +261,7 @@
 
     /// Schedules the batch to be written again, since it may not be in the store.
     pub fn batch_failed(&mut self, batch: Batch) {
+        self.batch_in_flight = false;
         self.changed
             .extend(batch.versions.iter().map(|&(key, _, _)| key));
         self.servers_changed |= batch.servers.is_some();
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -201,6 +201,8 @@
     pub(crate) registrations_outdated: bool,
     /// Whether the list of servers has to be recorded.
     pub(crate) servers_changed: bool,
+    /// Whether a batch of records is being written.
+    pub(crate) batch_in_flight: bool,
     /// Jobs that may have unrecorded changes.
     pub(crate) changed: Vec<JobKey>,
     /// Jobs whose records have to be purged, and whether another shard is their home.
@@ -249,6 +251,7 @@
             registrations_as_of_ms: None,
             registrations_outdated: false,
             servers_changed: false,
+            batch_in_flight: false,
             changed: Vec::new(),
             purged: Vec::new(),
             actions: Vec::new(),
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -264,3 +264,28 @@
     target.plan();
     assert!(target.starts.is_empty());
 }
+
+/// Guards against two batches being written at a time, as when a shard is released while records are being written: the
+/// earlier one could overwrite the later one, and transfers that both held were removed twice.
+#[test]
+fn no_batch_is_taken_while_another_is_being_written() {
+    let mut source = Harness::open(&["one"]);
+    source.submit(7, 0, vec![service_step(16 + 4, "a")]);
+    source.plan();
+    source.confirm_starts();
+    source.write_records();
+    source.now_ms += DELEGATION_WAIT_MS;
+    let other = Harness::open(&["two", "three", "four", "five"]).load();
+    let mut others = vec![(SmolStr::new("cxs"), other)];
+    assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
+    let by_journal = source.shard.take_batch(source.now_ms);
+    assert_eq!(by_journal.jobs[0].transfers.len(), 4);
+    let by_release = source.shard.take_batch(source.now_ms);
+    assert!(by_release.is_empty());
+    source.shard.batch_written(&by_release);
+    source.shard.batch_failed(by_journal);
+    let again = source.shard.take_batch(source.now_ms);
+    assert_eq!(again.jobs[0].transfers.len(), 4);
+    source.shard.batch_written(&again);
+    assert!(source.shard.batch_due_ms(source.now_ms).is_none());
+}
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -60,6 +60,8 @@
     /// This owner and those before it that had not settled, oldest first.
     pub(super) owners: RefCell<Vec<TermOwner>>,
     pub(super) sequence: Cell<u64>,
+    /// Held while a batch of records is being written: a later batch must not overtake an earlier one.
+    pub(super) records_lock: tokio::sync::Mutex<()>,
     /// Held while a call that depends on `term_revision` is in flight.
     pub(super) write_lock: tokio::sync::Mutex<()>,
     pub(super) confirmed_ms: Cell<u64>,
@@ -150,6 +152,7 @@
             term_revision: Cell::new(leadership.start_revision),
             owners: RefCell::new(owners),
             sequence: Cell::new(0),
+            records_lock: tokio::sync::Mutex::new(()),
             write_lock: tokio::sync::Mutex::new(()),
             confirmed_ms: Cell::new(sent_ms),
             lease: Cell::new(lease),
