Park jobs in the core whose tasks crash servers

Seen: review of the incident docs/incidents/crashing-tasks.md: primrosestack serve starts the tasks of lost servers again without limit. Test on: a task under which each server crashes at once was started 46 times in 90 s; with servers that stay away, on all 6 servers of the rack. Cause: the loss of a server ends an attempt but counts against no task; only runs that end as failed count. Class: a retry without a limit, because the failure is charged to the server and never to the request. Change: when a server has another boot or lapses, its attempts that no report has listed 500 ms or more after their start are suspected (crates/core/src/crashes.rs). Each loss is recorded as Failed with the new field `loss` (task, sole suspect) before the task starts again, apart from recent starts where possible, one suspect of a job at a time. A lapse is no sole suspicion, and one server counts once for a task, since it may be the cause. A reported run that outlived its start ends the suspicion. The counts are part of the durable state, not of Task, whose size is limited by a_running_task_is_small. JournaledFailures::write moves to health.rs unchanged. Cost, by the code: a record for each suspect of a loss and one when it has outlived a start; none for other tasks. Suspected tasks wait while the store is down. Not measured.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -22,6 +22,7 @@
         self.checkpoint_on_lost_authority();
         self.retry_due();
         self.rebind_pending();
+        self.start_suspects();
         self.place();
     }
 
@@ -115,6 +116,7 @@
         {
             rack_pool.pending.remove(&id);
         }
+        self.add_recent_start(id, attempt);
         let now = self.now;
         if let Some(server) = self.fleet.get_mut(key) {
             server.add_attempt(attempt, id);
@@ -196,6 +198,7 @@
         let server = task.server.take();
         let attempt = task.attempt;
         let is_parked = task.phase == Phase::Parked;
+        self.recent_starts.remove(&id);
         self.scheduler.remove(self.now, id);
         if let Some(server) = server.and_then(|key| self.fleet.get_mut(key)) {
             server.drop_attempt(attempt, id);
@@ -244,15 +247,11 @@
             self.requeue(id);
             return;
         }
-        self.detach(id);
-        self.enter_rack_pool(id);
-        if let Some(task) = self.durable.task_mut(id) {
-            task.phase = Phase::Held;
-        }
+        self.hold(id);
         self.retries.insert((due, id));
     }
 
-    fn enter_rack_pool(&mut self, id: TaskId) {
+    pub(crate) fn enter_rack_pool(&mut self, id: TaskId) {
         let size = self.task_size(id).unwrap_or_default();
         let Some(key) = self.durable.task(id).map(|task| task.rack_pool) else {
             return;
--- a/crates/core/src/clone_shard.rs
+++ b/crates/core/src/clone_shard.rs
@@ -35,6 +35,8 @@
             retries: self.retries.clone(),
             earlier_succeeded: self.earlier_succeeded.clone(),
             failures: self.failures.clone(),
+            suspects: self.suspects.clone(),
+            recent_starts: self.recent_starts.clone(),
             accepting: self.accepting.clone(),
             claiming: self.claiming.clone(),
             last_counter: self.last_counter,
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::journal::{Entry, Failed, ParkReason, Parked};
 use crate::placement::RackPoolKey;
 use crate::prelude::*;
 use crate::shard::Shard;
-use crate::tasks::{JobState, Phase};
+use crate::tasks::{JobState, JournaledFailures, Phase};
 
 /// Number of latest starts that must all have failed to quarantine a server.
 const RECENT_STARTS: usize = 5;
@@ -114,6 +114,22 @@
     failures.is_some_and(|failures| failures.fails_elsewhere(server))
 }
 
+impl JournaledFailures {
+    pub(crate) fn write(&self, job: JobId, entries: &mut Vec<Entry>) {
+        let servers = self.servers.iter().map(SmolStr::as_str);
+        // A job whose servers are all excused keeps its rounds.
+        let servers = servers.chain(self.servers.is_empty().then_some(""));
+        entries.extend(servers.map(|server| {
+            Entry::Failed(Failed {
+                job: job.0,
+                rounds: self.rounds,
+                server: server.to_owned(),
+                ..Failed::default()
+            })
+        }));
+    }
+}
+
 impl Shard {
     /// Records a successful start: the server is not faulty, and the job can run.
     pub(crate) fn start_succeeded(&mut self, key: ServerKey, job: JobId) {
@@ -179,6 +195,7 @@
             rounds: failures.rounds,
             server: server.name.to_string(),
             excused,
+            loss: None,
         };
         self.append(Entry::Failed(failed));
     }
@@ -280,14 +297,21 @@
         let tried: Vec<ServerKey> = failures
             .into_iter()
             .flat_map(|failures| failures.servers.iter().copied())
-            .filter(|key| self.fleet.get(*key).is_some_and(|server| server.open))
             .collect();
-        for &key in &tried {
+        self.place_avoiding(&tried);
+    }
+
+    /// Starts pending tasks on other servers than these.
+    pub(crate) fn place_avoiding(&mut self, servers: &[ServerKey]) {
+        let is_open = |shard: &Self, key| shard.fleet.get(key).is_some_and(|server| server.open);
+        let mut closed = servers.to_vec();
+        closed.retain(|key| is_open(self, *key));
+        for &key in &closed {
             self.scheduler.set_open(key, false);
         }
         self.place();
-        for &key in &tried {
-            let is_open = self.fleet.get(key).is_some_and(|server| server.open);
+        for &key in &closed {
+            let is_open = is_open(self, key);
             self.scheduler.set_open(key, is_open);
         }
     }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -187,7 +187,8 @@
                 self.claiming.remove(&key.key());
             }
             Entry::ServerAdded(server) => self.server_journaled(&server.name),
-            Entry::Ended(_) | Entry::Answered(_) | Entry::ServerGone(_) | Entry::Failed(_) => {}
+            Entry::Failed(failed) => self.loss_recorded(failed),
+            Entry::Ended(_) | Entry::Answered(_) | Entry::ServerGone(_) => {}
         }
     }
 
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -222,6 +222,8 @@
     TooLarge = 1,
     /// Not parked; records that the job is active again.
     Unparked = 2,
+    /// Several servers crashed shortly after the start of one of its tasks.
+    CrashesServers = 3,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -246,6 +248,21 @@
     /// Whether the server, and not the job, caused the failures there.
     #[prost(bool, tag = "4")]
     pub excused: bool,
+    /// Set if the server was lost when a task of the job had just started there; without a server, the task has outlived
+    /// a start, and its earlier losses no longer count. Such a record states no rounds.
+    #[prost(message, optional, tag = "5")]
+    pub loss: Option<ServerLoss>,
+}
+
+/// Loss of a server that counts against a task.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ServerLoss {
+    /// Index of the task in its job.
+    #[prost(uint32, tag = "1")]
+    pub index: u32,
+    /// Whether the server certainly crashed and no other task had just started there.
+    #[prost(bool, tag = "2")]
+    pub is_sole_suspect: bool,
 }
 
 /// A claimed or answered idempotency key.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod clone_shard;
 pub mod commit;
+pub mod crashes;
 pub mod digest;
 pub mod dispatch;
 pub mod division;
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -175,9 +175,14 @@
                 .durable
                 .task(task)
                 .is_some_and(|task| task.phase == Phase::Held && task.server.is_none());
-            if is_held {
-                self.requeue(task);
+            if !is_held {
+                continue;
             }
+            if self.durable.is_suspected(task) {
+                self.await_start(task);
+                continue;
+            }
+            self.requeue(task);
         }
         self.place();
     }
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -72,11 +72,16 @@
             .fleet
             .get(origin.server)
             .map(|server| server.attempts.clone());
+        let mut suspects = Vec::new();
+        if origin.rebooted {
+            suspects = self.crash_suspects(origin.server);
+        }
         for (attempt, task) in known.unwrap_or_default() {
             if listed.binary_search(&attempt).is_err() {
                 self.attempt_missing(origin, task, attempt);
             }
         }
+        self.count_loss(origin.server, &suspects, true);
         let mut usage = Vec::with_capacity(report.tasks.len());
         for listed in report.tasks {
             if listed.state == TaskState::Running {
@@ -234,6 +239,11 @@
                 Phase::Running
             };
         }
+        self.recent_starts.remove(&id);
+        // Only a suspected task needs to show again that it outlives its start.
+        if self.durable.is_suspected(id) {
+            self.add_recent_start(id, listed.attempt);
+        }
         if let Some(server) = self.fleet.get_mut(origin.server) {
             server.add_attempt(listed.attempt, id);
         }
@@ -284,6 +294,7 @@
             }
             _ => {}
         }
+        self.outlive_start(id);
         let server = self.fleet.get(origin.server);
         let has_passed_probe =
             server.is_some_and(|server| server.health.has_probe_run(now, PROBE_MS));
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -368,12 +368,17 @@
         server.acked_epoch = None;
         let name = server.name.clone();
         let rack_pool = server.rack_pool;
-        let attempts = std::mem::take(&mut server.attempts);
+        let suspects = self.crash_suspects(key);
+        let attempts = self
+            .fleet
+            .get_mut(key)
+            .map(|server| std::mem::take(&mut server.attempts));
         self.update_open(key);
         self.log("server_lapsed", None, &name);
-        for (attempt, task) in attempts {
+        for (attempt, task) in attempts.unwrap_or_default() {
             self.attempt_gone(task, attempt);
         }
+        self.count_loss(key, &suspects, false);
         self.resolve_rack_pool(rack_pool);
         self.remove_if_left(key);
     }
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -5,6 +5,7 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::budget::StoreBudget;
+use crate::crashes::{RecentStarts, WaitingSuspects};
 use crate::event::LogEvent;
 use crate::health::JobFailures;
 use crate::ownership::{ObservedTerm, OwnerState, Peers, Role, StandbyState};
@@ -126,6 +127,8 @@
     /// Tasks whose current attempt is being stopped because an earlier attempt succeeded.
     pub(crate) earlier_succeeded: BTreeSet<TaskId>,
     pub(crate) failures: BTreeMap<JobId, JobFailures>,
+    pub(crate) suspects: WaitingSuspects,
+    pub(crate) recent_starts: RecentStarts,
     /// Jobs whose acceptance is not committed yet, and the callers of repeated submissions.
     pub(crate) accepting: BTreeMap<JobId, Vec<CallerToken>>,
     /// Idempotency keys whose claim is not committed yet.
@@ -167,6 +170,8 @@
             retries: Retries::new(),
             earlier_succeeded: BTreeSet::new(),
             failures: BTreeMap::new(),
+            suspects: WaitingSuspects::new(),
+            recent_starts: RecentStarts::new(),
             accepting: BTreeMap::new(),
             claiming: BTreeSet::new(),
             last_counter: 0,
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -404,6 +404,8 @@
         self.retries.clear();
         self.earlier_succeeded.clear();
         self.failures.clear();
+        self.suspects.clear();
+        self.recent_starts.clear();
         self.accepting.clear();
         self.claiming.clear();
         self.last_counter = 0;
--- a/crates/core/src/tasks.rs
+++ b/crates/core/src/tasks.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use crate::crashes::LostServer;
 use crate::journal::{
     Accepted, Ended, Entry, Evicted, Failed, ParkReason, RackPoolRun, ServerEntry,
 };
@@ -145,6 +146,8 @@
     pub servers: BTreeMap<SmolStr, JournaledServer>,
     /// Failures that count against jobs.
     pub failures: BTreeMap<JobId, JournaledFailures>,
+    /// Lost servers that count against tasks.
+    pub losses: BTreeMap<TaskId, Vec<LostServer>>,
     finished: VecDeque<(MonoMs, JobId)>,
 }
 
@@ -262,6 +265,10 @@
 
     fn count_failure(&mut self, failed: &Failed) {
         let id = JobId(failed.job);
+        if let Some(loss) = failed.loss {
+            self.apply_loss(id, &failed.server, loss);
+            return;
+        }
         let state = self.jobs.get(&id).map(|job| job.state);
         if !matches!(state, Some(JobState::Active | JobState::Parked(_))) {
             return;
@@ -302,6 +309,7 @@
         task.phase = Phase::Ended;
         task.server = None;
         task.committed_checkpoint = None;
+        self.losses.remove(&id);
         job.unfinished -= 1;
         if job.unfinished > 0 {
             return;
@@ -352,6 +360,7 @@
         for (job, failures) in &self.failures {
             failures.write(*job, &mut entries);
         }
+        self.write_losses(&mut entries);
         self.keys.write(&mut entries);
         entries
     }
@@ -384,22 +393,6 @@
     }
 }
 
-impl JournaledFailures {
-    fn write(&self, job: JobId, entries: &mut Vec<Entry>) {
-        let servers = self.servers.iter().map(SmolStr::as_str);
-        // A job whose servers are all excused keeps its rounds.
-        let servers = servers.chain(self.servers.is_empty().then_some(""));
-        entries.extend(servers.map(|server| {
-            Entry::Failed(Failed {
-                job: job.0,
-                rounds: self.rounds,
-                server: server.to_owned(),
-                excused: false,
-            })
-        }));
-    }
-}
-
 impl Job {
     fn write(&self, entries: &mut Vec<Entry>) {
         let id = self.spec.id;
--- a/crates/core/tests/codecs.rs
+++ b/crates/core/tests/codecs.rs
@@ -2,7 +2,8 @@
 
 use primrosestack_core::journal::{
     Accepted, Bound, Cancelled, Entry, Failed, Head, HostEntry, JournalError, KeyEntry, Parked,
-    RackPoolRun, ServerEntry, SnapshotRef, UnreleasedEntry, decode_entries, encode_entry,
+    RackPoolRun, ServerEntry, ServerLoss, SnapshotRef, UnreleasedEntry, decode_entries,
+    encode_entry,
 };
 use primrosestack_core::prelude::*;
 use primrosestack_core::recovery::rebuild;
@@ -86,6 +87,10 @@
                 rounds: index,
                 server: text,
                 excused: rack_pool == 1,
+                loss: (number % 3 == 0).then_some(ServerLoss {
+                    index,
+                    is_sole_suspect: rack_pool == 2,
+                }),
             }),
             _ => Entry::ServerGone(text),
         }
