--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -26,6 +26,10 @@
 /// Wait after which a suspected task starts beside other recent starts; on a busy server there is always one.
 pub(crate) const ALONE_WAIT_MAX_MS: u64 = 1_500;
 
+/// Wait after which a long-running task starts beside a suspect; the service contract allows 6 s without a run, and many
+/// suspects would start one after the other.
+const BESIDE_SUSPECT_AFTER_MS: u64 = 3_000;
+
 /// Wait for servers that lapsed after starts of a task and may have crashed: longer than a server takes to restart.
 const LAPSED_SERVER_WAIT_MS: u64 = 30_000;
 
@@ -44,11 +48,16 @@
 }
 
 impl Shard {
-    /// Runs on a server that may have crashed it: those not known to have outlived their start.
+    /// Runs on a server that may have crashed it: those not known to have outlived their start or not to have begun when
+    /// the server answered later.
     pub(crate) fn crash_suspects(&self, server: ServerKey) -> Vec<(TaskRef, u32)> {
         let mut suspects = Vec::new();
         for &(task_ref, number) in &self.servers[server].runs {
-            if self.is_recent_start(task_ref, server, number) {
+            let task = self.task(task_ref);
+            let missed_start = task
+                .run_position(server, number)
+                .is_some_and(|position| task.runs[position].missed_start);
+            if !missed_start && self.is_recent_start(task_ref, server, number) {
                 suspects.push((task_ref, number));
             }
         }
@@ -69,10 +78,12 @@
         now_ms: u64,
     ) -> bool {
         let state = &self.servers[server];
-        if state.suspected_run.is_some() {
+        let task = self.task(task_ref);
+        let is_overdue = self.step_spec(task_ref).long_running
+            && now_ms >= task.ready_since_ms + BESIDE_SUSPECT_AFTER_MS;
+        if state.suspected_run.is_some() && !is_overdue {
             return true;
         }
-        let task = self.task(task_ref);
         task.is_suspected()
             && now_ms < task.ready_since_ms + ALONE_WAIT_MAX_MS
             && state
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -2,6 +2,7 @@
 
 use crate::action::Action;
 use crate::bounds::Bounds;
+use crate::crashes::OUTLIVED_START_MS;
 use crate::record::Phase;
 use crate::report::{EndKind, Report, RunEnd, RunStatus};
 use crate::runs::AbandonReason;
@@ -13,7 +14,7 @@
 /// earlier owner.
 const ADOPTED_THROTTLED_PERCENT: u64 = 50;
 
-/// Age from which a serving long-running task ends its server's trial; failing servers end tasks within a second.
+/// Age from which a run that serves or progresses ends its server's trial; failing servers end tasks within a second.
 const TRIAL_SUCCESS_MS: u64 = 1_500;
 
 impl Shard {
@@ -296,6 +297,7 @@
         let is_wanted = is_live && !task.done;
         let run = &mut task.runs[position];
         run.listed_ms = Some(now_ms);
+        run.missed_start = false;
         run.outlived_start = run.outlives_start(now_ms);
         let outlived_start = run.outlived_start;
         run.tail_ms_or_cpu_millis = status.tail_ms_or_cpu_millis;
@@ -303,8 +305,14 @@
             run.progress_percent = status.progress_percent;
             run.progressed_ms = now_ms;
         }
-        let passes_trial =
-            status.progress_percent >= 100 && now_ms >= run.start_sent_ms + TRIAL_SUCCESS_MS;
+        if run.outlived_start {
+            run.early_percent.get_or_insert(status.progress_percent);
+        }
+        let has_progressed = run
+            .early_percent
+            .is_some_and(|early_percent| status.progress_percent > early_percent);
+        let passes_trial = (has_progressed || status.progress_percent >= 100)
+            && now_ms >= run.start_sent_ms + TRIAL_SUCCESS_MS;
         let start_sent_ms = run.start_sent_ms;
         match run.state {
             RunState::Starting | RunState::Unconfirmed if is_wanted => {
@@ -364,7 +372,8 @@
         true
     }
 
-    /// Abandons runs that a report to a poll sent at `poll_sent_ms` would list if they existed.
+    /// Abandons runs that a report to a poll sent at `poll_sent_ms` would list if they existed. A report that may omit
+    /// ends abandons none: the end of a run may follow with the next one.
     pub(crate) fn abandon_unlisted_runs(
         &mut self,
         server: ServerKey,
@@ -379,6 +388,7 @@
                 .any(|status| status.task == id && status.run == run)
         };
         let mut unlisted = Vec::new();
+        let mut harmless = Vec::new();
         for &(task_ref, number) in &self.servers[server].runs {
             let task = self.task(task_ref);
             let Some(position) = task.run_position(server, number) else {
@@ -388,32 +398,42 @@
             if listed(self.task_id(task_ref), number) {
                 continue;
             }
+            if run.state != RunState::Starting
+                && poll_sent_ms >= run.start_sent_ms + OUTLIVED_START_MS
+            {
+                harmless.push((task_ref, position));
+            }
             match run.visible_after_ms {
                 Some(visible_after_ms) if visible_after_ms < poll_sent_ms => {
-                    unlisted.push((task_ref, number, run.is_stopping()));
+                    let reason = if run.is_stopping() {
+                        AbandonReason::NotStartedOrStopped
+                    } else {
+                        AbandonReason::Interrupted
+                    };
+                    unlisted.push((task_ref, number, Some(reason)));
+                }
+                None if run.is_void_if_unlisted(poll_sent_ms) => {
+                    let reason = AbandonReason::NotStartedOrStopped;
+                    unlisted.push((task_ref, number, Some(reason)));
                 }
                 // Send a stop first, after which an unconfirmed start can no longer be carried out.
                 None if run.state == RunState::Unconfirmed && run.start_sent_ms < poll_sent_ms => {
-                    unlisted.push((task_ref, number, false));
+                    unlisted.push((task_ref, number, None));
                 }
                 _ => {}
             }
         }
-        for (task_ref, number, was_stopping) in unlisted {
-            let task = self.task(task_ref);
-            let position = task.run_position(server, number);
-            let is_unconfirmed =
-                position.is_some_and(|position| task.runs[position].state == RunState::Unconfirmed);
-            if is_unconfirmed {
-                self.stop_run(task_ref, server, number, now_ms);
-                continue;
+        for (task_ref, position) in harmless {
+            self.task_mut(task_ref).runs[position].missed_start = true;
+        }
+        if report.may_omit_ends {
+            return;
+        }
+        for (task_ref, number, reason) in unlisted {
+            match reason {
+                Some(reason) => self.abandon_run(task_ref, server, number, reason, now_ms),
+                None => self.stop_run(task_ref, server, number, now_ms),
             }
-            let reason = if was_stopping {
-                AbandonReason::NotStartedOrStopped
-            } else {
-                AbandonReason::Interrupted
-            };
-            self.abandon_run(task_ref, server, number, reason, now_ms);
         }
     }
 }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -1,6 +1,7 @@
 //! Lifecycle of runs and resource accounting of their servers.
 
 use crate::action::{Action, StartReply, StartRequest};
+use crate::bounds::Bounds;
 use crate::shard::{ServerKey, Shard, TaskRef};
 use crate::task::{Run, RunState};
 
@@ -62,6 +63,10 @@
         now_ms: u64,
     ) {
         self.add_run(task_ref, server, number, now_ms);
+        let lease_ms = lease_end_ms.saturating_sub(self.servers[server].clock_at(now_ms));
+        if let Some(run) = self.task_mut(task_ref).runs.last_mut() {
+            run.start_expired_ms = now_ms + Bounds::lease_upper_bound_ms(lease_ms);
+        }
         if self.task(task_ref).is_suspected() {
             self.servers[server]
                 .suspected_run
@@ -160,8 +165,11 @@
         {
             return;
         }
+        // A retry changes nothing for polls sent after the answer to an earlier stop.
+        if !run.is_stopping() {
+            run.visible_after_ms = None;
+        }
         run.state = RunState::Stopping { sent_ms: now_ms };
-        run.visible_after_ms = None;
         self.actions.push(Action::Stop {
             server,
             task: id,
@@ -263,7 +271,7 @@
         };
         let run = &mut self.task_mut(task_ref).runs[position];
         if run.is_stopping() {
-            run.visible_after_ms = Some(now_ms);
+            run.visible_after_ms.get_or_insert(now_ms);
         }
     }
 
