Log rejected peer frames, and refuse unknown failure domains

Cause: the connection ended without a line, errors of accept were dropped, and the failure domain was not compared with the settings. Requests that name an unknown failure domain get an empty reply and change nothing; of the name, 64 characters are logged. Errors of accept are not tested.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod inbox;
 pub mod journal;
 pub mod keys;
+pub mod line_limit;
 mod lookup;
 pub mod node;
 pub mod operator;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -17,6 +17,7 @@
 use smol_str::SmolStr;
 
 use crate::daemon::clock::now_ms;
+use crate::daemon::line_limit::LineLimit;
 use crate::daemon::owner::OwnedShard;
 use crate::daemon::peers::Peers;
 use crate::daemon::settings::DaemonSettings;
@@ -71,6 +72,8 @@
     past_terms: RefCell<Vec<(SmolStr, PastTerms)>>,
     /// Highest terms of successors that requested a handover, sorted by failure domain.
     successors: RefCell<Vec<(SmolStr, u64)>>,
+    /// Limits the lines about requests that this host rejected.
+    pub peer_lines: LineLimit,
     store_health: Cell<StoreHealth>,
 }
 
@@ -127,6 +130,7 @@
             home_cache: RefCell::new(Vec::new()),
             past_terms: RefCell::new(Vec::new()),
             successors: RefCell::new(Vec::new()),
+            peer_lines: LineLimit::default(),
             store_health: Cell::new(StoreHealth::default()),
             settings,
         }
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,6 +1,8 @@
 //! Requests between entry hosts, in length-delimited frames over TCP.
 
 use std::cell::RefCell;
+use std::fmt::Display;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +16,7 @@
 use primrosestack_fleet::shard::JobStatus;
 use prost::Message;
 use smol_str::SmolStr;
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -236,37 +238,87 @@
         .new_framed(stream)
 }
 
+/// Why a request of another host is not acted on.
+#[derive(Debug, Snafu)]
+enum Rejection {
+    #[snafu(display("cannot accept a connection: {source}"))]
+    Accept { source: std::io::Error },
+    #[snafu(display("cannot read a frame: {source}"))]
+    Frame { source: std::io::Error },
+    #[snafu(display("cannot decode the request: {source}"))]
+    Undecodable { source: prost::DecodeError },
+    #[snafu(display("cannot send the reply: {source}"))]
+    NotSent { source: std::io::Error },
+    #[snafu(display("unknown failure domain {failure_domain}"))]
+    UnknownDomain { failure_domain: String },
+}
+
+/// Logs why a request was rejected, unless too many were.
+fn log_rejection(node: &Node, sender: impl Display, rejection: &Rejection) {
+    let Some(unwritten) = node.peer_lines.admit(now_ms()) else {
+        return;
+    };
+    Line::warn("peer_rejected")
+        .with("address", sender)
+        .with("unwritten", unwritten)
+        .with_reason(rejection)
+        .write();
+}
+
 /// Serves requests of other hosts until the daemon stops.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(REQUEST_TIMEOUT_MS)).await;
-            continue;
-        };
-        tokio::task::spawn_local(serve_connection(
-            Rc::clone(&node),
-            framed_connection(stream),
-        ));
+        match listener.accept().await {
+            Ok((stream, sender)) => {
+                let connection = framed_connection(stream);
+                tokio::task::spawn_local(serve_connection(Rc::clone(&node), connection, sender));
+            }
+            Err(source) => {
+                let own_address = node.settings.peer_address;
+                log_rejection(&node, own_address, &Rejection::Accept { source });
+                tokio::time::sleep(Duration::from_millis(REQUEST_TIMEOUT_MS)).await;
+            }
+        }
     }
 }
 
-async fn serve_connection(node: Rc<Node>, mut connection: Connection) {
-    while let Some(Ok(frame)) = connection.next().await {
-        let Ok(request) = PeerRequest::decode(frame) else {
-            return;
-        };
-        let reply = handle_request(&node, &request);
-        if connection
+async fn serve_connection(node: Rc<Node>, mut connection: Connection, sender: SocketAddr) {
+    if let Err(rejection) = serve_requests(&node, &mut connection, sender).await {
+        log_rejection(&node, sender, &rejection);
+    }
+}
+
+async fn serve_requests(
+    node: &Node,
+    connection: &mut Connection,
+    sender: SocketAddr,
+) -> Result<(), Rejection> {
+    while let Some(frame) = connection.next().await {
+        let frame = frame.context(FrameSnafu)?;
+        let request = PeerRequest::decode(frame).context(UndecodableSnafu)?;
+        let reply = handle_request(node, &request, sender);
+        connection
             .send(Bytes::from(reply.encode_to_vec()))
             .await
-            .is_err()
-        {
-            return;
-        }
+            .context(NotSentSnafu)?;
     }
+    Ok(())
 }
 
-pub(super) fn handle_request(node: &Node, request: &PeerRequest) -> PeerReply {
+/// Characters of an unknown failure domain that are logged.
+const LOGGED_DOMAIN_CHARS: usize = 64;
+
+pub(super) fn handle_request(node: &Node, request: &PeerRequest, sender: SocketAddr) -> PeerReply {
+    let domains = &node.settings.failure_domains;
+    let domain = request.failure_domain.as_str();
+    if domains
+        .binary_search_by(|known| known.as_str().cmp(domain))
+        .is_err()
+    {
+        let failure_domain = domain.chars().take(LOGGED_DOMAIN_CHARS).collect();
+        log_rejection(node, sender, &Rejection::UnknownDomain { failure_domain });
+        return PeerReply::default();
+    }
     if request.successor_term > 0 {
         return PeerReply {
             handover: requested_handover(node, request),
--- a/src/daemon/succession.rs
+++ b/src/daemon/succession.rs
@@ -38,9 +38,10 @@
             ..PeerRequest::default()
         };
         while !self.closed.get() && !self.shard.borrow().is_settled() {
-            let is_self = predecessor.address == self.node.settings.peer_address.to_string();
+            let own_address = self.node.settings.peer_address;
+            let is_self = predecessor.address == own_address.to_string();
             let result = if is_self {
-                Ok(peers::handle_request(&self.node, &request))
+                Ok(peers::handle_request(&self.node, &request, own_address))
             } else {
                 self.node.peers.call(&predecessor.address, &request).await
             };
