Give up a shard, or end the process, after a panic

Cause: tasks are spawned and their end is not looked at. Class: an unexpected error that leaves a half-dead process. Change: a service of the daemon that ends is logged and ends the process, which the platform restarts. A task of a shard that panics, its polls and starts included, is logged and the shard given up without a handover, since its state may be incomplete. A panic in one connection or request ends neither. Ends of terms move to a module of their own. Tests: daemon_services.rs; both need the new functions, so that they could not run before.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -115,6 +115,11 @@
         self.handovers.drain(..excess);
     }
 
+    /// Forgets the handover of a term.
+    pub fn remove(&mut self, term: u64) {
+        self.handovers.retain(|existing| existing.term != term);
+    }
+
     /// Handover of a term; `None` if this process did not own the shard in it.
     #[must_use]
     pub fn find(&self, term: u64) -> Option<&Handover> {
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -41,11 +41,12 @@
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
     let mut reload = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
-    let daemon = Daemon::bind(settings).await?;
+    let mut daemon = Daemon::bind(settings).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            error = daemon.service_ended() => return Err(error.into()),
             _ = reload.recv() => match DaemonSettings::open_named(path.clone()) {
                 Ok(settings) => daemon.reload(&settings),
                 Err(error) => Line::error("settings_not_reloaded").with_reason(error).write(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! [`node::Node`].
 
 pub mod clock;
+mod departure;
 pub mod election;
 pub mod entry;
 mod follow;
@@ -19,6 +20,7 @@
 pub mod owner;
 pub mod peers;
 mod scrape;
+pub mod services;
 pub mod settings;
 mod succession;
 
@@ -27,9 +29,9 @@
 
 use primrosestack_platform::http::HttpClient;
 use snafu::{ResultExt, Snafu};
-use tokio::task::JoinHandle;
 
 use crate::daemon::node::Node;
+use crate::daemon::services::{ServiceEnded, Services};
 use crate::daemon::settings::DaemonSettings;
 use crate::logs::Line;
 use crate::metrics::{Metrics, MetricsError};
@@ -44,6 +46,9 @@
         address: std::net::SocketAddr,
         source: std::io::Error,
     },
+    /// Without one of its services, the process would hold shards and serve nobody.
+    #[snafu(display("{source}"))]
+    Service { source: ServiceEnded },
 }
 
 /// Share of the stop time after which the process exits by itself, before the platform kills it.
@@ -51,7 +56,7 @@
 
 pub struct Daemon {
     node: Rc<Node>,
-    tasks: Vec<JoinHandle<()>>,
+    services: Services,
 }
 
 impl Daemon {
@@ -63,25 +68,27 @@
     pub async fn bind(settings: DaemonSettings) -> Result<Self, DaemonError> {
         let metrics = Metrics::open().context(MetricsSnafu)?;
         let metrics_listener = bind(settings.metrics_address).await?;
-        tokio::spawn(scrape::serve(metrics.clone(), metrics_listener));
-        let node = Rc::new(Node::open(settings, HttpClient::open(), metrics));
+        let node = Rc::new(Node::open(settings, HttpClient::open(), metrics.clone()));
         let caller_listener = bind(node.settings.callers_address).await?;
         let probe_listener = bind(node.settings.ready_address).await?;
         let peer_listener = bind(node.settings.peer_address).await?;
-        let tasks = vec![
-            tokio::task::spawn_local(entry::serve(Rc::clone(&node), caller_listener)),
-            tokio::task::spawn_local(entry::serve_probes(Rc::clone(&node), probe_listener)),
-            tokio::task::spawn_local(peers::serve(Rc::clone(&node), peer_listener)),
-            tokio::task::spawn_local(peers::poll_loads(Rc::clone(&node))),
-            tokio::task::spawn_local(operator::follow(Rc::clone(&node))),
-            tokio::task::spawn_local(election::follow(Rc::clone(&node))),
-            tokio::task::spawn_local(election::run(Rc::clone(&node))),
-        ];
+        let mut services = Services::default();
+        services.spawn("metrics", scrape::serve(metrics, metrics_listener));
+        services.spawn("callers", entry::serve(Rc::clone(&node), caller_listener));
+        services.spawn(
+            "probes",
+            entry::serve_probes(Rc::clone(&node), probe_listener),
+        );
+        services.spawn("peers", peers::serve(Rc::clone(&node), peer_listener));
+        services.spawn("load_polls", peers::poll_loads(Rc::clone(&node)));
+        services.spawn("operator", operator::follow(Rc::clone(&node)));
+        services.spawn("owners", election::follow(Rc::clone(&node)));
+        services.spawn("election", election::run(Rc::clone(&node)));
         Line::info("daemon_started")
             .with("host", &node.settings.name)
             .with("failure_domain", &node.settings.failure_domain)
             .write();
-        Ok(Self { node, tasks })
+        Ok(Self { node, services })
     }
 
     /// Logs whether reloaded settings differ from those in use; changes apply at the next start.
@@ -93,6 +100,13 @@
             .write();
     }
 
+    /// Waits until a service has ended, which none does by itself, and until the log has its line.
+    pub async fn service_ended(&mut self) -> DaemonError {
+        let source = self.services.ended().await;
+        tokio::time::sleep(2 * output::WRITE_INTERVAL).await;
+        DaemonError::Service { source }
+    }
+
     /// Stops gracefully: reports not ready, releases all shards and finishes active requests.
     pub async fn stop(self) {
         let node = &self.node;
@@ -113,9 +127,7 @@
             }
         };
         let finished = tokio::time::timeout(grace, finish).await.is_ok();
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.services.abort();
         Line::info("daemon_stopped")
             .with("finished", finished)
             .with("requests", node.active_requests.get())
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -166,6 +166,17 @@
         past_terms[index].1.insert(handover);
     }
 
+    /// Forgets the handover of a term whose state may be incomplete.
+    pub fn forget_handover(&self, failure_domain: &str, term: u64) {
+        let mut past_terms = self.past_terms.borrow_mut();
+        let found = past_terms
+            .iter_mut()
+            .find(|(existing, _)| existing == failure_domain);
+        if let Some((_, terms)) = found {
+            terms.remove(term);
+        }
+    }
+
     /// Steps down in favour of a successor with a later term. Returns the handover of `handover_term` if this process
     /// owned the shard in that term.
     pub fn yield_shard(
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -9,6 +9,7 @@
 
 use crate::daemon::clock::{now_ms, unix_ms};
 use crate::daemon::owner::OwnedShard;
+use crate::daemon::services::spawn_for_shard;
 use crate::logs::Line;
 
 const POLL_RETRY_DELAY_MS: u64 = 250;
@@ -41,7 +42,7 @@
                 let Some(target) = self.target(server) else {
                     return;
                 };
-                tokio::task::spawn_local(async move {
+                spawn_for_shard(self, "start", async move {
                     let reply = owned.node.servers.start(&target, &request).await;
                     owned
                         .shard
@@ -149,7 +150,7 @@
                 continue;
             }
             self.polled_servers.borrow_mut().push(key);
-            tokio::task::spawn_local(Rc::clone(self).poll_server(key));
+            spawn_for_shard(self, "poll", Rc::clone(self).poll_server(key));
         }
     }
 
--- a/src/daemon/output.rs
+++ b/src/daemon/output.rs
@@ -10,7 +10,7 @@
 const QUEUE_LINES: usize = 2_048;
 
 /// Lets many lines share a system call.
-const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Bytes per system call. Longer writes to a pipe may be split, and mixed with those of other processes.
 const WRITE_MAX_BYTES: usize = 4_096;
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -7,7 +7,7 @@
 use primrosestack_fleet::claim::{self, Candidate};
 use primrosestack_fleet::load_views::LoadReport;
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{self, Owner, Phase, ServerSet, StoredJob, Term, TermOwner};
+use primrosestack_fleet::record::{self, Phase, ServerSet, StoredJob, Term, TermOwner};
 use primrosestack_fleet::shard::JobStatus;
 use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX, decode_server};
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
@@ -20,6 +20,7 @@
 use crate::daemon::keys;
 use crate::daemon::node::Node;
 use crate::daemon::peers::PeerRequest;
+use crate::daemon::services::spawn_for_shard;
 use crate::daemon::{election, journal};
 use crate::logs::Line;
 
@@ -55,6 +56,8 @@
     pub recorded: Notify,
     /// Whether this host has stopped commanding the shard.
     pub closed: Cell<bool>,
+    /// Whether a task of the shard panicked, so that its state may be incomplete.
+    pub(super) panicked: Cell<bool>,
     /// Revision of the term's key, on which the next transaction is conditional.
     pub(super) term_revision: Cell<u64>,
     /// This owner and those before it that had not settled, oldest first.
@@ -149,6 +152,7 @@
             records_due: Notify::new(),
             recorded: Notify::new(),
             closed: Cell::new(false),
+            panicked: Cell::new(false),
             term_revision: Cell::new(leadership.start_revision),
             owners: RefCell::new(owners),
             sequence: Cell::new(0),
@@ -266,26 +270,6 @@
         }
     }
 
-    /// Stops commanding the shard at once, without writing the remaining records.
-    pub fn step_down(&self, reason: &'static str) {
-        if self.closed.replace(true) {
-            return;
-        }
-        Line::warn("shard_lost")
-            .with("shard", &self.failure_domain)
-            .with("era", self.leadership.term)
-            .with_reason(reason)
-            .write();
-        self.node
-            .save_handover(&self.failure_domain, self.shard.borrow().handover(now_ms()));
-        self.node
-            .owned_shards
-            .borrow_mut()
-            .retain(|owned| owned.leadership.start_revision != self.leadership.start_revision);
-        self.records_due.notify_waiters();
-        self.recorded.notify_waiters();
-    }
-
     /// Has the announcement written again, after it vanished before the term ended.
     pub fn request_announcement(&self) {
         self.must_announce.set(true);
@@ -420,48 +404,20 @@
             tokio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
         }
     }
-
-    /// Releases the shard: stops commanding it, writes all records and marks the announcement as released. `cpu_millis`
-    /// is the CPU of the host that should take over.
-    pub async fn release(self: &Rc<Self>, cpu_millis: u32) {
-        self.closed.set(true);
-        journal::flush(self).await;
-        self.node
-            .save_handover(&self.failure_domain, self.shard.borrow().handover(now_ms()));
-        let owner = Owner {
-            cpu_millis,
-            ..Owner::default()
-        }
-        .encode_to_vec();
-        let transaction = Transaction::default().put_with_lease(
-            keys::owner(&self.failure_domain),
-            owner,
-            self.lease.get(),
-        );
-        let result = self.write_in_term("release", &transaction).await;
-        Line::info("shard_released")
-            .with("shard", &self.failure_domain)
-            .with("era", self.leadership.term)
-            .with("announced", result.is_ok())
-            .with("follower_millis", cpu_millis)
-            .write();
-        self.node
-            .owned_shards
-            .borrow_mut()
-            .retain(|owned| !Rc::ptr_eq(owned, self));
-        self.records_due.notify_waiters();
-        self.recorded.notify_waiters();
-    }
 }
 
 /// Spawns the services of a shard.
 pub fn spawn(owned: &Rc<OwnedShard>) {
     owned.spawn_polls();
-    tokio::task::spawn_local(Rc::clone(owned).maintain_authority());
-    tokio::task::spawn_local(Rc::clone(owned).tick());
-    tokio::task::spawn_local(Rc::clone(owned).follow_inbox());
-    tokio::task::spawn_local(Rc::clone(owned).follow_registrations());
-    tokio::task::spawn_local(journal::run(Rc::clone(owned)));
+    spawn_for_shard(owned, "authority", Rc::clone(owned).maintain_authority());
+    spawn_for_shard(owned, "tick", Rc::clone(owned).tick());
+    spawn_for_shard(owned, "inbox", Rc::clone(owned).follow_inbox());
+    spawn_for_shard(
+        owned,
+        "registrations",
+        Rc::clone(owned).follow_registrations(),
+    );
+    spawn_for_shard(owned, "records", journal::run(Rc::clone(owned)));
 }
 
 pub async fn release_all(node: &Rc<Node>) {
--- /dev/null
+++ b/tests/daemon_services.rs
@@ -0,0 +1,41 @@
+//! Services and tasks of the daemon that panic.
+
+mod daemon_fake;
+
+use std::future::pending;
+
+use daemon_fake::{handover, owned_shard};
+use primrosestack::daemon::services::{Services, spawn_for_shard};
+use primrosestack_fleet::handover::Handover;
+use tokio::task::LocalSet;
+
+/// Guards against a process that goes on without one of its services.
+#[tokio::test]
+async fn a_service_that_panics_ends_the_daemon() {
+    let run = async {
+        let mut services = Services::default();
+        services.spawn("steady", pending());
+        services.spawn("broken", async { panic!("out of range") });
+        let ended = services.ended().await;
+        assert_eq!(ended.service, "broken");
+        assert_eq!(ended.reason, "out of range");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a shard that goes on without the task that renews its announcement or writes its records, and against
+/// a successor that takes the empty handover of the time before the shard was open for its state.
+#[tokio::test]
+async fn a_shard_whose_task_panics_is_given_up() {
+    let run = async {
+        let (node, owned) = owned_shard().await;
+        node.save_handover(&"poa".into(), Handover::unopened(4));
+        spawn_for_shard(&owned, "broken", async { panic!("out of range") });
+        while node.owned_shard("poa").is_some() {
+            tokio::task::yield_now().await;
+        }
+        assert!(owned.closed.get());
+        assert_eq!(handover(&node), None);
+    };
+    LocalSet::new().run_until(run).await;
+}
