Hand over the state of a shard that is being released

A release stops giving orders, writes the remaining records and only then keeps the handover. A successor that asks in between got the empty handover of the time before the shard was open, which says that nothing was started, and could start running tasks a second time. Change: the handover is kept before the records are written, and again after.

--- a/src/daemon/departure.rs
+++ b/src/daemon/departure.rs
@@ -45,6 +45,8 @@
     /// is the CPU of the host that should take over.
     pub async fn release(self: &Rc<Self>, cpu_millis: u32) {
         self.closed.set(true);
+        // A successor may ask while records are being written.
+        self.save_handover();
         journal::flush(self).await;
         self.save_handover();
         let owner = Owner {
