Start a suspect on servers that have not crashed under it, if any fits

A job was failed because its task started twice on the same unsound server, which crashed by itself each time, beside three sound ones (two crashes with one suspect). Change: servers that crashed under a task come last in the choice; not excluded, since they may be the only ones with capacity. Tests: a_suspect_starts_on_a_server_that_has_not_crashed_under_it fails without the change.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -210,6 +210,9 @@
             let task = self.task_mut(task_ref);
             task.suspected = true;
             task.crash_version = version;
+            if !task.crashed_servers.contains(&server) {
+                task.crashed_servers.push(server);
+            }
             if !task.crashed_runs.contains(&number) {
                 task.crashed_runs.push(number);
                 task.sole_crashes += u32::from(suspects.len() == 1);
@@ -268,6 +271,7 @@
         }
         task.suspected = false;
         task.crashed_runs.clear();
+        task.crashed_servers.clear();
         task.sole_crashes = 0;
         self.log_decision(
             "suspicion_ended",
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -43,7 +43,10 @@
             {
                 continue;
             }
-            let placement_cost = self.placement_cost(task_ref, key);
+            // Another crash of the same server would not tell whether it is the server or the task.
+            let has_crashed = self.task(task_ref).crashed_servers.contains(&key);
+            let crash_cost = u64::from(has_crashed) << 50;
+            let placement_cost = crash_cost + self.placement_cost(task_ref, key);
             if best.is_none_or(|(least, _)| placement_cost < least) {
                 best = Some((placement_cost, key));
             }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -125,6 +125,8 @@
     pub crashed_runs: Vec<u32>,
     /// How many of them were the only suspects.
     pub sole_crashes: u32,
+    /// Servers that crashed under these runs.
+    pub crashed_servers: Vec<ServerKey>,
     /// Highest number of a run that outlived its start; earlier runs are no longer suspected.
     pub outlived_run: u32,
     /// Numbers of the runs whose server lapsed soon after their start and has not been heard of since.
--- a/crates/fleet/tests/crash_suspects.rs
+++ b/crates/fleet/tests/crash_suspects.rs
@@ -423,3 +423,21 @@
     }
     assert_eq!(harness.shard.job_status(job), Some(JobStatus::Failed));
 }
+
+/// Guards against a job being failed because its task starts on the same unsound server again and again although others
+/// are sound.
+#[test]
+fn a_suspect_starts_on_a_server_that_has_not_crashed_under_it() {
+    let mut harness = Harness::open(&["one", "two", "three"]);
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    let started_on = harness.confirm_starts()[0].0;
+    let first = harness.name(started_on);
+    harness.crash(&first);
+    for name in ["one", "two", "three"] {
+        harness.claim(name);
+    }
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+    assert_ne!(harness.name(harness.starts[0].0), first);
+}
