Read the registrations again after the store was silent

While the store is silent the age of the registrations does not count, and it was forgotten: after the outage tasks started by those of before it until the next complete watch, however long that took. Class: an exception that outlasts its reason. Change: the silence is a flag of its own; when it ends, the age counts from the last complete read. Tests: registrations_are_read_again_after_the_store_was_silent; it needs the new call, so that it could not run before. tasks_start_while_the_store_is_unavailable uses it too and checks the same.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -69,10 +69,10 @@
         self.registrations_as_of_ms = Some(as_of_ms);
     }
 
-    /// Records that the store is unavailable. Servers cannot announce anything there either, so tasks are started on
-    /// those known so far.
-    pub fn registrations_unavailable(&mut self) {
-        self.registrations_as_of_ms = None;
+    /// Records whether the store is silent. Servers cannot announce anything there either, so tasks are started on those
+    /// known so far. Once it answers again, the registrations have to be read before tasks start by them.
+    pub fn set_store_silent(&mut self, is_silent: bool) {
+        self.store_silent = is_silent;
     }
 
     /// Whether the registrations are too old to start tasks by them; logs each change.
@@ -80,7 +80,7 @@
         let age_ms = self
             .registrations_as_of_ms
             .map_or(0, |as_of_ms| now_ms.saturating_sub(as_of_ms));
-        let is_outdated = age_ms > self.bounds.registrations_max_age_ms();
+        let is_outdated = !self.store_silent && age_ms > self.bounds.registrations_max_age_ms();
         if is_outdated != self.registrations_outdated {
             self.registrations_outdated = is_outdated;
             let event = if is_outdated {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -200,8 +200,9 @@
     /// Whether all runs of earlier owners that may still exist are known.
     pub(crate) settled: bool,
     pub(crate) predecessors: Predecessors,
-    /// When the registrations were last known to be complete; `None` while the store is unavailable.
+    /// When the registrations were last known to be complete; `None` before that.
     pub(crate) registrations_as_of_ms: Option<u64>,
+    pub(crate) store_silent: bool,
     pub(crate) registrations_outdated: bool,
     /// Whether the list of servers has to be recorded.
     pub(crate) servers_changed: bool,
@@ -253,6 +254,7 @@
             settled,
             predecessors: Predecessors::default(),
             registrations_as_of_ms: None,
+            store_silent: false,
             registrations_outdated: false,
             servers_changed: false,
             batch_in_flight: false,
--- a/crates/fleet/tests/patterns/outdated_registrations.rs
+++ b/crates/fleet/tests/patterns/outdated_registrations.rs
@@ -25,10 +25,28 @@
 fn tasks_start_while_the_store_is_unavailable() {
     let mut harness = Harness::open(&["one"]);
     harness.shard.registrations_complete(harness.now_ms);
-    harness.shard.registrations_unavailable();
+    harness.shard.set_store_silent(true);
     harness.now_ms += 5_000;
     harness.claim("one");
     harness.submit(7, 0, vec![step(1)]);
     harness.plan();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Guards against starts by registrations of before an outage, once the store answers again and the servers have
+/// announced there that they are draining.
+#[test]
+fn registrations_are_read_again_after_the_store_was_silent() {
+    let mut harness = Harness::open(&["one"]);
+    harness.shard.registrations_complete(harness.now_ms);
+    harness.shard.set_store_silent(true);
+    harness.now_ms += 5_000;
+    harness.shard.set_store_silent(false);
+    harness.claim("one");
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    assert!(harness.starts.is_empty(), "the server may be draining");
+    harness.shard.registrations_complete(harness.now_ms);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1);
+}
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -387,9 +387,8 @@
 
     pub(super) async fn tick(self: Rc<Self>) {
         while !self.closed.get() {
-            if self.node.is_store_silent() {
-                self.shard.borrow_mut().registrations_unavailable();
-            }
+            let is_store_silent = self.node.is_store_silent();
+            self.shard.borrow_mut().set_store_silent(is_store_silent);
             self.shard.borrow_mut().tick(now_ms());
             let mut others = self.node.other_loads(&self.failure_domain);
             if self
