Send no start whose decision is older than half a second

Cause: starts are decided in one task and sent in another. A process that was paused or busy in between sent them long after the registrations by which they were decided, and one that gave up its shard in between sent them after its handover. Half a second is what the age limit of the registrations leaves for the way to the server; nothing enforced it. Change: a start that is not sent within that time, or whose shard was given up, is abandoned as late and decided again. Tests: a_start_that_was_not_sent_in_time_is_decided_again; it needs the new field, so that it could not run before. The two lines in the daemon have no test of their own.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::bounds::START_TRANSIT_MS;
 use crate::job::TaskId;
 use crate::shard::ServerKey;
 
@@ -19,6 +20,17 @@
     pub ticket: SmolStr,
     /// End of the server's lease on the server's clock.
     pub lease_end_ms: u64,
+    /// When the start was decided, on the local clock.
+    pub decided_ms: u64,
+}
+
+impl StartRequest {
+    /// Whether the decision is too old to send the request: the process was paused or busy, and the server may have
+    /// been draining for too long by now.
+    #[must_use]
+    pub fn is_outdated(&self, now_ms: u64) -> bool {
+        now_ms > self.decided_ms + START_TRANSIT_MS
+    }
 }
 
 /// Reply of a server to a start request.
@@ -32,7 +44,7 @@
     Fenced,
     /// This run or a later one has already been stopped or has ended on the server.
     Stale,
-    /// The lease had expired when the request arrived.
+    /// The lease had expired when the request arrived, or the request was not sent since the decision was too old.
     Late,
     /// The server rejected the advisor's ticket.
     NoTicket,
--- a/crates/fleet/tests/patterns/outdated_registrations.rs
+++ b/crates/fleet/tests/patterns/outdated_registrations.rs
@@ -1,5 +1,6 @@
 //! Pattern: an owner that falls behind with the registrations of its servers while the store serves all others.
 
+use primrosestack_fleet::action::StartReply;
 use primrosestack_fleet::bounds::Bounds;
 
 use crate::common::{BOUNDS, Harness, step};
@@ -50,3 +51,22 @@
     harness.plan();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Guards against a start that leaves a paused or busy process long after its decision, when the server has been draining
+/// for longer than allowed.
+#[test]
+fn a_start_that_was_not_sent_in_time_is_decided_again() {
+    let mut harness = Harness::open(&["one"]);
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    let (server, start) = harness.starts.remove(0);
+    assert!(!start.is_outdated(harness.now_ms + 500));
+    harness.now_ms += 501;
+    assert!(start.is_outdated(harness.now_ms));
+    let late = StartReply::Late;
+    let shard = &mut harness.shard;
+    shard.start_replied(server, &start, late, harness.now_ms);
+    harness.claim("one");
+    harness.plan();
+    assert_eq!(harness.starts.len(), 1, "the task is started anew");
+}
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -43,7 +43,12 @@
                     return;
                 };
                 spawn_for_shard(self, "start", async move {
-                    let reply = owned.node.servers.start(&target, &request).await;
+                    // The shard may have been given up, or the process paused, since the decision.
+                    let reply = if owned.closed.get() || request.is_outdated(now_ms()) {
+                        StartReply::Late
+                    } else {
+                        owned.node.servers.start(&target, &request).await
+                    };
                     owned
                         .shard
                         .borrow_mut()
