Name the job in the log line of an invalid stored job

Cause: the id was logged as a decimal number; operators search by the hexadecimal id of the job. Change: the line has the id of the job's first task, as other lines have. Tests: an_invalid_job_is_left_out checks the id; all fleet tests pass.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -2,7 +2,8 @@
 
 use smol_str::SmolStr;
 
-use crate::job::{JobId, JobSpec};
+use crate::action::{Action, Decision};
+use crate::job::{JobId, JobSpec, TaskId};
 use crate::record::{Phase, Progress, StoredJob};
 use crate::shard::{Job, JobKey, Occurrence, Shard, StepState, TaskRef, to_u32};
 use crate::task::Task;
@@ -38,7 +39,17 @@
         }
         let spec = stored.spec.unwrap_or_default();
         if recorded == Phase::Live && !is_consistent(&spec, stored.progress.as_ref()) {
-            self.log_decision("stored_job_invalid", None, None, [("job", id.0)]);
+            self.actions.push(Action::Log(Decision {
+                event: "stored_job_invalid",
+                task: Some(TaskId {
+                    job: id,
+                    occurrence: 0,
+                    step: 0,
+                    index: 0,
+                }),
+                server: None,
+                inputs: Vec::new(),
+            }));
             return;
         }
         let mut queue = spec.queue.clone().unwrap_or_default();
--- a/crates/fleet/tests/stored_jobs.rs
+++ b/crates/fleet/tests/stored_jobs.rs
@@ -42,9 +42,14 @@
 fn an_invalid_job_is_left_out(job: &StoredJob) {
     let mut harness = Harness::open(&["one"]);
     harness.shard.add_job(JobId(7), job.clone(), harness.now_ms);
-    let is_logged = harness.shard.take_actions().iter().any(
-        |action| matches!(action, Action::Log(decision) if decision.event == "stored_job_invalid"),
-    );
+    let is_log_line = |action: &Action| {
+        let Action::Log(decision) = action else {
+            return false;
+        };
+        let names_job = decision.task.is_some_and(|task| task.job == JobId(7));
+        decision.event == "stored_job_invalid" && names_job
+    };
+    let is_logged = harness.shard.take_actions().iter().any(is_log_line);
     assert!(is_logged);
     assert!(harness.shard.find_job(JobId(7)).is_none());
     harness.submit(8, 0, vec![step(1)]);
