Attribute a crash to the suspect beside which a task was started

A long-running task that has waited 3 s starts beside a suspect. Change: a run that began beside a suspected run is not suspected of a crash. Tests: a_task_that_starts_beside_a_suspect_is_not_suspected fails without the change.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -54,10 +54,11 @@
         let mut suspects = Vec::new();
         for &(task_ref, number) in &self.servers[server].runs {
             let task = self.task(task_ref);
-            let missed_start = task
-                .run_position(server, number)
-                .is_some_and(|position| task.runs[position].missed_start);
-            if !missed_start && self.is_recent_start(task_ref, server, number) {
+            let is_innocent = task.run_position(server, number).is_some_and(|position| {
+                let run = &task.runs[position];
+                run.missed_start || run.beside_suspect
+            });
+            if !is_innocent && self.is_recent_start(task_ref, server, number) {
                 suspects.push((task_ref, number));
             }
         }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -62,9 +62,11 @@
         lease_end_ms: u64,
         now_ms: u64,
     ) {
+        let beside_suspect = self.servers[server].suspected_run.is_some();
         self.add_run(task_ref, server, number, now_ms);
         let lease_ms = lease_end_ms.saturating_sub(self.servers[server].clock_at(now_ms));
         if let Some(run) = self.task_mut(task_ref).runs.last_mut() {
+            run.beside_suspect = beside_suspect;
             run.start_expired_ms = now_ms + Bounds::lease_upper_bound_ms(lease_ms);
         }
         if self.task(task_ref).is_suspected() {
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -43,6 +43,8 @@
     /// Whether a report from the time after the start at which the run would have outlived it did not list it: it has
     /// not crashed the server.
     pub missed_start: bool,
+    /// Whether it began beside a suspected run, to which a crash of the server is attributed.
+    pub beside_suspect: bool,
     /// Progress in the first report after the run outlived its start. One that resumed from a checkpoint has some
     /// already.
     pub early_percent: Option<u32>,
@@ -72,6 +74,7 @@
             listed_ms: None,
             outlived_start: false,
             missed_start: false,
+            beside_suspect: false,
             early_percent: None,
             progress_percent: 0,
             progressed_ms: now_ms,
--- a/crates/fleet/tests/crash_suspects.rs
+++ b/crates/fleet/tests/crash_suspects.rs
@@ -441,3 +441,26 @@
     assert_eq!(harness.starts.len(), 1);
     assert_ne!(harness.name(harness.starts[0].0), first);
 }
+
+/// Guards against a job being failed for the crashes of a suspect beside which its task was started.
+#[test]
+fn a_task_that_starts_beside_a_suspect_is_not_suspected() {
+    let mut harness = Harness::open(&["one"]);
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    harness.crash("one");
+    harness.plan();
+    let service = harness.submit(8, 0, vec![service_step(1, "web")]);
+    // The start of the suspect gets no answer, and no report lists it.
+    harness.starts.clear();
+    for _ in 0..6 {
+        harness.now_ms += 500;
+        harness.claim("one");
+        harness.plan();
+    }
+    assert_eq!(started_jobs(&harness), [service]);
+    harness.confirm_starts();
+    harness.write_records();
+    harness.restart("one");
+    assert!(!harness.recorded_suspects().contains(&service));
+}
