Record the end of a suspicion

Crashes and lapses were recorded and their refutation was not, so that an owner that took over without a handover restored them: with two recorded crashes one coincidence fails a job, with three lapses its task waits 30 s. Change: the job is recorded again when a task outlives a start after a crash, or when a server that lapsed answers as the same incarnation. A suspicion by lapses alone ends with the last of them. Cost: one more record for each task that was suspected. Tests: the_end_of_a_suspicion_is_recorded and a_refuted_lapse_is_recorded fail before and pass after the change.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -137,13 +137,24 @@
     }
 
     /// Ends the suspicion against runs on a server that had lapsed and turns out not to have crashed.
-    pub(crate) fn clear_lapse(&mut self, suspects: impl IntoIterator<Item = (TaskRef, u32)>) {
+    pub(crate) fn clear_lapse(
+        &mut self,
+        suspects: impl IntoIterator<Item = (TaskRef, u32)>,
+        now_ms: u64,
+    ) {
         for (task_ref, number) in suspects {
             if !self.jobs.contains_key(task_ref.job) {
                 continue;
             }
             let task = self.task_mut(task_ref);
+            let lapses = task.lapsed_runs.len();
             task.lapsed_runs.retain(|&lapsed| lapsed != number);
+            // Lapses that were only handed over are not recorded.
+            if task.lapsed_runs.len() == lapses || !task.suspected {
+                continue;
+            }
+            task.suspected = !(task.lapsed_runs.is_empty() && task.crashed_runs.is_empty());
+            self.mark_job_changed(task_ref.job, now_ms);
         }
     }
 
@@ -186,7 +197,7 @@
             if lapsed.started_unix_ms < started_unix_ms {
                 self.count_crash(server, &lapsed.suspects, now_ms);
             } else {
-                self.clear_lapse(lapsed.suspects);
+                self.clear_lapse(lapsed.suspects, now_ms);
             }
         }
     }
@@ -198,7 +209,7 @@
         suspects: &[(TaskRef, u32)],
         now_ms: u64,
     ) {
-        self.clear_lapse(suspects.iter().copied());
+        self.clear_lapse(suspects.iter().copied(), now_ms);
         for &(task_ref, number) in suspects {
             if !self.jobs.contains_key(task_ref.job) {
                 continue;
@@ -260,7 +271,13 @@
     }
 
     /// Ends the suspicion against a task, since a server has outlived a start of it.
-    pub(crate) fn clear_suspicion(&mut self, task_ref: TaskRef, server: ServerKey, number: u32) {
+    pub(crate) fn clear_suspicion(
+        &mut self,
+        task_ref: TaskRef,
+        server: ServerKey,
+        number: u32,
+        now_ms: u64,
+    ) {
         if self.servers[server].suspected_run == Some((task_ref, number)) {
             self.servers[server].suspected_run = None;
         }
@@ -274,6 +291,7 @@
         task.crashed_runs.clear();
         task.crashed_servers.clear();
         task.sole_crashes = 0;
+        self.mark_job_changed(task_ref.job, now_ms);
         self.log_decision(
             "suspicion_ended",
             Some(task_ref),
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -43,7 +43,7 @@
             state.clock_ms = report.clock_ms;
             state.last_contact_ms = now_ms;
         }
-        self.clear_lapse(cleared);
+        self.clear_lapse(cleared, now_ms);
         if !was_claimed {
             // A lease granted by the predecessor may still be valid; the server accepts no more from it.
             let lease_upper_bound_ms = Bounds::lease_upper_bound_ms(self.bounds.lease_ms());
@@ -160,7 +160,7 @@
             ],
         );
         if matches!(end.kind, EndKind::Done | EndKind::Failed) {
-            self.clear_suspicion(task_ref, server, end.run);
+            self.clear_suspicion(task_ref, server, end.run, now_ms);
         }
         match end.kind {
             EndKind::Done => {
@@ -323,7 +323,7 @@
             _ => self.stop_run(task_ref, server, status.run, now_ms),
         }
         if outlived_start {
-            self.clear_suspicion(task_ref, server, status.run);
+            self.clear_suspicion(task_ref, server, status.run, now_ms);
         }
         let suspension = &mut self.servers[server].suspension;
         let is_trial_run = suspension
--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -75,6 +75,7 @@
     owner.shard.add_job(JOB, stored, now_ms);
     owner
 }
+/// Writes a batch and returns the progress that it records of the job.
 fn recorded(owner: &mut Harness) -> Option<Progress> {
     let batch = owner.shard.take_batch(owner.now_ms);
     let record = batch.jobs.iter().find(|record| record.id == JOB);
@@ -210,3 +211,40 @@
     let progress = recorded(&mut first).expect("the lapse is recorded");
     assert_eq!(progress.tasks[0].lapsed_runs.len(), 1);
 }
+
+/// Guards against a successor without a handover restoring a suspicion that had ended.
+#[test]
+fn the_end_of_a_suspicion_is_recorded() {
+    let mut servers = Servers::open();
+    let mut owner = open_term(1, START_MS, None);
+    assert_eq!(start_and_crash(&mut owner, &mut servers), 1);
+    owner.now_ms += RESTART_MS;
+    servers.answer(&mut owner);
+    assert_eq!(crashed_runs(recorded(&mut owner).as_ref()), 1);
+    owner.plan();
+    let (server, start) = owner.confirm_starts().remove(0);
+    let name = owner.name(server);
+    owner.now_ms += 600;
+    owner.report(&name, &[run_status(task_id(JOB, 0, 0), start.run)], &[]);
+    let progress = recorded(&mut owner).expect("the end is recorded");
+    assert_eq!(crashed_runs(Some(&progress)), 0);
+}
+
+/// Guards against the same for a server that lapsed and turns out to be sound.
+#[test]
+fn a_refuted_lapse_is_recorded() {
+    let servers = Servers::open();
+    let mut owner = open_term(1, START_MS, None);
+    servers.answer(&mut owner);
+    owner.write_records();
+    servers.answer(&mut owner);
+    owner.plan();
+    owner.confirm_starts();
+    owner.now_ms += 6_000;
+    owner.tick();
+    let progress = recorded(&mut owner).expect("the lapse is recorded");
+    assert_eq!(progress.tasks[0].lapsed_runs.len(), 1);
+    servers.answer(&mut owner);
+    let progress = recorded(&mut owner).expect("its end is recorded");
+    assert!(progress.tasks[0].lapsed_runs.is_empty());
+}
