Wait for lapsed servers once, not again after a delegation

The wait of a task for servers that lapsed under it began anew at the shard to which it was delegated, although its home shard delegates it only after that wait. Change: the end of the wait is kept instead of its beginning, and is over for delegated tasks. After a change of owner it begins anew, as before. Tests: a_delegated_task_does_not_wait_for_lapsed_servers_again fails without the change.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::action::{Action, Decision};
+use crate::crashes::LAPSED_SERVER_WAIT_MS;
 use crate::job::{JobId, JobSpec, TaskId};
 use crate::record::{Phase, Progress, StoredJob};
 use crate::shard::{Job, JobKey, Occurrence, Shard, StepState, TaskRef, to_u32};
@@ -151,7 +152,7 @@
             };
             task.last_run = record.last_run;
             task.failed_runs.clone_from(&record.failed_runs);
-            task.restore_suspicion(record, now_ms);
+            task.restore_suspicion(record, now_ms + LAPSED_SERVER_WAIT_MS);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.remote = record.remote;
             if record.done && !task.done {
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -31,7 +31,7 @@
 const BESIDE_SUSPECT_AFTER_MS: u64 = 3_000;
 
 /// Wait for servers that lapsed after starts of a task and may have crashed: longer than a server takes to restart.
-const LAPSED_SERVER_WAIT_MS: u64 = 30_000;
+pub(crate) const LAPSED_SERVER_WAIT_MS: u64 = 30_000;
 
 /// Lapsed servers that are remembered; more at a time were cut off rather than crashed.
 const LAPSED_SERVERS_MAX: usize = 256;
@@ -104,7 +104,7 @@
             let task = self.task_mut(task_ref);
             task.suspected = true;
             task.lapsed_runs.push(number);
-            task.lapsed_ms = now_ms;
+            task.lapse_wait_end_ms = now_ms + LAPSED_SERVER_WAIT_MS;
             self.mark_job_changed(task_ref.job, now_ms);
             if !self.awaits_lapsed_servers(task_ref, now_ms) {
                 continue;
@@ -124,9 +124,7 @@
     fn awaits_lapsed_servers(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let task = self.task(task_ref);
         let crashes = to_u32(task.crashed_runs.len() + task.lapsed_runs.len());
-        !task.lapsed_runs.is_empty()
-            && crashes >= CRASHES_MAX
-            && now_ms < task.lapsed_ms + LAPSED_SERVER_WAIT_MS
+        !task.lapsed_runs.is_empty() && crashes >= CRASHES_MAX && now_ms < task.lapse_wait_end_ms
     }
 
     /// Whether a task that may crash servers must not start at present: it waits for servers that lapsed, or for the
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -134,8 +134,8 @@
     pub outlived_run: u32,
     /// Numbers of the runs whose server lapsed soon after their start and has not been heard of since.
     pub lapsed_runs: Vec<u32>,
-    /// When the last of these servers lapsed.
-    pub lapsed_ms: u64,
+    /// Until when the task may have to wait for these servers.
+    pub lapse_wait_end_ms: u64,
     /// Version of the job that has to be recorded before the task starts again, so that the count of its crashes
     /// outlasts this owner.
     pub crash_version: u64,
@@ -162,12 +162,13 @@
         self.suspected || !self.lapsed_runs.is_empty()
     }
 
-    /// Restores what an earlier owner, or another shard, recorded of crashes.
-    pub fn restore_suspicion(&mut self, record: &TaskRecord, now_ms: u64) {
+    /// Restores what an earlier owner, or another shard, recorded of crashes. `lapse_wait_end_ms` is the end of the wait
+    /// for servers that lapsed; 0 if it is over.
+    pub fn restore_suspicion(&mut self, record: &TaskRecord, lapse_wait_end_ms: u64) {
         self.crashed_runs.clone_from(&record.crashed_runs);
         self.sole_crashes = record.sole_crashes;
         self.lapsed_runs.clone_from(&record.lapsed_runs);
-        self.lapsed_ms = now_ms;
+        self.lapse_wait_end_ms = lapse_wait_end_ms;
         self.suspected = !self.crashed_runs.is_empty();
     }
 
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -147,7 +147,8 @@
             task.remote = false;
             task.last_run = record.last_run.max(run_number_base);
             task.checkpoint = SmolStr::new(&record.checkpoint);
-            task.restore_suspicion(record, now_ms);
+            // The home shard delegates a task only after this wait.
+            task.restore_suspicion(record, 0);
             task.unresolved = predates_term && !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
         }
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -289,3 +289,15 @@
     source.shard.batch_written(&again);
     assert!(source.shard.batch_due_ms(source.now_ms).is_none());
 }
+
+/// Guards against a delegated task waiting once more for servers for which its home shard has waited already.
+#[test]
+fn a_delegated_task_does_not_wait_for_lapsed_servers_again() {
+    let (_, job, record) = delegated_task();
+    let mut stored = delegated_job(&record, 200);
+    stored.transfers[0].tasks[0].lapsed_runs = vec![1, 2, 3];
+    let mut target = Harness::open(&["two"]);
+    target.shard.add_job(job, stored, target.now_ms);
+    target.plan();
+    assert_eq!(target.starts.len(), 1);
+}
