Send starts only while the registrations behind them are valid

A start could be decided by registrations of the highest age, drain time less 500 ms, and sent 500 ms after that: nothing was left for the way to the server. Change: a start may be sent until the registrations by which it was decided are too old, instead of 500 ms after its decision.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -2,7 +2,6 @@
 
 use smol_str::SmolStr;
 
-use crate::bounds::START_TRANSIT_MS;
 use crate::job::TaskId;
 use crate::shard::ServerKey;
 
@@ -20,16 +19,15 @@
     pub ticket: SmolStr,
     /// End of the server's lease on the server's clock.
     pub lease_end_ms: u64,
-    /// When the start was decided, on the local clock.
-    pub decided_ms: u64,
+    /// Time on the local clock until which the request may be sent; later, the server may have been draining for too long.
+    pub send_by_ms: u64,
 }
 
 impl StartRequest {
-    /// Whether the decision is too old to send the request: the process was paused or busy, and the server may have
-    /// been draining for too long by now.
+    /// Whether it is too late to send the request, since the process was paused or busy after the decision.
     #[must_use]
     pub fn is_outdated(&self, now_ms: u64) -> bool {
-        now_ms > self.decided_ms + START_TRANSIT_MS
+        now_ms > self.send_by_ms
     }
 }
 
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -25,7 +25,7 @@
 const AUTHORITY_MAX_MS: u64 = 6_000;
 
 /// Part of the drain time that is left for a start that has been decided to reach its server.
-pub(crate) const START_TRANSIT_MS: u64 = 500;
+const START_TRANSIT_MS: u64 = 500;
 
 /// Server clocks run up to 2% slow; one more percent covers the drift of the local clock.
 const CLOCK_DRIFT_NUMERATOR: u64 = 103;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -69,18 +69,28 @@
         self.registrations_as_of_ms = Some(as_of_ms);
     }
 
-    /// Records whether the store is silent. Servers cannot announce anything there either, so tasks are started on those
-    /// known so far. Once it answers again, the registrations have to be read before tasks start by them.
+    /// Records whether the store is silent. While it is, servers cannot announce anything, so tasks start on the known
+    /// servers. After that, tasks wait until the registrations have been read again.
     pub fn set_store_silent(&mut self, is_silent: bool) {
         self.store_silent = is_silent;
     }
 
+    /// Time until which tasks may be started by the registrations.
+    pub(crate) fn registrations_valid_until_ms(&self) -> u64 {
+        match self.registrations_as_of_ms {
+            Some(as_of_ms) if !self.store_silent => {
+                as_of_ms + self.bounds.registrations_max_age_ms()
+            }
+            _ => u64::MAX,
+        }
+    }
+
     /// Whether the registrations are too old to start tasks by them; logs each change.
     pub(crate) fn update_registrations_outdated(&mut self, now_ms: u64) -> bool {
         let age_ms = self
             .registrations_as_of_ms
             .map_or(0, |as_of_ms| now_ms.saturating_sub(as_of_ms));
-        let is_outdated = !self.store_silent && age_ms > self.bounds.registrations_max_age_ms();
+        let is_outdated = now_ms > self.registrations_valid_until_ms();
         if is_outdated != self.registrations_outdated {
             self.registrations_outdated = is_outdated;
             let event = if is_outdated {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -89,7 +89,7 @@
             checkpoint: self.task(task_ref).checkpoint.clone(),
             ticket,
             lease_end_ms,
-            decided_ms: now_ms,
+            send_by_ms: self.registrations_valid_until_ms(),
         };
         let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
         let cpu_free_millis = u64::from(self.servers[server].cpu_free_millis());
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -202,6 +202,7 @@
     pub(crate) predecessors: Predecessors,
     /// When the registrations were last known to be complete; `None` before that.
     pub(crate) registrations_as_of_ms: Option<u64>,
+    /// Whether the store has answered no call for a while.
     pub(crate) store_silent: bool,
     pub(crate) registrations_outdated: bool,
     /// Whether the list of servers has to be recorded.
