Watch all tasks that change a shard for panics

Stops, advice and handovers were spawned without a look at their end, and plan as the others do. A panic there loses the ready queue, and the shard went on without it. Change: they are spawned as the other tasks of a shard. Tests: a_shard_whose_task_panics_is_given_up covers the function that they use.

--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -16,6 +16,7 @@
 use crate::daemon::keys;
 use crate::daemon::node::{Node, OwnerView};
 use crate::daemon::owner::{self, Leadership, OwnedShard};
+use crate::daemon::services::spawn_for_shard;
 use crate::logs::Line;
 
 /// Bounds the time until a dead connection is noticed.
@@ -280,7 +281,8 @@
             }
             _ => 0,
         };
-        tokio::task::spawn_local(Rc::clone(&owned).request_handover(predecessor, owned_for_ms));
+        let handover = Rc::clone(&owned).request_handover(predecessor, owned_for_ms);
+        spawn_for_shard(&owned, "handover", handover);
     }
     node.owned_shards.borrow_mut().push(owned);
     Ok(())
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -60,7 +60,7 @@
                 let Some(target) = self.target(server) else {
                     return;
                 };
-                tokio::task::spawn_local(async move {
+                spawn_for_shard(self, "stop", async move {
                     if owned.node.servers.stop(&target, task, run).await {
                         owned
                             .shard
@@ -94,7 +94,7 @@
                 });
             }
             Action::Advise { task, servers } => {
-                tokio::task::spawn_local(async move {
+                spawn_for_shard(self, "advice", async move {
                     let address = owned.node.settings.advisor_address.clone();
                     let Some((permitted, valid_ms)) =
                         owned.node.servers.advise(&address, task, &servers).await
