End the daemon after a service has ended, also while settings are checked

The end of a service was taken from the list before the log was flushed. A SIGHUP in that half second dropped the wait, and the process went on without the service. Change: the log is flushed after the choice, not within it. Tests: none; the loop of the command has no test harness.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -46,7 +46,10 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            error = daemon.service_ended() => return Err(error.into()),
+            error = daemon.service_ended() => {
+                Daemon::flush_log().await;
+                return Err(error.into());
+            }
             _ = reload.recv() => match DaemonSettings::open_named(path.clone()) {
                 Ok(settings) => daemon.reload(&settings),
                 Err(error) => Line::error("settings_not_reloaded").with_reason(error).write(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -46,7 +46,7 @@
         address: std::net::SocketAddr,
         source: std::io::Error,
     },
-    /// Without one of its services, the process would hold shards and serve nobody.
+    /// A service ended; the daemon cannot do its work without it.
     #[snafu(display("{source}"))]
     Service { source: ServiceEnded },
 }
@@ -100,13 +100,17 @@
             .write();
     }
 
-    /// Waits until a service has ended, which none does by itself, and until the log has its line.
+    /// Waits until a service has ended, which none does by itself.
     pub async fn service_ended(&mut self) -> DaemonError {
         let source = self.services.ended().await;
-        tokio::time::sleep(2 * output::WRITE_INTERVAL).await;
         DaemonError::Service { source }
     }
 
+    /// Waits until the lines logged so far are written.
+    pub async fn flush_log() {
+        tokio::time::sleep(2 * output::WRITE_INTERVAL).await;
+    }
+
     /// Stops gracefully: reports not ready, releases all shards and finishes active requests.
     pub async fn stop(self) {
         let node = &self.node;
