Write nothing for a shard whose task panicked

A release that was under way when another task of the shard panicked went on to write records of incomplete state, and announced the release. Change: no batch is written and no release announced after a panic. The function is named abandon_after_panic.

--- a/src/daemon/departure.rs
+++ b/src/daemon/departure.rs
@@ -28,7 +28,7 @@
 
     /// Stops commanding the shard after a panic. Its state may be incomplete, so the successor gets no handover and
     /// waits for the leases, as after a restart.
-    pub fn give_up(&self, reason: &'static str) {
+    pub fn abandon_after_panic(&self, reason: &'static str) {
         self.node
             .forget_handover(&self.failure_domain, self.leadership.term);
         self.closed.set(true);
@@ -49,6 +49,9 @@
         self.save_handover();
         journal::flush(self).await;
         self.save_handover();
+        if self.panicked.get() {
+            return;
+        }
         let owner = Owner {
             cpu_millis,
             ..Owner::default()
@@ -77,6 +80,7 @@
             .save_handover(&self.failure_domain, self.shard.borrow().handover(now_ms()));
     }
 
+    /// Removes the shard from the owned ones, and wakes its tasks, which end.
     fn leave(&self) {
         self.node
             .owned_shards
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -59,6 +59,10 @@
 /// Writes one batch. Returns whether the store confirmed it.
 async fn write_batch(owned: &Rc<OwnedShard>) -> bool {
     let _guard = owned.records_lock.lock().await;
+    if owned.panicked.get() {
+        // The state may be incomplete.
+        return false;
+    }
     let batch = owned.shard.borrow_mut().take_batch(now_ms());
     if batch.is_empty() {
         return true;
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -70,7 +70,7 @@
             .with("task", name)
             .with_reason(end_reason(error))
             .write();
-        owned.give_up("task_panicked");
+        owned.abandon_after_panic("task_panicked");
     });
 }
 
