Count no crash of a server that drained after a handover

A server on which a task had just started at the change of owner was remembered as possibly crashed; that it drained and was replaced after that counted as a crash. Change: a server that begins to drain is no longer remembered. Tests: a_server_that_drains_after_a_handover_has_not_crashed fails without the change.

--- a/crates/fleet/src/crash_handover.rs
+++ b/crates/fleet/src/crash_handover.rs
@@ -145,7 +145,7 @@
             is_news = true;
         }
         let lapsed = record.lapsed_runs.iter().map(|&run| (task_ref, run));
-        self.suspect_runs(lapsed, now_ms);
+        self.note_lapsed_runs(lapsed, now_ms);
         if !is_news {
             return;
         }
@@ -173,7 +173,7 @@
         if suspects.is_empty() {
             return;
         }
-        self.suspect_runs(suspects.iter().copied(), now_ms);
+        self.note_lapsed_runs(suspects.iter().copied(), now_ms);
         self.remember_server(LapsedServer {
             name: starts.server.as_str().into(),
             address: starts.address.as_str().into(),
@@ -192,7 +192,7 @@
     }
 
     /// Notes runs whose server has not been heard of since their start.
-    fn suspect_runs(&mut self, runs: impl IntoIterator<Item = (TaskRef, u32)>, now_ms: u64) {
+    fn note_lapsed_runs(&mut self, runs: impl IntoIterator<Item = (TaskRef, u32)>, now_ms: u64) {
         for (task_ref, number) in runs {
             let task = self.task_mut(task_ref);
             let is_known = task.lapsed_runs.contains(&number)
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -4,8 +4,8 @@
 //! so that the next crash tells which task causes it; its job fails after a few. A task that outlives its start is no
 //! longer suspected. The counts are recorded with the task, so that they outlast a change of owner.
 //!
-//! A server that lapses after a start may have crashed, or may be out of reach. Until one of them is heard of again, a
-//! task with as many of these as crashes would fail it is not started.
+//! A server that lapses after a start may have crashed, or may be out of reach. A task with [`CRASHES_MAX`] crashes and
+//! lapses together is not started until one of the lapsed servers answers, for [`LAPSED_SERVER_WAIT_MS`] at most.
 
 use smol_str::SmolStr;
 
@@ -36,7 +36,8 @@
 /// Lapsed servers that are remembered; more at a time were cut off rather than crashed.
 const LAPSED_SERVERS_MAX: usize = 256;
 
-/// Server that lapsed and left the registrations, or on which an earlier owner had just started tasks. If it comes back as another incarnation, it had crashed.
+/// Server that lapsed and left the registrations, or on which an earlier owner had just started tasks. If it comes back
+/// as another incarnation, it had crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct LapsedServer {
     pub(crate) name: SmolStr,
@@ -72,7 +73,7 @@
     }
 
     /// Whether a task must not start on a server at present because a crash could then have several causes.
-    pub(crate) fn would_blur_crash(
+    pub(crate) fn crash_would_be_ambiguous(
         &self,
         task_ref: TaskRef,
         server: ServerKey,
@@ -200,6 +201,16 @@
         }
     }
 
+    /// Forgets that a server may have crashed, since it is expected to leave.
+    pub(crate) fn forget_remembered(&mut self, server: ServerKey, now_ms: u64) {
+        let name = self.servers[server].entry.name.clone();
+        let is_same = |lapsed: &mut LapsedServer| lapsed.name == name;
+        let found: Vec<LapsedServer> = self.lapsed_servers.extract_if(.., is_same).collect();
+        for lapsed in found {
+            self.clear_lapse(lapsed.suspects, now_ms);
+        }
+    }
+
     /// Counts a crash for the runs that may have caused it, and gives up tasks that keep crashing servers.
     pub(crate) fn count_crash(
         &mut self,
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -17,6 +17,12 @@
 /// Rate from which a run shows whether a server on trial works: it then ends in twice its time at most.
 const TRIAL_RATE_MIN_PERCENT: u32 = 50;
 
+/// Placement cost of a server outside the rack of the data; above all costs of load.
+const OFF_RACK_COST: u64 = 1 << 40;
+
+/// Placement cost of a server that crashed under the task; above that of another rack.
+const CRASHED_SERVER_COST: u64 = 1 << 50;
+
 /// Result of choosing a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -45,7 +51,7 @@
             }
             // Another crash of the same server would not tell whether it is the server or the task.
             let has_crashed = self.task(task_ref).crashed_servers.contains(&key);
-            let crash_cost = u64::from(has_crashed) << 50;
+            let crash_cost = u64::from(has_crashed) * CRASHED_SERVER_COST;
             let placement_cost = crash_cost + self.placement_cost(task_ref, key);
             if best.is_none_or(|(least, _)| placement_cost < least) {
                 best = Some((placement_cost, key));
@@ -82,7 +88,7 @@
         if !server.is_usable(now_ms) || server.entry.service != job.queue.service {
             return false;
         }
-        if self.has_trial_run(key) || self.would_blur_crash(task_ref, key, now_ms) {
+        if self.has_trial_run(key) || self.crash_would_be_ambiguous(task_ref, key, now_ms) {
             return false;
         }
         if spec.memory_mb > server.memory_free_mb()
@@ -157,7 +163,7 @@
         let server = &self.servers[key];
         let spec = self.step_spec(task_ref);
         let off_rack = !spec.data_rack.is_empty() && !server.has_label(&spec.data_rack);
-        let off_rack_cost = u64::from(off_rack) << 40;
+        let off_rack_cost = u64::from(off_rack) * OFF_RACK_COST;
         let capacity = u64::from(server.entry.cpu_millis.max(1));
         if spec.best_effort {
             return off_rack_cost
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -44,7 +44,8 @@
             self.end_incarnation(key, entry.started_unix_ms, now_ms);
         }
         let server = &mut self.servers[key];
-        if entry.draining && server.draining_since_ms.is_none() {
+        let begins_draining = entry.draining && server.draining_since_ms.is_none();
+        if begins_draining {
             server.draining_since_ms = Some(now_ms);
         }
         if !entry.draining {
@@ -52,6 +53,9 @@
         }
         server.entry = entry;
         server.registered = true;
+        if begins_draining {
+            self.forget_remembered(key, now_ms);
+        }
         key
     }
 
--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -248,3 +248,30 @@
     let progress = recorded(&mut owner).expect("its end is recorded");
     assert!(progress.tasks[0].lapsed_runs.is_empty());
 }
+
+/// Guards against a server that drains after a change of owner, and is replaced, counting as crashed.
+#[test]
+fn a_server_that_drains_after_a_handover_has_not_crashed() {
+    let mut servers = Servers::open();
+    let mut first = open_term(1, START_MS, None);
+    servers.answer(&mut first);
+    first.write_records();
+    servers.answer(&mut first);
+    first.plan();
+    let started_on = first.confirm_starts()[0].0;
+    let name = first.name(started_on);
+    let handover = first.handover();
+    let mut second = open_term(2, first.now_ms, None);
+    second.shard.apply_handover(&handover, first.now_ms);
+    let leaving = ServerEntry {
+        started_unix_ms: FIRST_START_UNIX_MS,
+        draining: true,
+        ..entry(&name)
+    };
+    second.shard.set_server(leaving, second.now_ms);
+    second.now_ms += RESTART_MS;
+    servers.crash(&name);
+    servers.answer(&mut second);
+    let progress = recorded(&mut second);
+    assert_eq!(crashed_runs(progress.as_ref()), 0);
+}
