--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -40,13 +40,12 @@
     pub listed_ms: Option<u64>,
     /// Whether the server is known not to have crashed at the start of the run.
     pub outlived_start: bool,
-    /// Whether a report from the time after the start at which the run would have outlived it did not list it: it has
-    /// not crashed the server.
+    /// Whether a poll from half a second after the start was answered without listing the run, so that it had not crashed
+    /// the server.
     pub missed_start: bool,
     /// Whether it began beside a suspected run, to which a crash of the server is attributed.
     pub beside_suspect: bool,
-    /// Progress in the first report after the run outlived its start. One that resumed from a checkpoint has some
-    /// already.
+    /// Progress when the run was first known to have outlived its start; not 0 if it resumed from a checkpoint.
     pub early_percent: Option<u32>,
     /// Last reported progress.
     pub progress_percent: u32,
