Show in a test that a server which drained after a handover is not counted

Change: the server is registered before the handover arrives, as in the daemon, which reads the registrations when it opens a shard. Stricter than before. Tests: a_server_that_drains_after_a_handover_has_not_crashed now fails without the change (seen) and passes with it. Measured: fleet tests pass.

--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -262,13 +262,18 @@
     let name = first.name(started_on);
     let handover = first.handover();
     let mut second = open_term(2, first.now_ms, None);
-    second.shard.apply_handover(&handover, first.now_ms);
-    let leaving = ServerEntry {
+    let registration = ServerEntry {
         started_unix_ms: FIRST_START_UNIX_MS,
-        draining: true,
         ..entry(&name)
     };
-    second.shard.set_server(leaving, second.now_ms);
+    let now_ms = second.now_ms;
+    second.shard.set_server(registration.clone(), now_ms);
+    second.shard.apply_handover(&handover, now_ms);
+    let leaving = ServerEntry {
+        draining: true,
+        ..registration
+    };
+    second.shard.set_server(leaving, now_ms);
     second.now_ms += RESTART_MS;
     servers.crash(&name);
     servers.answer(&mut second);
