Name no path of the store's API in a test outside platform/

Cause: the fake store of daemon_services.rs told lists from single keys by their path. Change: it tells them by the query. Tests: the check is unchanged and passes; daemon_services.rs passes.

--- a/tests/daemon_fake/mod.rs
+++ b/tests/daemon_fake/mod.rs
@@ -66,7 +66,9 @@
         let read = stream.read(&mut request).await.unwrap();
         let (status, body) = match &request[..read] {
             [b'P', ..] => ("503 Service Unavailable", ""),
-            range if range.starts_with(b"GET /v1/kv-range") => ("200 OK", r#"{"items":[],"at":9}"#),
+            list if list.windows(7).any(|part| part == b"prefix=") => {
+                ("200 OK", r#"{"items":[],"at":9}"#)
+            }
             _ => ("404 Not Found", ""),
         };
         let length = body.len();
