--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod problem;
 mod push;
 pub mod reload;
+pub mod reply;
 pub mod requests;
 pub mod rooms;
 pub mod schema;
