--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -10,8 +10,7 @@
 use primrosestack_core::event::Event;
 use primrosestack_core::ids::HostId;
 use primrosestack_core::membership::{
-    Active, Leaving, Load, MemberAction, MemberEvent, MemberHeartbeat, MemberState, MemberView,
-    Membership, MembershipConfig,
+    Load, MemberAction, MemberEvent, MemberHeartbeat, MemberState, Membership, MembershipConfig,
 };
 use primrosestack_core::peer_frame::{
     Body, DocumentDigest, DocumentHeads, DocumentVersion, Heartbeat,
@@ -28,6 +27,7 @@
 use crate::members::{
     self, Command, DomainRevisions, Members, MembersError, MembersOptions, ParsedDocument, View,
 };
+use crate::membership_state::MembershipState;
 use crate::peer::{Peers, ReceivedFrame};
 use crate::push::{document_from_frame, push_frame};
 use crate::store::Store;
@@ -64,42 +64,6 @@
     tokio::spawn(actor.run(queue));
 }
 
-enum MembershipState {
-    Active(Membership<Active>),
-    Leaving(Membership<Leaving>),
-}
-
-impl MembershipState {
-    fn handle(&mut self, now: MonoMs, event: MemberEvent, actions: &mut Vec<MemberAction>) {
-        match self {
-            Self::Active(membership) => membership.handle(now, event, actions),
-            Self::Leaving(membership) => membership.handle(now, event, actions),
-        }
-    }
-
-    fn leave(self, now: MonoMs, load: Load, actions: &mut Vec<MemberAction>) -> Self {
-        match self {
-            Self::Active(membership) => Self::Leaving(membership.leave(now, load, actions)),
-            Self::Leaving(_) => self,
-        }
-    }
-
-    fn members(&self) -> Vec<MemberView> {
-        match self {
-            Self::Active(membership) => membership.members().cloned().collect(),
-            Self::Leaving(membership) => membership.members().cloned().collect(),
-        }
-    }
-
-    fn live(&self) -> Vec<&str> {
-        match self {
-            Self::Active(membership) => membership.live().collect(),
-            // `live` returns this host first. It is left out, since a leaving host must not be the watcher.
-            Self::Leaving(membership) => membership.live().skip(1).collect(),
-        }
-    }
-}
-
 /// A host is joining until it holds all documents of a peer or a timeout has passed; only a serving host accepts edits.
 enum DocumentsState {
     Joining(Documents<Joining>),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod listen;
 pub mod logs;
 pub mod members;
+mod membership_state;
 pub mod metrics;
 pub mod model;
 pub mod openapi;
