--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 mod backend;
+mod links;
 mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -253,11 +254,6 @@
         }
     }
 
-    pub fn is_cut(&self, a: &str, b: &str) -> bool {
-        self.cut_links.contains(&(a.into(), b.into()))
-            || self.cut_links.contains(&(b.into(), a.into()))
-    }
-
     /// Delivers a message. Returns the resulting event and the host that receives it.
     pub fn deliver(&mut self, at: usize) -> Option<(SmolStr, Event)> {
         match self.messages.remove(at) {
@@ -487,17 +483,6 @@
         successor.expect("a successor is designated").name.clone()
     }
 
-    pub fn cut_link(&mut self, a: &str, b: &str) {
-        self.cut_links.insert((a.into(), b.into()));
-    }
-
-    /// Partitions a server from all entry hosts.
-    pub fn isolate_server(&mut self, server: &str) {
-        for name in HOSTS {
-            self.cut_link(name, server);
-        }
-    }
-
     pub fn all_attempts(&self) -> Vec<Attempt> {
         let servers = self.servers.values();
         let attempts = servers.flat_map(|server| server.attempts.keys());
