--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -89,6 +89,18 @@
     tasks.iter().map(|task| task.crashed_runs.len()).sum()
 }
 
+/// Opens the first term and has the task started. Returns the owner and the name of the server.
+fn open_started(servers: &Servers) -> (Harness, String) {
+    let mut owner = open_term(1, START_MS, None);
+    servers.answer(&mut owner);
+    owner.write_records();
+    servers.answer(&mut owner);
+    owner.plan();
+    let started_on = owner.confirm_starts()[0].0;
+    let name = owner.name(started_on);
+    (owner, name)
+}
+
 /// Has the task started by an owner and crashes its server. Returns the number of starts, 0 or 1.
 fn start_and_crash(owner: &mut Harness, servers: &mut Servers) -> usize {
     servers.answer(owner);
@@ -163,13 +175,7 @@
 #[test_case(false; "its start was not carried out")]
 fn a_server_that_did_not_crash_ends_the_suspicion(is_running: bool) {
     let servers = Servers::open();
-    let mut first = open_term(1, START_MS, None);
-    servers.answer(&mut first);
-    first.write_records();
-    servers.answer(&mut first);
-    first.plan();
-    let started_on = first.confirm_starts()[0].0;
-    let name = first.name(started_on);
+    let (first, name) = open_started(&servers);
     let handover = first.handover();
     let mut second = open_term(2, first.now_ms, None);
     second.shard.apply_handover(&handover, first.now_ms);
@@ -234,12 +240,7 @@
 #[test]
 fn a_refuted_lapse_is_recorded() {
     let servers = Servers::open();
-    let mut owner = open_term(1, START_MS, None);
-    servers.answer(&mut owner);
-    owner.write_records();
-    servers.answer(&mut owner);
-    owner.plan();
-    owner.confirm_starts();
+    let (mut owner, _) = open_started(&servers);
     owner.now_ms += 6_000;
     owner.tick();
     let progress = recorded(&mut owner).expect("the lapse is recorded");
@@ -253,13 +254,7 @@
 #[test]
 fn a_server_that_drains_after_a_handover_has_not_crashed() {
     let mut servers = Servers::open();
-    let mut first = open_term(1, START_MS, None);
-    servers.answer(&mut first);
-    first.write_records();
-    servers.answer(&mut first);
-    first.plan();
-    let started_on = first.confirm_starts()[0].0;
-    let name = first.name(started_on);
+    let (first, name) = open_started(&servers);
     let handover = first.handover();
     let mut second = open_term(2, first.now_ms, None);
     let registration = ServerEntry {
