Count a lease as ended only in a term that was confirmed after it

What callers see: a task runs twice at once, or again after it was done. An owner that loses the store acts on for up to 6 s. Meanwhile a successor can take the shard, reach a server that the owner does not reach, renew its lease and acknowledge the ends of its runs. The owner counted the lease as ended by its own clock, 4.9 s after its last poll, and started the server's tasks elsewhere. The same holds for an owner that waits for the leases of earlier owners: its own successor may reach a server that it does not reach.

That a lease has ended follows only if nobody else could renew it, so the owner now needs a confirmation of its term from after the end of the lease. It asks the store at once when it waits for one, and logs leases_unconfirmed. Without the store, tasks of lost servers wait until it answers or the authority ends.

--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -54,7 +54,9 @@
         for server in self.server_keys() {
             let state = &self.servers[server];
             let is_silent = now_ms >= state.last_contact_ms + CONTACT_TIMEOUT_MS;
-            if is_silent && now_ms >= state.lease_end_ms {
+            let lease_end_ms = state.lease_end_ms;
+            if is_silent && self.has_lease_ended(lease_end_ms, now_ms) {
+                let state = &self.servers[server];
                 let runs = state.runs.clone();
                 if !runs.is_empty() {
                     let silent_ms = now_ms - state.last_contact_ms;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,5 +1,7 @@
 //! Planning: which waiting tasks are started next.
 
+use std::mem;
+
 use smol_str::SmolStr;
 
 use crate::action::Action;
@@ -62,7 +64,7 @@
             return;
         }
         self.sort_ready(unix_ms, now_ms);
-        let ready = std::mem::take(&mut self.ready);
+        let ready = mem::take(&mut self.ready);
         let mut unplaced = Vec::with_capacity(ready.len());
         let mut blocked_steps: Vec<(JobKey, u32, u32)> = Vec::new();
         for task_ref in ready {
@@ -116,7 +118,7 @@
         let jobs = &self.jobs;
         self.ready
             .retain(|task_ref| jobs.contains_key(task_ref.job));
-        let mut ready = std::mem::take(&mut self.ready);
+        let mut ready = mem::take(&mut self.ready);
         ready.sort_by_cached_key(|&task_ref| {
             let job = &self.jobs[task_ref.job];
             let spec = self.step_spec(task_ref);
@@ -370,8 +372,14 @@
 
     /// Runs timer-driven work.
     pub fn tick(&mut self, now_ms: u64) {
+        let awaited_confirmation = mem::take(&mut self.awaits_confirmation);
         self.settle(now_ms);
         self.expire(now_ms);
+        if self.awaits_confirmation && !awaited_confirmation {
+            let confirmed_ms_ago = now_ms.saturating_sub(self.term_confirmed_ms);
+            let inputs = [("era", self.term), ("confirmed_ms_ago", confirmed_ms_ago)];
+            self.log_decision("leases_unconfirmed", None, None, inputs);
+        }
         self.drain_long_running(now_ms);
         self.purge_ended_jobs(now_ms);
     }
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -105,7 +105,10 @@
     /// Marks the shard as settled and releases unresolved tasks, once all servers of earlier owners have answered or
     /// their leases have expired.
     pub(crate) fn settle(&mut self, now_ms: u64) {
-        if self.settled || (!self.unclaimed.is_empty() && now_ms < self.settle_deadline_ms) {
+        if self.settled {
+            return;
+        }
+        if !self.unclaimed.is_empty() && !self.has_lease_ended(self.settle_deadline_ms, now_ms) {
             return;
         }
         self.settled = true;
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -200,6 +200,10 @@
     /// Whether all runs of earlier owners that may still exist are known.
     pub(crate) settled: bool,
     pub(crate) predecessors: Predecessors,
+    /// Time as of which the store last confirmed the term.
+    pub(crate) term_confirmed_ms: u64,
+    /// Whether the shard waits for a confirmation of its term before it counts leases as ended.
+    pub(crate) awaits_confirmation: bool,
     /// When the registrations were last known to be complete; `None` before that.
     pub(crate) registrations_as_of_ms: Option<u64>,
     /// Whether the store has answered no call for a while.
@@ -254,6 +258,8 @@
             settle_deadline_ms: now_ms + predecessor_expiry_ms,
             settled,
             predecessors: Predecessors::default(),
+            term_confirmed_ms: 0,
+            awaits_confirmation: false,
             registrations_as_of_ms: None,
             store_silent: false,
             registrations_outdated: false,
@@ -268,6 +274,28 @@
         }
     }
 
+    /// Records that the store confirmed the term as of `as_of_ms`.
+    pub fn confirm_term(&mut self, as_of_ms: u64) {
+        self.term_confirmed_ms = self.term_confirmed_ms.max(as_of_ms);
+    }
+
+    /// Whether the shard waits for a confirmation of its term before it counts leases as ended.
+    #[must_use]
+    pub fn awaits_confirmation(&self) -> bool {
+        self.awaits_confirmation
+    }
+
+    /// Whether leases that end at `lease_end_ms` by this owner's knowledge have ended. Until the term is confirmed after
+    /// that, a successor may have renewed them.
+    pub(crate) fn has_lease_ended(&mut self, lease_end_ms: u64, now_ms: u64) -> bool {
+        if now_ms < lease_end_ms {
+            return false;
+        }
+        let is_confirmed = self.term_confirmed_ms >= lease_end_ms;
+        self.awaits_confirmation |= !is_confirmed;
+        is_confirmed
+    }
+
     /// The owner's term, which is the fencing token for servers.
     #[must_use]
     pub fn term(&self) -> u64 {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -98,6 +98,8 @@
 pub struct Harness {
     pub shard: Shard,
     pub now_ms: u64,
+    /// Whether the store confirms the term before each plan and tick.
+    pub confirms_term: bool,
     pub starts: Vec<(ServerKey, StartRequest)>,
     pub stops: Vec<(ServerKey, TaskId, u32)>,
     pub rates: Vec<(ServerKey, TaskId, u32, u32)>,
@@ -127,6 +129,7 @@
         Self {
             shard,
             now_ms: START_MS,
+            confirms_term: true,
             starts: Vec::new(),
             stops: Vec::new(),
             rates: Vec::new(),
@@ -280,11 +283,19 @@
 
     /// Plans at a time of day.
     pub fn plan_at(&mut self, unix_ms: u64) {
+        self.confirm_term();
         self.shard.plan(AUTHORITY_END_MS, unix_ms, self.now_ms);
         self.collect();
     }
 
+    fn confirm_term(&mut self) {
+        if self.confirms_term {
+            self.shard.confirm_term(self.now_ms);
+        }
+    }
+
     pub fn tick(&mut self) {
+        self.confirm_term();
         self.shard.tick(self.now_ms);
         self.collect();
     }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -184,6 +184,7 @@
     /// Records that the store confirmed the term in response to a call sent at `sent_ms`.
     pub fn confirm(&self, sent_ms: u64) {
         self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+        self.shard.borrow_mut().confirm_term(sent_ms);
     }
 
     /// Commits a transaction on condition that the term has not ended, and steps down if it has. Each transaction
@@ -343,7 +344,8 @@
                 self.release(cpu_millis).await;
                 return;
             }
-            if now >= self.confirmed_ms.get() + CONFIRM_AFTER_MS {
+            let is_awaited = self.shard.borrow().awaits_confirmation();
+            if is_awaited || now >= self.confirmed_ms.get() + CONFIRM_AFTER_MS {
                 self.check_term().await;
             }
             if self.must_announce.get() {
