Step down when a server has seen a later term, also without the store

What callers see: tasks started twice around a change of owner. A server that has seen a successor's term refuses the polls and starts of the earlier owner. The owner then read its term from the store, and if the store did not answer it went on giving orders to all other servers until its authority ended, up to 6 s, and took the refusing server for silent. The refusal itself proves that the term has ended, so it steps down, hands over its state and answers its successor.

--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -49,6 +49,9 @@
                     } else {
                         owned.node.servers.start(&target, &request).await
                     };
+                    if reply == StartReply::Fenced {
+                        owned.verify_term().await;
+                    }
                     owned
                         .shard
                         .borrow_mut()
@@ -193,7 +196,7 @@
                     tokio::time::sleep(Duration::from_millis(POLL_RETRY_DELAY_MS)).await;
                 }
                 PollReply::Fenced => {
-                    self.check_term().await;
+                    self.verify_term().await;
                     tokio::time::sleep(Duration::from_millis(POLL_RETRY_DELAY_MS)).await;
                 }
                 PollReply::WrongInstance => {
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -336,6 +336,16 @@
         }
     }
 
+    /// Checks the term after a server refused a call because it had seen a later one. Without an answer of the store, the
+    /// server's word counts.
+    pub async fn verify_term(&self) {
+        let refused_ms = now_ms();
+        self.check_term().await;
+        if self.confirmed_ms.get() < refused_ms {
+            self.step_down("server_fenced");
+        }
+    }
+
     pub(super) async fn maintain_authority(self: Rc<Self>) {
         let mut renewed_ms = 0;
         while !self.closed.get() {
--- a/tests/daemon_fake/mod.rs
+++ b/tests/daemon_fake/mod.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 const LOOPBACK: &str = "127.0.0.1:0";
 
@@ -20,15 +21,15 @@
     start_revision: 9,
 };
 
-/// Opens the shard `poa` and makes the node its owner.
-pub async fn owned_shard() -> (Rc<Node>, Rc<OwnedShard>) {
-    let store = TcpListener::bind(LOOPBACK).await.unwrap();
-    let node = node(&store.local_addr().unwrap().to_string());
-    tokio::task::spawn_local(serve_store(store));
+/// Opens the shard `poa` and makes the node its owner. The task serves the store.
+pub async fn owned_shard() -> (Rc<Node>, Rc<OwnedShard>, JoinHandle<()>) {
+    let listener = TcpListener::bind(LOOPBACK).await.unwrap();
+    let node = node(&listener.local_addr().unwrap().to_string());
+    let store = tokio::task::spawn_local(serve_store(listener));
     let owned = OwnedShard::open(&node, "poa".into(), LEADERSHIP, Vec::new(), 1, now_ms());
     let owned = owned.await.unwrap();
     node.owned_shards.borrow_mut().push(Rc::clone(&owned));
-    (node, owned)
+    (node, owned, store)
 }
 
 /// What a successor in the next term gets.
--- a/tests/daemon_services.rs
+++ b/tests/daemon_services.rs
@@ -51,7 +51,7 @@
 #[tokio::test]
 async fn a_shard_whose_task_panics_is_given_up() {
     let run = async {
-        let (node, owned) = owned_shard().await;
+        let (node, owned, _store) = owned_shard().await;
         node.save_handover(&"poa".into(), Handover::unopened(4));
         spawn_for_shard(&owned, "broken", async { panic!("out of range") });
         while node.owned_shard("poa").is_some() {
@@ -68,7 +68,7 @@
 #[tokio::test]
 async fn a_shard_that_is_being_released_hands_over_its_state() {
     let run = async {
-        let (node, owned) = owned_shard().await;
+        let (node, owned, _store) = owned_shard().await;
         node.save_handover(&"poa".into(), Handover::unopened(4));
         // The record of a cancelled job is due, and the store refuses it.
         owned.receive_job(JobId(7), cancelled_job(7));
