Count a job as waiting until one of its tasks is known to have begun

A job counted as begun from the moment at which its owner sent a start, and stayed so if the start got no answer, was refused, or was lost with its server. A record with a used run number counted as begun as well.

A job has begun once a start is confirmed, or a report lists a run or an end of it; its record tells so.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -74,10 +74,7 @@
             recorded_phase: recorded,
             version: 0,
             recorded_version: 0,
-            started: stored
-                .progress
-                .as_ref()
-                .is_some_and(|progress| !progress.tasks.is_empty()),
+            started: stored.progress.as_ref().is_some_and(Progress::has_started),
             is_delegated: stored.is_delegated,
             delegate_domains: Vec::new(),
             outbound_transfers: Vec::new(),
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -64,6 +64,7 @@
 fn progress_of(key: JobKey, job: &Job) -> Progress {
     let mut progress = Progress {
         queue: job.queue.name.clone(),
+        started: job.started,
         ..Progress::default()
     };
     progress.set_phase(job.phase);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -70,6 +70,20 @@
     /// Failure domains whose shards run delegated tasks of the job.
     #[prost(string, repeated, tag = "4")]
     pub delegate_domains: Vec<String>,
+    /// Whether any task is known to have begun.
+    #[prost(bool, tag = "5")]
+    pub started: bool,
+}
+
+impl Progress {
+    /// Whether any task is known to have begun. Records of earlier versions tell it only by ends and checkpoints.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        let has_begun = |task: &TaskRecord| {
+            task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty()
+        };
+        self.started || self.tasks.iter().any(has_begun)
+    }
 }
 
 /// Tasks that a home shard delegates to another shard.
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -177,6 +177,7 @@
             | EndKind::GangIncomplete => {}
         }
         let job = &mut self.jobs[task_ref.job];
+        job.started = true;
         job.mark_changed(now_ms);
         let version = job.version;
         self.changed.push(task_ref.job);
@@ -289,6 +290,7 @@
             });
             return;
         }
+        self.jobs[task_ref.job].started = true;
         let is_live = self.jobs[task_ref.job].is_live();
         let task = self.task_mut(task_ref);
         let Some(position) = task.run_position(server, status.run) else {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -46,7 +46,6 @@
         state.runs.push((task_ref, number));
         let job = &mut self.jobs[task_ref.job];
         job.run_count += 1;
-        job.started = true;
         let task = self.task_mut(task_ref);
         task.last_run = task.last_run.max(number);
         task.queued = false;
@@ -204,6 +203,7 @@
         }
         match reply {
             StartReply::Started => {
+                self.jobs[task_ref.job].started = true;
                 let run = &mut self.task_mut(task_ref).runs[position];
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -74,7 +74,7 @@
     pub version: u64,
     /// Version up to which the job is recorded.
     pub recorded_version: u64,
-    /// Whether any task has been started.
+    /// Whether any task is known to have begun; a start request without an answer does not tell.
     pub started: bool,
     /// Whether another shard is the job's home and this one runs only delegated tasks.
     pub is_delegated: bool,
--- a/crates/fleet/tests/crash_suspects.rs
+++ b/crates/fleet/tests/crash_suspects.rs
@@ -59,6 +59,7 @@
     let mut harness = Harness::open(&["one"]);
     let suspect = harness.submit(1, 2, vec![step(1)]);
     harness.plan();
+    harness.confirm_starts();
     for crashes in 1..=3 {
         assert_eq!(
             harness.shard.job_status(suspect),
--- a/src/daemon/inbox.rs
+++ b/src/daemon/inbox.rs
@@ -5,7 +5,7 @@
 //! never starts a job of its successor's term, which the successor considers not started.
 
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{self, StoredJob, Term, Transfer};
+use primrosestack_fleet::record::{self, Phase, StoredJob, Term, Transfer};
 use primrosestack_platform::store::Item;
 use prost::Message;
 use smol_str::SmolStr;
@@ -134,7 +134,7 @@
     jobs
 }
 
-/// Number of jobs per queue that, according to the store, have not started any task: those without a progress record.
+/// Number of jobs per queue that, according to the store, have not started any task.
 /// Sorted by queue.
 #[must_use]
 pub fn count_queued_jobs(inbox: &[Item], progress: &[Item]) -> Vec<(SmolStr, u32)> {
@@ -146,7 +146,10 @@
         else {
             continue;
         };
-        if stored.progress.is_some() {
+        let progress = stored.progress.as_ref();
+        if progress
+            .is_some_and(|progress| progress.phase() != Phase::Live || progress.has_started())
+        {
             continue;
         }
         let name = SmolStr::new(&spec.queue.unwrap_or_default().name);
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -462,7 +462,7 @@
         Phase::Completed => JobStatus::Completed,
         Phase::Failed => JobStatus::Failed,
         Phase::Cancelled => JobStatus::Cancelled,
-        Phase::Live if progress.tasks.is_empty() => JobStatus::Queued,
-        Phase::Live => JobStatus::Running,
+        Phase::Live if progress.has_started() => JobStatus::Running,
+        Phase::Live => JobStatus::Queued,
     }
 }
