Move long-running tasks from a draining server when another has room for them

The owner stopped all long-running tasks on a draining server within one tick, whether or not another server had room; they waited for it although their server would have run them on.

A task is now stopped once another server of the failure domain, or another failure domain, has room for it, or shortly before its server may leave. Room is reserved first for tasks that wait and for those whose stop is under way. The time left is that of the registration, or else the drain bound. A moved task starts before short tasks, and is delegated after 0.2 s instead of 1.2 s, since local room was looked for before its stop. The log tells the time left of a draining server.

--- /dev/null
+++ b/crates/fleet/src/drain.rs
@@ -0,0 +1,223 @@
+//! Moves of long-running tasks away from draining servers.
+//!
+//! A task is stopped once another server has room for it, or shortly before its server may leave. Room is reserved first
+//! for tasks without a run, then for those that are being moved, so that each place is promised once.
+
+use smol_str::SmolStr;
+
+use crate::intake::Load;
+use crate::job::StepSpec;
+use crate::place::Choice;
+use crate::report::ServerEntry;
+use crate::server::{CONTACT_TIMEOUT_MS, Server};
+use crate::shard::{JobKey, ServerKey, Shard, TaskRef};
+
+/// Time besides the stop itself that the last stops need before a server leaves: transit, the report of the end, and the
+/// age of the registration.
+const STOP_TRANSIT_MS: u64 = 500;
+
+/// Maximum number of tasks stopped per call in order to delegate them, as many as can be delegated then.
+const STOPPED_FOR_DELEGATION_MAX: usize = 4;
+
+/// Run of a long-running task on a draining server.
+#[derive(Clone, Copy, Debug)]
+struct DrainingRun {
+    departure_ms: u64,
+    task_ref: TaskRef,
+    server: ServerKey,
+    number: u32,
+}
+
+/// Room reserved for a task while other moves are decided.
+struct Reservation {
+    task_ref: TaskRef,
+    server: ServerKey,
+    number: u32,
+    was_queued: bool,
+}
+
+impl Server {
+    /// Derives from a registration when the server may leave. A copy that is read again tells nothing new.
+    pub(crate) fn update_departure(&mut self, entry: &ServerEntry, drain_ms: u64, now_ms: u64) {
+        let is_news = !self.entry.draining || entry.leaves_in_ms != self.entry.leaves_in_ms;
+        self.departure_ms = match (entry.draining, self.departure_ms) {
+            (false, _) => None,
+            (true, Some(departure_ms)) if !is_news => Some(departure_ms),
+            (true, _) => Some(now_ms + entry.leaves_in_ms.unwrap_or(drain_ms)),
+        };
+    }
+}
+
+impl Shard {
+    /// Stops long-running tasks on draining servers for which there is room on other servers of this failure domain, and
+    /// those whose server may leave soon.
+    pub(crate) fn drain_long_running(&mut self, now_ms: u64) {
+        let (runs, moving) = self.draining_runs(now_ms);
+        if runs.is_empty() {
+            return;
+        }
+        let mut reservations = Vec::new();
+        let mut full_steps: Vec<(JobKey, u32, u32)> = Vec::new();
+        let waiting: Vec<TaskRef> = self.ready.clone();
+        for task_ref in waiting.into_iter().chain(moving) {
+            if self.is_waiting_for_move(task_ref) {
+                self.reserve_room(task_ref, &mut reservations, &mut full_steps, now_ms);
+            }
+        }
+        let mut to_stop = Vec::new();
+        for run in runs {
+            let has_room =
+                self.reserve_room(run.task_ref, &mut reservations, &mut full_steps, now_ms);
+            if has_room || now_ms + self.bounds.stop_ms + STOP_TRANSIT_MS >= run.departure_ms {
+                to_stop.push((run, has_room));
+            }
+        }
+        for reservation in reservations.into_iter().rev() {
+            self.release_room(&reservation);
+        }
+        for (run, has_room) in to_stop {
+            self.move_away(&run, has_room, now_ms);
+        }
+    }
+
+    /// Stops long-running tasks on draining servers that only other failure domains have room for. They are delegated
+    /// once their runs have ended.
+    pub(crate) fn stop_for_delegation(&mut self, others: &[(SmolStr, Load)], now_ms: u64) {
+        let (runs, moving) = self.draining_runs(now_ms);
+        if runs.is_empty() {
+            return;
+        }
+        // A load that is reported later still includes the room for tasks whose runs have not ended.
+        let mut others = others.to_vec();
+        for task_ref in moving {
+            Self::take_room(self.step_spec(task_ref), &mut others);
+        }
+        let mut to_stop = Vec::new();
+        for run in runs {
+            if to_stop.len() >= STOPPED_FOR_DELEGATION_MAX {
+                break;
+            }
+            let job = &self.jobs[run.task_ref.job];
+            let spec = self.step_spec(run.task_ref);
+            if job.is_live()
+                && spec.can_be_delegated()
+                && Self::take_room(spec, &mut others).is_some()
+            {
+                to_stop.push(run);
+            }
+        }
+        for run in to_stop {
+            self.move_away(&run, true, now_ms);
+        }
+    }
+
+    /// Takes one place for a task from the reported capacity of other shards. Returns the failure domain.
+    pub(crate) fn take_room(step: &StepSpec, others: &mut [(SmolStr, Load)]) -> Option<SmolStr> {
+        others.iter_mut().find_map(|(domain, load)| {
+            let free_capacity = &mut load.free_capacity;
+            let fits = free_capacity.iter().position(|free| {
+                free.cpu_millis >= step.cpu_millis && free.memory_mb >= step.memory_mb
+            })?;
+            free_capacity.remove(fits);
+            Some(domain.clone())
+        })
+    }
+
+    /// Long-running tasks on draining servers that answer: those that run, by the time at which the server may leave, and
+    /// those whose stop is under way.
+    fn draining_runs(&self, now_ms: u64) -> (Vec<DrainingRun>, Vec<TaskRef>) {
+        let mut runs = Vec::new();
+        let mut moving = Vec::new();
+        for (key, server) in &self.servers {
+            let Some(departure_ms) = server.departure_ms else {
+                continue;
+            };
+            if now_ms >= server.last_contact_ms + CONTACT_TIMEOUT_MS {
+                continue;
+            }
+            for &(task_ref, number) in &server.runs {
+                if !self.step_spec(task_ref).long_running {
+                    continue;
+                }
+                if self.is_stopping(task_ref, key, number) {
+                    moving.push(task_ref);
+                } else {
+                    runs.push(DrainingRun {
+                        departure_ms,
+                        task_ref,
+                        server: key,
+                        number,
+                    });
+                }
+            }
+        }
+        runs.sort_by_key(|run| (run.departure_ms, run.task_ref));
+        (runs, moving)
+    }
+
+    fn is_stopping(&self, task_ref: TaskRef, server: ServerKey, number: u32) -> bool {
+        let task = self.task(task_ref);
+        task.run_position(server, number)
+            .is_some_and(|position| task.runs[position].is_stopping())
+    }
+
+    /// Whether a long-running task without a run, or one that is being moved, waits for room in this shard.
+    fn is_waiting_for_move(&self, task_ref: TaskRef) -> bool {
+        let Some(job) = self.jobs.get(task_ref.job) else {
+            return false;
+        };
+        let task = self.task(task_ref);
+        job.is_live() && self.step_spec(task_ref).long_running && (task.queued || task.moved)
+    }
+
+    /// Reserves room for a task on another server. Returns whether there was any.
+    fn reserve_room(
+        &mut self,
+        task_ref: TaskRef,
+        reservations: &mut Vec<Reservation>,
+        full_steps: &mut Vec<(JobKey, u32, u32)>,
+        now_ms: u64,
+    ) -> bool {
+        let step_key = (task_ref.job, task_ref.occurrence, task_ref.step);
+        if full_steps.contains(&step_key) {
+            return false;
+        }
+        let Choice::Server(server) = self.choose(task_ref, None, now_ms) else {
+            full_steps.push(step_key);
+            return false;
+        };
+        let task = self.task(task_ref);
+        let (number, was_queued) = (task.last_run + 1, task.queued);
+        self.add_run(task_ref, server, number, now_ms);
+        reservations.push(Reservation {
+            task_ref,
+            server,
+            number,
+            was_queued,
+        });
+        true
+    }
+
+    fn release_room(&mut self, reservation: &Reservation) {
+        self.remove_reserved_run(reservation.task_ref, reservation.server, reservation.number);
+        let task = self.task_mut(reservation.task_ref);
+        task.last_run = reservation.number - 1;
+        task.queued = reservation.was_queued;
+    }
+
+    fn move_away(&mut self, run: &DrainingRun, has_room: bool, now_ms: u64) {
+        let left_ms = run.departure_ms.saturating_sub(now_ms);
+        self.log_decision(
+            "task_moved",
+            Some(run.task_ref),
+            Some(run.server),
+            [
+                ("run", u64::from(run.number)),
+                ("has_room", u64::from(has_room)),
+                ("left_ms", left_ms),
+            ],
+        );
+        self.task_mut(run.task_ref).moved = true;
+        self.stop_run(run.task_ref, run.server, run.number, now_ms);
+    }
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -120,9 +120,10 @@
         ready.sort_by_cached_key(|&task_ref| {
             let job = &self.jobs[task_ref.job];
             let spec = self.step_spec(task_ref);
-            let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
+            let task = self.task(task_ref);
+            let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
             let is_overdue = spec.long_running
-                && (job.is_delegated || waited_ms >= OVERDUE_MS)
+                && (job.is_delegated || task.moved || waited_ms >= OVERDUE_MS)
                 && self.fits_two(spec);
             let rank = match (spec.long_running, is_overdue) {
                 (true, true) => 0,
@@ -376,39 +377,6 @@
         self.purge_ended_jobs(now_ms);
     }
 
-    /// Stops long-running tasks on draining servers, so that they restart elsewhere.
-    fn drain_long_running(&mut self, now_ms: u64) {
-        let mut to_stop = Vec::new();
-        for (key, server) in &self.servers {
-            if !server.entry.draining
-                || now_ms >= server.last_contact_ms + crate::server::CONTACT_TIMEOUT_MS
-            {
-                continue;
-            }
-            for &(task_ref, number) in &server.runs {
-                if self.step_spec(task_ref).long_running && !self.is_stopping(task_ref, key, number)
-                {
-                    to_stop.push((task_ref, key, number));
-                }
-            }
-        }
-        for (task_ref, server, number) in to_stop {
-            self.log_decision(
-                "task_moved",
-                Some(task_ref),
-                Some(server),
-                [("run", u64::from(number))],
-            );
-            self.stop_run(task_ref, server, number, now_ms);
-        }
-    }
-
-    fn is_stopping(&self, task_ref: TaskRef, server: ServerKey, number: u32) -> bool {
-        let task = self.task(task_ref);
-        task.run_position(server, number)
-            .is_some_and(|position| task.runs[position].is_stopping())
-    }
-
     /// Purges recorded jobs whose retention period has passed.
     fn purge_ended_jobs(&mut self, now_ms: u64) {
         let retention_ms = self.bounds.retention_ms;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -51,6 +51,7 @@
         if !entry.draining {
             server.draining_since_ms = None;
         }
+        server.update_departure(&entry, self.bounds.drain_ms, now_ms);
         server.entry = entry;
         server.registered = true;
         if begins_draining {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -74,6 +74,7 @@
                 .suspected_run
                 .get_or_insert((task_ref, number));
         }
+        self.task_mut(task_ref).moved = false;
         let state = &self.servers[server];
         let tickets = &self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
             [task_ref.step as usize]
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -79,6 +79,8 @@
     pub full_until_ms: u64,
     /// When draining began.
     pub draining_since_ms: Option<u64>,
+    /// When the server may leave at the earliest, if it is draining.
+    pub departure_ms: Option<u64>,
 }
 
 impl Server {
@@ -112,6 +114,7 @@
             headroom: Headroom::default(),
             full_until_ms: 0,
             draining_since_ms: None,
+            departure_ms: None,
         }
     }
 
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -115,6 +115,8 @@
     pub remote: bool,
     /// Whether the task is in the shard's ready queue.
     pub queued: bool,
+    /// Whether its last run was stopped because its server is draining.
+    pub moved: bool,
     /// Runs that may exist; more than one only for speculative copies.
     pub runs: Vec<Run>,
     /// Highest run number used.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -13,6 +13,9 @@
 /// Wait after which a task is delegated; local servers often have free capacity again within one poll.
 const DELEGATE_AFTER_MS: u64 = 1_200;
 
+/// The same for a task that was moved from a draining server; whether there is local room was checked before its stop.
+const DELEGATE_MOVED_AFTER_MS: u64 = 200;
+
 /// Maximum number of transfers of a job that are not recorded yet. Each takes two entries of the transaction that records
 /// the job.
 const UNRECORDED_TRANSFERS_MAX: usize = 8;
@@ -21,7 +24,8 @@
 const DELEGATED_TASKS_MAX: usize = 4;
 
 impl Shard {
-    /// Delegates waiting long-running tasks to shards with free capacity. Returns whether there is anything to record.
+    /// Delegates waiting long-running tasks to shards with free capacity, and stops some on draining servers for that.
+    /// Returns whether there is anything to record.
     pub fn delegate_tasks(&mut self, others: &mut [(SmolStr, Load)], now_ms: u64) -> bool {
         let waiting: Vec<TaskRef> = self
             .ready
@@ -39,18 +43,13 @@
                 continue;
             }
             let step = self.step_spec(task_ref).clone();
-            let fitting = others.iter_mut().find_map(|(domain, load)| {
-                let free_capacity = &mut load.free_capacity;
-                let fits = free_capacity.iter().position(|free| {
-                    free.cpu_millis >= step.cpu_millis && free.memory_mb >= step.memory_mb
-                })?;
-                free_capacity.remove(fits);
-                Some(domain.clone())
-            });
-            let Some(domain) = fitting else { continue };
+            let Some(domain) = Self::take_room(&step, others) else {
+                continue;
+            };
             self.delegate_to(task_ref, domain, now_ms);
             count += 1;
         }
+        self.stop_for_delegation(others, now_ms);
         count > 0
     }
 
@@ -58,22 +57,25 @@
         let Some(job) = self.jobs.get(task_ref.job) else {
             return false;
         };
-        let step = &job.spec.steps[task_ref.step as usize];
         let task = self.task(task_ref);
-        let step_allows_delegation =
-            step.long_running && !step.gang && step.label.is_empty() && step.gpus == 0;
+        let delegate_after_ms = if task.moved {
+            DELEGATE_MOVED_AFTER_MS
+        } else {
+            DELEGATE_AFTER_MS
+        };
         job.is_live()
-            && step_allows_delegation
+            && self.step_spec(task_ref).can_be_delegated()
             && task.queued
             && task.runs.is_empty()
             && !self.is_start_postponed(task_ref, now_ms)
-            && now_ms >= task.ready_since_ms + DELEGATE_AFTER_MS
+            && now_ms >= task.ready_since_ms + delegate_after_ms
     }
 
     fn delegate_to(&mut self, task_ref: TaskRef, domain: SmolStr, now_ms: u64) {
         let task = self.task_mut(task_ref);
         task.remote = true;
         task.queued = false;
+        task.moved = false;
         // Each transfer uses a run number, so that the newest of several records of a task can be identified.
         task.last_run += 1;
         let record = TaskRecord {
--- /dev/null
+++ b/crates/fleet/tests/drain.rs
@@ -0,0 +1,227 @@
+//! Moves of long-running tasks away from draining servers.
+
+mod common;
+
+use common::{BOUNDS, DELEGATION_WAIT_MS, Harness, entry, run_end, service_step, step};
+use primrosestack_fleet::job::JobId;
+use primrosestack_fleet::report::{EndKind, ServerEntry};
+use smol_str::SmolStr;
+
+/// Minimum time left that the draining server of most tests announces.
+const LEAVES_IN_MS: u64 = 8_000;
+
+/// Interval of the owner's timer.
+const TICK_MS: u64 = 100;
+
+/// Time within which an announced departure must find the server without long-running tasks: a stop takes `stop_ms`.
+const LATEST_STOP_BEFORE_MS: u64 = BOUNDS.stop_ms + 200;
+
+fn entry_with_cpu(name: &str, cpu_millis: u32) -> ServerEntry {
+    ServerEntry {
+        cpu_millis,
+        ..entry(name)
+    }
+}
+
+/// Sixteen long-running tasks on the server `one`, which is full.
+fn full_server() -> (Harness, JobId) {
+    let mut harness = Harness::open(&["one"]);
+    let job = harness.submit(7, 0, vec![service_step(16, "a")]);
+    harness.plan();
+    assert_eq!(harness.confirm_starts().len(), 16);
+    harness.write_records();
+    harness.now_ms += 1;
+    harness.report_running(&[job]);
+    (harness, job)
+}
+
+fn add_server(harness: &mut Harness, name: &str, cpu_millis: u32) {
+    let now_ms = harness.now_ms;
+    harness
+        .shard
+        .set_server(entry_with_cpu(name, cpu_millis), now_ms);
+    harness.claim(name);
+    harness.write_records();
+}
+
+fn drain(harness: &mut Harness, name: &str, leaves_in_ms: Option<u64>) {
+    let draining = ServerEntry {
+        draining: true,
+        leaves_in_ms,
+        ..entry(name)
+    };
+    let now_ms = harness.now_ms;
+    harness.shard.set_server(draining, now_ms);
+}
+
+/// Lets time pass; all servers report the expected runs.
+fn pass(harness: &mut Harness, jobs: &[JobId], duration_ms: u64) {
+    let end_ms = harness.now_ms + duration_ms;
+    while harness.now_ms < end_ms {
+        harness.now_ms += TICK_MS;
+        harness.report_running(jobs);
+        harness.tick();
+    }
+}
+
+/// The server reports the ends of all runs that were to be stopped. Returns their number.
+fn report_stopped(harness: &mut Harness, name: &str, first_number: u64) -> usize {
+    let stops = std::mem::take(&mut harness.stops);
+    harness.now_ms += 1;
+    for (index, (_, task, run)) in stops.iter().enumerate() {
+        let number = first_number + index as u64;
+        harness.report_end(name, &run_end(number, *task, *run, EndKind::Stopped));
+    }
+    stops.len()
+}
+
+/// Guards against long-running tasks that no other server has room for being stopped while their server could run them
+/// on, and against the same room being promised to several of them.
+#[test]
+fn only_as_many_tasks_leave_a_draining_server_as_others_have_room_for() {
+    let (mut harness, job) = full_server();
+    add_server(&mut harness, "two", 4_000);
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    harness.tick();
+    assert_eq!(harness.stops.len(), 4);
+    pass(&mut harness, &[job], 500);
+    assert_eq!(harness.stops.len(), 4, "while the stops are under way");
+    assert_eq!(report_stopped(&mut harness, "one", 1), 4);
+    harness.plan();
+    let starts = harness.confirm_starts();
+    assert_eq!(starts.len(), 4);
+    let two = harness.key("two");
+    assert!(starts.iter().all(|(server, _)| *server == two));
+    pass(&mut harness, &[job], 1_000);
+    assert_eq!(harness.stops.len(), 0, "the others keep running");
+}
+
+/// Guards against tasks that stayed on a draining server not moving once there is room for them.
+#[test]
+fn tasks_on_a_draining_server_move_when_room_appears() {
+    let (mut harness, job) = full_server();
+    let short = harness.submit(8, 0, vec![step(2)]);
+    add_server(&mut harness, "two", 2_000);
+    harness.plan();
+    assert_eq!(
+        harness.confirm_starts().len(),
+        2,
+        "the other server is full"
+    );
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    pass(&mut harness, &[job, short], 500);
+    assert_eq!(harness.stops.len(), 0);
+    let ended = common::task_id(short, 0, 0);
+    harness.report_end("two", &run_end(1, ended, 1, EndKind::Done));
+    harness.tick();
+    assert_eq!(report_stopped(&mut harness, "one", 1), 1, "a task ended");
+    harness.plan();
+    harness.confirm_starts();
+    add_server(&mut harness, "three", 3_000);
+    harness.tick();
+    assert_eq!(harness.stops.len(), 3, "a server registered");
+}
+
+/// Guards against long-running tasks being lost with a server that leaves, whose owner notices only by their leases.
+#[test]
+fn all_tasks_leave_a_draining_server_before_it_leaves() {
+    let (mut harness, job) = full_server();
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    pass(&mut harness, &[job], LEAVES_IN_MS - 2_000);
+    assert_eq!(harness.stops.len(), 0, "there is no room elsewhere");
+    pass(&mut harness, &[job], 2_000 - LATEST_STOP_BEFORE_MS);
+    assert_eq!(harness.stops.len(), 16);
+}
+
+/// Guards against the same on a server that does not announce the time left.
+#[test]
+fn a_server_without_an_announced_time_may_leave_after_the_drain_time() {
+    let (mut harness, job) = full_server();
+    drain(&mut harness, "one", None);
+    harness.tick();
+    assert_eq!(harness.stops.len(), 0);
+    pass(
+        &mut harness,
+        &[job],
+        BOUNDS.drain_ms - LATEST_STOP_BEFORE_MS,
+    );
+    assert_eq!(harness.stops.len(), 16);
+}
+
+/// Guards against the time left beginning anew with each copy of a registration that is read.
+#[test]
+fn reading_a_registration_again_does_not_extend_the_time_left() {
+    let (mut harness, job) = full_server();
+    for _ in 0..7 {
+        drain(&mut harness, "one", Some(LEAVES_IN_MS));
+        pass(&mut harness, &[job], 1_000);
+    }
+    assert_eq!(harness.stops.len(), 16);
+}
+
+/// Guards against a task on a draining server taking the room that one without a run waits for.
+#[test]
+fn room_goes_to_waiting_tasks_first() {
+    let (mut harness, job) = full_server();
+    let waiting = harness.submit(8, 0, vec![service_step(3, "a")]);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 0);
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    add_server(&mut harness, "two", 4_000);
+    harness.tick();
+    assert_eq!(harness.stops.len(), 1);
+    harness.plan();
+    let starts = harness.confirm_starts();
+    assert!(starts.iter().all(|(_, start)| start.task.job == waiting));
+    assert_eq!(starts.len(), 3);
+    pass(&mut harness, &[job, waiting], 300);
+    assert_eq!(harness.stops.len(), 1);
+}
+
+/// Guards against a task that was moved losing its promised room to short tasks that arrive meanwhile.
+#[test]
+fn a_moved_task_starts_before_short_tasks() {
+    let (mut harness, job) = full_server();
+    add_server(&mut harness, "two", 4_000);
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    harness.tick();
+    assert_eq!(report_stopped(&mut harness, "one", 1), 4);
+    harness.submit(8, 0, vec![step(4)]);
+    harness.plan();
+    let starts = harness.confirm_starts();
+    assert_eq!(starts.len(), 4);
+    assert!(starts.iter().all(|(_, start)| start.task.job == job));
+}
+
+/// Guards against tasks on draining servers waiting for room in their own failure domain, and then for the delegation,
+/// while another failure domain has room.
+#[test]
+fn tasks_on_a_draining_server_are_delegated_at_once() {
+    let (mut source, job) = full_server();
+    drain(&mut source, "one", Some(LEAVES_IN_MS));
+    let load = Harness::open(&["two", "three", "four"]).load();
+    let mut others = vec![(SmolStr::new("cxs"), load)];
+    for _ in 0..4 {
+        source.tick();
+        assert!(!source.shard.delegate_tasks(&mut others, source.now_ms));
+        pass(&mut source, &[job], TICK_MS);
+    }
+    assert_eq!(
+        source.stops.len(),
+        3,
+        "each reported server takes one task before the next report"
+    );
+    assert_eq!(report_stopped(&mut source, "one", 1), 3);
+    source.plan();
+    pass(&mut source, &[job], 300);
+    source.plan();
+    assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
+    let batch = source.shard.take_batch(source.now_ms);
+    let transfers: usize = batch.jobs.iter().map(|record| record.transfers.len()).sum();
+    assert_eq!(transfers, 3);
+    source.shard.batch_written(&batch);
+    source.now_ms += DELEGATION_WAIT_MS;
+    pass(&mut source, &[job], TICK_MS);
+    assert!(!source.shard.delegate_tasks(&mut others, source.now_ms));
+    assert_eq!(source.stops.len(), 0, "no room is left there");
+}
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -147,11 +147,14 @@
             .find_server(&entry.name)
             .map(|server| server.entry.draining);
         if previous_draining != Some(entry.draining) {
-            Line::info("server_registered")
+            let mut line = Line::info("server_registered")
                 .with("server", &entry.name)
                 .with("draining", entry.draining)
-                .with("new", previous_draining.is_none())
-                .write();
+                .with("new", previous_draining.is_none());
+            if let Some(leaves_in_ms) = entry.leaves_in_ms {
+                line = line.with("leaves_in_ms", leaves_in_ms);
+            }
+            line.write();
         }
         self.shard.borrow_mut().set_server(entry, now_ms());
     }
