Stop all runs before their server leaves

What callers see: a task that is done runs a second time (TWICE). A draining server answers polls until it leaves. The owner cannot learn of that end, takes the server for lapsed six seconds later, and starts the task again.

Long-running tasks were stopped on draining servers before; now all other runs are as well, once a stop and the report of its end just fit into the time that the server announces. short_tasks_end_before_their_server_leaves failed before with 0 stops instead of 3.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -1,7 +1,8 @@
-//! Moves of long-running tasks away from draining servers.
+//! Moves of tasks away from draining servers.
 //!
-//! A task is stopped once another server has room for it, or shortly before its server may leave. Room is reserved first
-//! for tasks without a run, then for those that are being moved, so that each place is promised once.
+//! A long-running task is stopped once another server has room for it, or shortly before its server may leave. Room is
+//! reserved first for tasks without a run, then for those that are being moved, so that each place is promised once.
+//! Other tasks run on until shortly before their server may leave.
 
 use smol_str::SmolStr;
 
@@ -14,7 +15,7 @@
 
 /// Time besides the stop itself that the last stops need before a server leaves: transit, the report of the end, and the
 /// age of the registration.
-const STOP_TRANSIT_MS: u64 = 500;
+const STOP_TRANSIT_MS: u64 = 800;
 
 /// Maximum number of tasks stopped per call in order to delegate them, as many as can be delegated then.
 const STOPPED_FOR_DELEGATION_MAX: usize = 4;
@@ -68,7 +69,7 @@
         for run in runs {
             let has_room =
                 self.reserve_room(run.task_ref, &mut reservations, &mut full_steps, now_ms);
-            if has_room || now_ms + self.bounds.stop_ms + STOP_TRANSIT_MS >= run.departure_ms {
+            if has_room || self.is_departure_near(run.departure_ms, now_ms) {
                 to_stop.push((run, has_room));
             }
         }
@@ -80,6 +81,41 @@
         }
     }
 
+    /// Stops all runs on servers that may leave soon. The end of a run that ends as its server leaves is never learned, and
+    /// the task would run again.
+    pub(crate) fn stop_before_departure(&mut self, now_ms: u64) {
+        let mut to_stop = Vec::new();
+        for (key, server) in &self.servers {
+            let is_leaving = server
+                .departure_ms
+                .is_some_and(|departure_ms| self.is_departure_near(departure_ms, now_ms));
+            if !is_leaving || now_ms >= server.last_contact_ms + CONTACT_TIMEOUT_MS {
+                continue;
+            }
+            for &(task_ref, number) in &server.runs {
+                if self.step_spec(task_ref).long_running || self.is_stopping(task_ref, key, number)
+                {
+                    continue;
+                }
+                to_stop.push((task_ref, key, number));
+            }
+        }
+        for (task_ref, server, number) in to_stop {
+            self.log_decision(
+                "task_moved",
+                Some(task_ref),
+                Some(server),
+                [("run", u64::from(number)), ("has_room", 0)],
+            );
+            self.stop_run(task_ref, server, number, now_ms);
+        }
+    }
+
+    /// Whether runs have to be stopped now to have ended before their server leaves.
+    fn is_departure_near(&self, departure_ms: u64, now_ms: u64) -> bool {
+        now_ms + self.bounds.stop_ms + STOP_TRANSIT_MS >= departure_ms
+    }
+
     /// Stops long-running tasks on draining servers that only other failure domains have room for. They are delegated
     /// once their runs have ended.
     pub(crate) fn stop_for_delegation(&mut self, others: &[(SmolStr, Load)], now_ms: u64) {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -382,6 +382,7 @@
             self.log_decision("leases_unconfirmed", None, None, inputs);
         }
         self.drain_long_running(now_ms);
+        self.stop_before_departure(now_ms);
         self.purge_ended_jobs(now_ms);
     }
 
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Moves of long-running tasks away from draining servers.
+//! Moves of tasks away from draining servers.
 
 mod common;
 
@@ -133,6 +133,21 @@
     assert_eq!(harness.stops.len(), 16);
 }
 
+/// Guards against a task running twice since it ended, as done, in the moment at which its server left: nobody learns of
+/// that end.
+#[test]
+fn short_tasks_end_before_their_server_leaves() {
+    let mut harness = Harness::open(&["one"]);
+    let job = harness.submit(7, 0, vec![step(3)]);
+    harness.plan();
+    harness.confirm_starts();
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    pass(&mut harness, &[job], LEAVES_IN_MS - 2_000);
+    assert_eq!(harness.stops.len(), 0, "they may end before");
+    pass(&mut harness, &[job], 2_000 - LATEST_STOP_BEFORE_MS);
+    assert_eq!(harness.stops.len(), 3);
+}
+
 /// Guards against the same on a server that does not announce the time left.
 #[test]
 fn a_server_without_an_announced_time_may_leave_after_the_drain_time() {
