Reserve servers for long-running tasks that have waited too long

What callers see: a long-running task has no run for many seconds (LOST), although the capacity of many servers becomes free meanwhile. Short tasks took each core at once, so that room for a task of 2.4 cores collected on no server, and a free place was gone by the time another failure domain heard of it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod job;
 pub mod ledger;
 pub mod load_views;
+mod overdue;
 pub mod place;
 pub mod plan;
 pub mod prelude;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -88,6 +88,10 @@
         if !server.is_usable(now_ms) || server.entry.service != job.queue.service {
             return false;
         }
+        let is_short = !spec.long_running && !spec.best_effort;
+        if is_short && self.is_reserved(key) {
+            return false;
+        }
         if self.has_trial_run(key) || self.crash_would_be_ambiguous(task_ref, key, now_ms) {
             return false;
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -64,6 +64,7 @@
             return;
         }
         self.sort_ready(unix_ms, now_ms);
+        self.reserve_servers(now_ms);
         let ready = mem::take(&mut self.ready);
         let mut unplaced = Vec::with_capacity(ready.len());
         let mut blocked_steps: Vec<(JobKey, u32, u32)> = Vec::new();
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -191,6 +191,8 @@
     pub(crate) queues: Vec<Queue>,
     /// Ready queue: tasks to be started, sorted by each plan.
     pub(crate) ready: Vec<TaskRef>,
+    /// Servers kept free of short tasks for overdue long-running ones, sorted.
+    pub(crate) reserved_servers: Vec<ServerKey>,
     /// Servers of earlier owners that have not answered yet, sorted.
     pub(crate) unclaimed: Vec<SmolStr>,
     /// Time after the beginning of the term until all leases granted by earlier owners have expired.
@@ -253,6 +255,7 @@
             server_index: Vec::new(),
             queues: Vec::new(),
             ready: Vec::new(),
+            reserved_servers: Vec::new(),
             unclaimed,
             predecessor_expiry_ms,
             settle_deadline_ms: now_ms + predecessor_expiry_ms,
