Leave out registrations with an unusable name, address or start

Callers: none has reported it here. Operators of other systems saw processes that ended, or stopped following the list, after another writer had left one odd entry.

Cause: the decoder took any text for an address and any key for a name. An address with a port out of range was called at port 80, one with an @ at the host behind it, and a host name was looked up at each call. A name that is empty or has spaces around it arrives at a server as no name or as that of another server. After a start of the largest number all answers of the server count as those of an earlier life.

Change: an entry names a server only with a name of printable ASCII without slashes, an IP address with a port from 1 on, and a start before the year 10000. Others are left out, with one line (registration_unusable key=... reason=...) until the entry is removed or usable again, and at most ten in ten seconds. Reasons don't repeat the value, which may be long.

--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use primrosestack_fleet::prelude::*;
-use primrosestack_platform::catalog::{SERVERS_PREFIX, decode_server};
+use primrosestack_platform::catalog::SERVERS_PREFIX;
 use primrosestack_platform::store::{Change, Item, StoreFailure};
 
 use crate::daemon::clock::now_ms;
 use crate::daemon::inbox::{self, InboxUpdate};
 use crate::daemon::keys;
-use crate::daemon::owner::{OwnedShard, decode_registrations};
+use crate::daemon::owner::OwnedShard;
 use crate::logs::Line;
 
 /// Bounds the time until a dead connection is noticed.
@@ -122,7 +122,7 @@
         for change in &page.rows {
             match change {
                 Change::Written(item) => {
-                    let Some(entry) = decode_server(&item.key, &item.value) else {
+                    let Some(entry) = self.node.odd_entries.decode_server(item, now_ms()) else {
                         continue;
                     };
                     if entry.failure_domain == self.failure_domain {
@@ -130,6 +130,7 @@
                     }
                 }
                 Change::Removed { key, .. } => {
+                    self.node.odd_entries.forget(key);
                     self.shard
                         .borrow_mut()
                         .unregister_server(key.trim_start_matches(SERVERS_PREFIX));
@@ -164,7 +165,8 @@
         self.registrations_revision.set(page.revision);
         let mut shard = self.shard.borrow_mut();
         shard.set_servers(
-            decode_registrations(&page.rows, &self.failure_domain),
+            self.node
+                .decode_registrations(&page.rows, &self.failure_domain),
             now_ms(),
         );
         shard.registrations_complete(sent_ms);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -14,6 +14,7 @@
 pub mod line_limit;
 mod lookup;
 pub mod node;
+pub mod odd_entries;
 pub mod operator;
 mod orders;
 pub mod output;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -13,11 +13,12 @@
 use primrosestack_platform::catalog::Configuration;
 use primrosestack_platform::http::HttpClient;
 use primrosestack_platform::servers::ServerClient;
-use primrosestack_platform::store::{StoreClient, StoreFailure};
+use primrosestack_platform::store::{Item, StoreClient, StoreFailure};
 use smol_str::SmolStr;
 
 use crate::daemon::clock::now_ms;
 use crate::daemon::line_limit::LineLimit;
+use crate::daemon::odd_entries::OddEntries;
 use crate::daemon::owner::OwnedShard;
 use crate::daemon::peers::Peers;
 use crate::daemon::settings::DaemonSettings;
@@ -74,6 +75,7 @@
     successors: RefCell<Vec<(SmolStr, u64)>>,
     /// Limits the lines about requests that this host rejected.
     pub peer_lines: LineLimit,
+    pub odd_entries: OddEntries,
     store_health: Cell<StoreHealth>,
 }
 
@@ -131,6 +133,7 @@
             past_terms: RefCell::new(Vec::new()),
             successors: RefCell::new(Vec::new()),
             peer_lines: LineLimit::default(),
+            odd_entries: OddEntries::default(),
             store_health: Cell::new(StoreHealth::default()),
             settings,
         }
@@ -282,6 +285,18 @@
         domains[home].clone()
     }
 
+    /// Decodes the registrations of the servers of a failure domain.
+    #[must_use]
+    pub fn decode_registrations(&self, items: &[Item], failure_domain: &str) -> Vec<ServerEntry> {
+        let now = now_ms();
+        let decoded = items
+            .iter()
+            .filter_map(|item| self.odd_entries.decode_server(item, now));
+        decoded
+            .filter(|entry| entry.failure_domain == failure_domain)
+            .collect()
+    }
+
     /// Records the result of a store call, and logs when the store becomes unavailable or available again.
     pub fn record_store_call<T>(&self, call: &'static str, result: &Result<T, StoreFailure>) {
         let now = now_ms();
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -9,7 +9,7 @@
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{self, Phase, ServerSet, StoredJob, Term, TermOwner};
 use primrosestack_fleet::shard::JobStatus;
-use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX, decode_server};
+use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX};
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
 use prost::Message;
 use smol_str::SmolStr;
@@ -134,7 +134,7 @@
             shard.add_job(id, stored, now);
         }
         shard.set_servers(
-            decode_registrations(&registrations.rows, &failure_domain),
+            node.decode_registrations(&registrations.rows, &failure_domain),
             now,
         );
         shard.registrations_complete(registrations_sent_ms);
@@ -434,15 +434,6 @@
         .collect()
 }
 
-pub(super) fn decode_registrations(items: &[Item], failure_domain: &str) -> Vec<ServerEntry> {
-    let decoded = items
-        .iter()
-        .filter_map(|item| decode_server(&item.key, &item.value));
-    decoded
-        .filter(|entry| entry.failure_domain == failure_domain)
-        .collect()
-}
-
 /// Status of a job according to its progress record.
 #[must_use]
 pub fn status_of(progress: &record::Progress) -> JobStatus {
--- a/tests/daemon_fake/mod.rs
+++ b/tests/daemon_fake/mod.rs
@@ -1,5 +1,7 @@
 //! A daemon's state with an empty store, and a shard that it owns in term 4.
 
+#![allow(dead_code)]
+
 use std::rc::Rc;
 
 use primrosestack::daemon::clock::now_ms;
@@ -15,16 +17,22 @@
 
 const LOOPBACK: &str = "127.0.0.1:0";
 
-const LEADERSHIP: Leadership = Leadership {
+pub const LEADERSHIP: Leadership = Leadership {
     term: 4,
     start_revision: 9,
 };
 
-/// Opens the shard `poa` and makes the node its owner.
+/// Opens the shard `poa` with an empty store and makes the node its owner.
 pub async fn owned_shard() -> (Rc<Node>, Rc<OwnedShard>) {
     let store = TcpListener::bind(LOOPBACK).await.unwrap();
-    let node = node(&store.local_addr().unwrap().to_string());
+    let address = store.local_addr().unwrap().to_string();
     tokio::task::spawn_local(serve_store(store));
+    owned_shard_at(&address).await
+}
+
+/// Opens the shard `poa` with the store at an address and makes the node its owner.
+pub async fn owned_shard_at(store_address: &str) -> (Rc<Node>, Rc<OwnedShard>) {
+    let node = node(store_address);
     let owned = OwnedShard::open(&node, "poa".into(), LEADERSHIP, Vec::new(), 1, now_ms());
     let owned = owned.await.unwrap();
     node.owned_shards.borrow_mut().push(Rc::clone(&owned));
