Record only servers that may hold a lease

Cause: the list of servers that a successor waits for had every registered server, also one that had never answered, such as that of another writer's entry with an address where nothing listens. Each later owner then waited until all leases of the one before had ended before it started a task that this one might have started. Each new or removed entry also caused a write.

Change: the list has the servers that have answered this owner, and those of earlier owners that have not answered yet. A server is recorded when it first answers. Nothing starts on it before that, as until now, so the first start on a new server now waits for that write. Once recorded, a server stays in the list until it is dropped.

Evidence: crates/fleet/tests/silent_servers.rs. a_successor_waits_for_no_server_that_never_answered failed before (left: 0 starts, right: 1, with ["one", "silent"] recorded) and servers_that_never_answered_cause_no_writes (left: Some(1000000), right: None). nothing_starts_on_a_server_that_is_not_recorded also failed before, when a name was recorded before the first answer; it states the new order. servers_of_earlier_owners_stay_recorded_until_they_answer passed before and after.

--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -138,6 +138,7 @@
             return;
         };
         self.remember_lapsed(&state);
+        let is_recorded = state.claimed || state.recorded;
         let name = state.entry.name;
         if let Ok(index) = self
             .server_index
@@ -145,7 +146,7 @@
         {
             self.server_index.remove(index);
         }
-        self.servers_changed = true;
+        self.servers_changed |= is_recorded;
     }
 
     /// Waits of the next poll of a server.
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -173,11 +173,7 @@
         {
             self.servers_changed = false;
             self.interference_recorded_ms = now_ms;
-            batch.server_names = self
-                .server_index
-                .iter()
-                .map(|(name, _)| name.clone())
-                .collect();
+            batch.server_names = self.servers_to_record();
             let mut names: Vec<String> =
                 batch.server_names.iter().map(ToString::to_string).collect();
             names.extend(self.unclaimed.iter().map(ToString::to_string));
@@ -217,6 +213,20 @@
         batch
     }
 
+    /// Names of the registered servers that may hold a lease, sorted. One that has never answered holds none, and a
+    /// successor would wait for it.
+    fn servers_to_record(&self) -> Vec<SmolStr> {
+        let mut names = Vec::new();
+        for (name, key) in &self.server_index {
+            let server = &self.servers[*key];
+            let may_hold_lease = server.claimed || server.recorded;
+            if may_hold_lease || self.unclaimed.binary_search(name).is_ok() {
+                names.push(name.clone());
+            }
+        }
+        names
+    }
+
     /// Records that the batch is in the store.
     pub fn batch_written(&mut self, batch: &Batch) {
         self.batch_in_flight = false;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -31,7 +31,6 @@
                 let name = entry.name.clone();
                 let key = self.servers.insert(Server::new(entry.clone()));
                 self.server_index.insert(index, (name, key));
-                self.servers_changed = true;
                 self.count_remembered_crash(key, entry.started_unix_ms, now_ms);
                 key
             }
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -93,8 +93,10 @@
     }
 
     pub(crate) fn mark_claimed(&mut self, server: ServerKey, now_ms: u64) {
-        let name = &self.servers[server].entry.name;
-        if let Ok(index) = self.unclaimed.binary_search(name) {
+        let state = &self.servers[server];
+        // Nothing is started on a server that is not recorded.
+        self.servers_changed |= !state.recorded;
+        if let Ok(index) = self.unclaimed.binary_search(&state.entry.name) {
             self.unclaimed.remove(index);
             self.shorten_wait();
         }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -33,7 +33,7 @@
     pub registered: bool,
     /// Whether the server's present incarnation has answered this owner.
     pub claimed: bool,
-    /// Whether the server's name is recorded in the shard's server list.
+    /// Whether the server's name is recorded in the shard's server list, as that of one that may hold a lease.
     pub recorded: bool,
     /// Whether the server has seen a newer term.
     pub fenced: bool,
