Stop using a server whose entry names no server any more

Callers: no one has reported it. Tasks could be started on a server by an entry that had been replaced.

Cause: the watch of the registrations skipped an entry that could not be used, or that was of another failure domain, and kept the former entry of that server. A list of the registrations did not.

Change: such an entry unregisters the server, as its removal does: its runs go on, nothing else starts on it, and its next good heartbeat registers it again.

Evidence: a_server_is_not_used_while_its_entry_is_odd in tests/odd_entries.rs failed before (timed out: i-1 registered: true).

--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -121,19 +121,10 @@
             .set(self.registrations_revision.get().max(page.revision));
         for change in &page.rows {
             match change {
-                Change::Written(item) => {
-                    let Some(entry) = self.node.odd_entries.decode_server(item, now_ms()) else {
-                        continue;
-                    };
-                    if entry.failure_domain == self.failure_domain {
-                        self.apply_registration(entry);
-                    }
-                }
+                Change::Written(item) => self.apply_entry(item),
                 Change::Removed { key, .. } => {
                     self.node.odd_entries.forget(key);
-                    self.shard
-                        .borrow_mut()
-                        .unregister_server(key.trim_start_matches(SERVERS_PREFIX));
+                    self.unregister(key.trim_start_matches(SERVERS_PREFIX));
                 }
             }
         }
@@ -141,6 +132,21 @@
         Ok(())
     }
 
+    /// Applies an entry of the registrations. One that names no server of this failure domain also replaces an earlier
+    /// one that did.
+    fn apply_entry(self: &Rc<Self>, item: &Item) {
+        match self.node.odd_entries.decode_server(item, now_ms()) {
+            Some(entry) if entry.failure_domain == self.failure_domain => {
+                self.apply_registration(entry);
+            }
+            _ => self.unregister(item.key.trim_start_matches(SERVERS_PREFIX)),
+        }
+    }
+
+    fn unregister(&self, name: &str) {
+        self.shard.borrow_mut().unregister_server(name);
+    }
+
     pub(super) fn apply_registration(self: &Rc<Self>, entry: ServerEntry) {
         let previous_draining = self
             .shard
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -202,6 +202,22 @@
     with_owner(Store::with_odd_entries(), test).await;
 }
 
+/// Guards against tasks being started by the former entry of a server whose present one names no server to use.
+#[tokio::test]
+async fn a_server_is_not_used_while_its_entry_is_odd() {
+    let test = async |store: Rc<Store>, owned: Rc<OwnedShard>| {
+        for (_, odd) in odd_entries().into_iter().take(5) {
+            store.write("servers/i-1", &odd);
+            wait_for(&owned, "i-1", false).await;
+            store.write("servers/i-1", &good("poa"));
+            wait_for(&owned, "i-1", true).await;
+        }
+        store.write("servers/i-1", &good("cxs"));
+        wait_for(&owned, "i-1", false).await;
+    };
+    with_owner(Store::with_odd_entries(), test).await;
+}
+
 /// Guards against a log line for each heartbeat of an odd entry, and for each of many odd entries.
 #[test]
 fn odd_entries_are_reported_once_and_few_at_a_time() {
