Don't take the removal of an odd key for that of a server

Callers: no one has reported it. A server could get no tasks until its next heartbeat.

Cause: the watch removed the prefix of the key of a removed entry as often as it occurred, so a key with the prefix twice, which another writer can leave, stood for the server of the same name.

Change: keys are read by the same function as those of written entries.

Evidence: the_removal_of_an_odd_key_concerns_no_server in tests/odd_entries.rs failed before (assertion: is_registered(i-1)).

--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use primrosestack_fleet::prelude::*;
-use primrosestack_platform::catalog::SERVERS_PREFIX;
+use primrosestack_platform::catalog::{SERVERS_PREFIX, server_name};
 use primrosestack_platform::store::{Change, Item, StoreFailure};
 
 use crate::daemon::clock::now_ms;
@@ -124,7 +124,7 @@
                 Change::Written(item) => self.apply_entry(item),
                 Change::Removed { key, .. } => {
                     self.node.odd_entries.forget(key);
-                    self.unregister(key.trim_start_matches(SERVERS_PREFIX));
+                    self.unregister(key);
                 }
             }
         }
@@ -139,12 +139,14 @@
             Some(entry) if entry.failure_domain == self.failure_domain => {
                 self.apply_registration(entry);
             }
-            _ => self.unregister(item.key.trim_start_matches(SERVERS_PREFIX)),
+            _ => self.unregister(&item.key),
         }
     }
 
-    fn unregister(&self, name: &str) {
-        self.shard.borrow_mut().unregister_server(name);
+    fn unregister(&self, key: &str) {
+        if let Some(name) = server_name(key) {
+            self.shard.borrow_mut().unregister_server(name);
+        }
     }
 
     pub(super) fn apply_registration(self: &Rc<Self>, entry: ServerEntry) {
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -56,6 +56,10 @@
         self.change(json!({"key": key, "value": BASE64.encode(value)}));
     }
 
+    fn remove(&self, key: &str) {
+        self.change(json!({"key": key, "deleted": true}));
+    }
+
     fn revision(&self) -> u64 {
         LEADERSHIP.start_revision + self.changes.borrow().len() as u64
     }
@@ -218,6 +222,20 @@
     with_owner(Store::with_odd_entries(), test).await;
 }
 
+/// Guards against the removal of an odd key being taken for that of a server.
+#[tokio::test]
+async fn the_removal_of_an_odd_key_concerns_no_server() {
+    let test = async |store: Rc<Store>, owned: Rc<OwnedShard>| {
+        store.remove("servers/servers/i-1");
+        store.write("servers/i-2", &good("poa"));
+        wait_for(&owned, "i-2", true).await;
+        assert!(is_registered(&owned, "i-1"));
+        store.remove("servers/i-1");
+        wait_for(&owned, "i-1", false).await;
+    };
+    with_owner(Store::with_odd_entries(), test).await;
+}
+
 /// Guards against a log line for each heartbeat of an odd entry, and for each of many odd entries.
 #[test]
 fn odd_entries_are_reported_once_and_few_at_a_time() {
