Skip rows of the store that cannot be decoded, not the whole watch

Cause: one row of another form failed the whole list or watch as malformed. After a failed watch everything was listed again, and a list that fails leaves a host without any of the rows. A list left out values that are not base64 without a line.

Rows that cannot be decoded are left out and counted; one line (rows_unreadable call=... rows=...) tells, with the limit of the lines about odd entries.

--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -53,7 +53,7 @@
 
 async fn list(node: &Node) -> Result<u64, StoreFailure> {
     let result = node.store.list(keys::OWNERS_PREFIX).await;
-    node.record_store_call("list_owners", &result);
+    node.record_page("list_owners", &result);
     let page = result?;
     let mut announced_keys: Vec<SmolStr> = Vec::new();
     for item in &page.rows {
@@ -74,7 +74,7 @@
         .store
         .watch(keys::OWNERS_PREFIX, after, WATCH_WAIT_MS)
         .await;
-    node.record_store_call("watch_owners", &result);
+    node.record_page("watch_owners", &result);
     let page = result?;
     for change in &page.rows {
         match change {
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -51,7 +51,7 @@
             .store
             .watch(prefix, self.inbox_revision.get(), WATCH_WAIT_MS)
             .await;
-        self.node.record_store_call("watch_inbox", &result);
+        self.node.record_page("watch_inbox", &result);
         let page = result?;
         self.inbox_revision
             .set(self.inbox_revision.get().max(page.revision));
@@ -66,7 +66,7 @@
 
     pub(super) async fn list_inbox(self: &Rc<Self>, prefix: &str) -> Result<(), StoreFailure> {
         let result = self.node.store.list(prefix).await;
-        self.node.record_store_call("list_inbox", &result);
+        self.node.record_page("list_inbox", &result);
         let page = result?;
         self.inbox_revision.set(page.revision);
         self.apply_items(&page.rows);
@@ -115,7 +115,7 @@
                 REGISTRATIONS_WATCH_WAIT_MS,
             )
             .await;
-        self.node.record_store_call("watch_registrations", &result);
+        self.node.record_page("watch_registrations", &result);
         let page = result?;
         self.registrations_revision
             .set(self.registrations_revision.get().max(page.revision));
@@ -168,7 +168,7 @@
     pub(super) async fn list_registrations(self: &Rc<Self>) -> Result<(), StoreFailure> {
         let sent_ms = now_ms();
         let result = self.node.store.list(SERVERS_PREFIX).await;
-        self.node.record_store_call("list_registrations", &result);
+        self.node.record_page("list_registrations", &result);
         let page = result?;
         self.registrations_revision.set(page.revision);
         let mut shard = self.shard.borrow_mut();
--- a/src/daemon/lookup.rs
+++ b/src/daemon/lookup.rs
@@ -134,11 +134,11 @@
     failure_domain: &str,
 ) -> Result<Vec<(SmolStr, u32)>, StoreFailure> {
     let inbox = node.store.list(&keys::inbox_prefix(failure_domain)).await;
-    node.record_store_call("list_inbox", &inbox);
+    node.record_page("list_inbox", &inbox);
     let progress = node
         .store
         .list(&keys::progress_prefix(failure_domain))
         .await;
-    node.record_store_call("list_progress", &progress);
+    node.record_page("list_progress", &progress);
     Ok(inbox::count_queued_jobs(&inbox?.rows, &progress?.rows))
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -13,7 +13,7 @@
 use primrosestack_platform::catalog::Configuration;
 use primrosestack_platform::http::HttpClient;
 use primrosestack_platform::servers::ServerClient;
-use primrosestack_platform::store::{Item, StoreClient, StoreFailure};
+use primrosestack_platform::store::{Item, Page, StoreClient, StoreFailure};
 use smol_str::SmolStr;
 
 use crate::daemon::clock::now_ms;
@@ -327,6 +327,15 @@
         }
     }
 
+    /// Records the result of a list or watch, and reports rows that could not be decoded.
+    pub fn record_page<T>(&self, call: &'static str, result: &Result<Page<T>, StoreFailure>) {
+        self.record_store_call(call, result);
+        if let Ok(page) = result {
+            self.odd_entries
+                .report_unreadable(call, page.unreadable, now_ms());
+        }
+    }
+
     /// Whether the store has answered no call at all for a while, so that nothing can be learned from it.
     #[must_use]
     pub fn is_store_silent(&self) -> bool {
--- a/src/daemon/odd_entries.rs
+++ b/src/daemon/odd_entries.rs
@@ -43,6 +43,20 @@
         }
     }
 
+    /// Reports rows of a list or watch that could not be decoded.
+    pub fn report_unreadable(&self, call: &'static str, rows: u32, now_ms: u64) {
+        if rows == 0 {
+            return;
+        }
+        if let Some(unwritten) = self.lines.admit(now_ms) {
+            Line::error("rows_unreadable")
+                .with("call", call)
+                .with("rows", rows)
+                .with("unwritten", unwritten)
+                .write();
+        }
+    }
+
     /// Decodes the registration of a server; reports it and returns `None` if it names no server to use.
     pub fn decode_server(&self, item: &Item, now_ms: u64) -> Option<ServerEntry> {
         let error = match decode_server(&item.key, &item.value) {
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -55,7 +55,7 @@
         .store
         .watch(OPERATOR_PREFIX, after, WATCH_WAIT_MS)
         .await;
-    node.record_store_call("watch_configuration", &result);
+    node.record_page("watch_configuration", &result);
     let page = result?;
     for change in &page.rows {
         let Change::Written(item) = change else {
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -117,6 +117,13 @@
         let registrations_sent_ms = now_ms();
         let registrations = node.store.list(SERVERS_PREFIX).await?;
         let now = now_ms();
+        for (call, rows) in [
+            ("list_inbox", inbox.unreadable),
+            ("list_progress", progress.unreadable),
+            ("list_registrations", registrations.unreadable),
+        ] {
+            node.odd_entries.report_unreadable(call, rows, now);
+        }
         let mut predecessors = owners.clone();
         predecessors.retain(|owner| owner.term < leadership.term);
         let mut shard = Shard::open(
