--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use primrosestack_fleet::prelude::*;
-use primrosestack_platform::catalog::{SERVERS_PREFIX, decode_server};
+use primrosestack_platform::catalog::{SERVERS_PREFIX, server_name};
 use primrosestack_platform::store::{Change, Item, StoreFailure};
 
 use crate::daemon::clock::now_ms;
 use crate::daemon::inbox::{self, InboxUpdate};
 use crate::daemon::keys;
-use crate::daemon::owner::{OwnedShard, decode_registrations};
+use crate::daemon::owner::OwnedShard;
 use crate::logs::Line;
 
 /// Bounds the time until a dead connection is noticed.
@@ -51,7 +51,7 @@
             .store
             .watch(prefix, self.inbox_revision.get(), WATCH_WAIT_MS)
             .await;
-        self.node.record_store_call("watch_inbox", &result);
+        self.node.record_page("watch_inbox", &result);
         let page = result?;
         self.inbox_revision
             .set(self.inbox_revision.get().max(page.revision));
@@ -66,7 +66,7 @@
 
     pub(super) async fn list_inbox(self: &Rc<Self>, prefix: &str) -> Result<(), StoreFailure> {
         let result = self.node.store.list(prefix).await;
-        self.node.record_store_call("list_inbox", &result);
+        self.node.record_page("list_inbox", &result);
         let page = result?;
         self.inbox_revision.set(page.revision);
         self.apply_items(&page.rows);
@@ -115,24 +115,16 @@
                 REGISTRATIONS_WATCH_WAIT_MS,
             )
             .await;
-        self.node.record_store_call("watch_registrations", &result);
+        self.node.record_page("watch_registrations", &result);
         let page = result?;
         self.registrations_revision
             .set(self.registrations_revision.get().max(page.revision));
         for change in &page.rows {
             match change {
-                Change::Written(item) => {
-                    let Some(entry) = decode_server(&item.key, &item.value) else {
-                        continue;
-                    };
-                    if entry.failure_domain == self.failure_domain {
-                        self.apply_registration(entry);
-                    }
-                }
+                Change::Written(item) => self.apply_entry(item),
                 Change::Removed { key, .. } => {
-                    self.shard
-                        .borrow_mut()
-                        .unregister_server(key.trim_start_matches(SERVERS_PREFIX));
+                    self.node.odd_entries.forget(key);
+                    self.unregister(key);
                 }
             }
         }
@@ -140,6 +132,23 @@
         Ok(())
     }
 
+    /// Applies an entry of the registrations. One that names no server of this failure domain also replaces an earlier
+    /// one that did.
+    fn apply_entry(self: &Rc<Self>, item: &Item) {
+        match self.node.odd_entries.decode_server(item, now_ms()) {
+            Some(entry) if entry.failure_domain == self.failure_domain => {
+                self.apply_registration(entry);
+            }
+            _ => self.unregister(&item.key),
+        }
+    }
+
+    fn unregister(&self, key: &str) {
+        if let Some(name) = server_name(key) {
+            self.shard.borrow_mut().unregister_server(name);
+        }
+    }
+
     pub(super) fn apply_registration(self: &Rc<Self>, entry: ServerEntry) {
         let previous_draining = self
             .shard
@@ -162,12 +171,13 @@
     pub(super) async fn list_registrations(self: &Rc<Self>) -> Result<(), StoreFailure> {
         let sent_ms = now_ms();
         let result = self.node.store.list(SERVERS_PREFIX).await;
-        self.node.record_store_call("list_registrations", &result);
+        self.node.record_page("list_registrations", &result);
         let page = result?;
         self.registrations_revision.set(page.revision);
         let mut shard = self.shard.borrow_mut();
         shard.set_servers(
-            decode_registrations(&page.rows, &self.failure_domain),
+            self.node
+                .decode_registrations(&page.rows, &self.failure_domain),
             now_ms(),
         );
         shard.registrations_complete(sent_ms);
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -9,7 +9,7 @@
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{self, Phase, ServerSet, StoredJob, Term, TermOwner};
 use primrosestack_fleet::shard::JobStatus;
-use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX, decode_server};
+use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX};
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
 use prost::Message;
 use smol_str::SmolStr;
@@ -117,6 +117,13 @@
         let registrations_sent_ms = now_ms();
         let registrations = node.store.list(SERVERS_PREFIX).await?;
         let now = now_ms();
+        for (call, rows) in [
+            ("list_inbox", inbox.unreadable),
+            ("list_progress", progress.unreadable),
+            ("list_registrations", registrations.unreadable),
+        ] {
+            node.odd_entries.report_unreadable(call, rows, now);
+        }
         let mut predecessors = owners.clone();
         predecessors.retain(|owner| owner.term < leadership.term);
         let mut shard = Shard::open(
@@ -134,7 +141,7 @@
             shard.add_job(id, stored, now);
         }
         shard.set_servers(
-            decode_registrations(&registrations.rows, &failure_domain),
+            node.decode_registrations(&registrations.rows, &failure_domain),
             now,
         );
         shard.registrations_complete(registrations_sent_ms);
@@ -446,15 +453,6 @@
         .collect()
 }
 
-pub(super) fn decode_registrations(items: &[Item], failure_domain: &str) -> Vec<ServerEntry> {
-    let decoded = items
-        .iter()
-        .filter_map(|item| decode_server(&item.key, &item.value));
-    decoded
-        .filter(|entry| entry.failure_domain == failure_domain)
-        .collect()
-}
-
 /// Status of a job according to its progress record.
 #[must_use]
 pub fn status_of(progress: &record::Progress) -> JobStatus {
--- a/tests/daemon_fake/mod.rs
+++ b/tests/daemon_fake/mod.rs
@@ -1,5 +1,7 @@
 //! A daemon's state with an empty store, and a shard that it owns in term 4.
 
+#![allow(dead_code)]
+
 use std::rc::Rc;
 
 use primrosestack::daemon::clock::now_ms;
@@ -12,24 +14,29 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 
 const LOOPBACK: &str = "127.0.0.1:0";
 
-const LEADERSHIP: Leadership = Leadership {
+pub const LEADERSHIP: Leadership = Leadership {
     term: 4,
     start_revision: 9,
 };
 
-/// Opens the shard `poa` and makes the node its owner. The task serves the store.
-pub async fn owned_shard() -> (Rc<Node>, Rc<OwnedShard>, JoinHandle<()>) {
-    let listener = TcpListener::bind(LOOPBACK).await.unwrap();
-    let node = node(&listener.local_addr().unwrap().to_string());
-    let store = tokio::task::spawn_local(serve_store(listener));
+/// Opens the shard `poa` with an empty store and makes the node its owner.
+pub async fn owned_shard() -> (Rc<Node>, Rc<OwnedShard>) {
+    let store = TcpListener::bind(LOOPBACK).await.unwrap();
+    let address = store.local_addr().unwrap().to_string();
+    tokio::task::spawn_local(serve_store(store));
+    owned_shard_at(&address).await
+}
+
+/// Opens the shard `poa` with the store at an address and makes the node its owner.
+pub async fn owned_shard_at(store_address: &str) -> (Rc<Node>, Rc<OwnedShard>) {
+    let node = node(store_address);
     let owned = OwnedShard::open(&node, "poa".into(), LEADERSHIP, Vec::new(), 1, now_ms());
     let owned = owned.await.unwrap();
     node.owned_shards.borrow_mut().push(Rc::clone(&owned));
-    (node, owned, store)
+    (node, owned)
 }
 
 /// What a successor in the next term gets.
@@ -60,7 +67,7 @@
 }
 
 /// Answers the reads of an empty store, and no writes.
-async fn serve_store(listener: TcpListener) {
+pub async fn serve_store(listener: TcpListener) {
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut request = [0; 2_048];
--- a/tests/daemon_term.rs
+++ b/tests/daemon_term.rs
@@ -2,7 +2,8 @@
 
 mod daemon_fake;
 
-use daemon_fake::{handover, owned_shard};
+use daemon_fake::{handover, owned_shard_at, serve_store};
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
 /// Guards against an owner that goes on giving orders for seconds after a server told it of its successor, because the
@@ -10,7 +11,12 @@
 #[tokio::test]
 async fn a_fenced_owner_steps_down_without_the_store() {
     let run = async {
-        let (node, owned, store) = owned_shard().await;
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let store = tokio::task::spawn_local(serve_store(listener));
+        let (node, owned) = owned_shard_at(&address.to_string()).await;
         store.abort();
         let _cancelled = store.await;
         owned.verify_term().await;
