Log runs that appear where the owner does not expect them

Whether a start without an answer was carried out after the owner had given it up could not be told from the logs: unwanted runs were stopped without a line, and a start that came to nothing left none either.

run_unexpected names the server and the run, once for each that a report newly lists; start_void says that a start was refused or is known not to have been carried out, and after how long.

--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -75,13 +75,7 @@
         for status in &report.running {
             self.apply_run_status(server, status, now_ms);
         }
-        let is_unwanted = |status: &RunStatus| {
-            self.find_task(status.task).is_none_or(|task_ref| {
-                let task = self.task(task_ref);
-                task.run_position(server, status.run).is_none()
-            })
-        };
-        self.servers[server].has_unwanted_runs = report.running.iter().any(is_unwanted);
+        self.update_unwanted_runs(server, report);
         self.abandon_unlisted_runs(server, report, poll_sent_ms, now_ms);
         self.throttle_best_effort(server, now_ms);
         let jobs = &self.jobs;
@@ -92,6 +86,45 @@
         self.servers[server].acknowledge(is_recorded);
     }
 
+    /// Notes which runs of a report this shard does not know or want, and logs those that the last report did not list:
+    /// their start was carried out late, or an earlier owner began them.
+    fn update_unwanted_runs(&mut self, server: ServerKey, report: &Report) {
+        let mut unwanted = Vec::new();
+        let mut appeared = Vec::new();
+        for status in &report.running {
+            let task_ref = self.find_task(status.task);
+            let is_known = task_ref.is_some_and(|task_ref| {
+                let task = self.task(task_ref);
+                task.run_position(server, status.run).is_some()
+            });
+            if is_known {
+                continue;
+            }
+            let id = (status.task, status.run);
+            unwanted.push(id);
+            if !self.servers[server].unwanted_runs.contains(&id) {
+                appeared.push((task_ref, id));
+            }
+        }
+        unwanted.sort_unstable();
+        self.servers[server].unwanted_runs = unwanted;
+        for (task_ref, (_, run)) in appeared {
+            let last_run = task_ref.map_or(0, |task_ref| self.task(task_ref).last_run);
+            let is_done = task_ref.is_some_and(|task_ref| self.task(task_ref).done);
+            self.log_decision(
+                "run_unexpected",
+                task_ref,
+                Some(server),
+                [
+                    ("run", u64::from(run)),
+                    ("last_run", u64::from(last_run)),
+                    ("done", u64::from(is_done)),
+                    ("adopted", 0),
+                ],
+            );
+        }
+    }
+
     pub(crate) fn mark_claimed(&mut self, server: ServerKey, now_ms: u64) {
         let name = &self.servers[server].entry.name;
         if let Ok(index) = self.unclaimed.binary_search(name) {
@@ -358,6 +391,20 @@
         } else {
             100
         };
+        let last_run = self.task(task_ref).last_run;
+        if status.run <= last_run {
+            self.log_decision(
+                "run_unexpected",
+                Some(task_ref),
+                Some(server),
+                [
+                    ("run", u64::from(status.run)),
+                    ("last_run", u64::from(last_run)),
+                    ("done", 0),
+                    ("adopted", 1),
+                ],
+            );
+        }
         self.add_run(task_ref, server, status.run, now_ms);
         let task = self.task_mut(task_ref);
         task.unresolved = false;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -296,6 +296,21 @@
         let Some(run) = self.remove_run(task_ref, server, number) else {
             return;
         };
+        if run.listed_ms.is_none() && run.state != RunState::Running {
+            self.log_decision(
+                "start_void",
+                Some(task_ref),
+                Some(server),
+                [
+                    ("run", u64::from(number)),
+                    ("age_ms", now_ms.saturating_sub(run.start_sent_ms)),
+                    (
+                        "stop_answered",
+                        u64::from(run.is_stopping() && run.visible_after_ms.is_some()),
+                    ),
+                ],
+            );
+        }
         if reason == AbandonReason::Interrupted {
             let lived_ms = run
                 .listed_ms
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::headroom::Headroom;
+use crate::job::TaskId;
 use crate::report::ServerEntry;
 use crate::shard::{JobKey, TaskRef};
 use crate::suspension::Suspension;
@@ -57,9 +58,9 @@
     pub suspected_run: Option<(TaskRef, u32)>,
     /// Runs that may have crashed the server, which was not heard of again before their lease expired.
     pub lapsed_suspects: Vec<(TaskRef, u32)>,
-    /// Whether the last report listed runs that this shard does not know or want. They are being stopped, take capacity
-    /// until then, and their size may be unknown.
-    pub has_unwanted_runs: bool,
+    /// Runs in the last report that this shard does not know or want, sorted. They are being stopped, take capacity until
+    /// then, and their size may be unknown.
+    pub unwanted_runs: Vec<(TaskId, u32)>,
     /// CPU in use by tasks other than best-effort ones, in millicores.
     pub cpu_used_millis: u32,
     /// CPU requested by best-effort tasks, in millicores.
@@ -101,7 +102,7 @@
             runs: Vec::new(),
             suspected_run: None,
             lapsed_suspects: Vec::new(),
-            has_unwanted_runs: false,
+            unwanted_runs: Vec::new(),
             cpu_used_millis: 0,
             best_effort_used_millis: 0,
             service_used_millis: 0,
@@ -124,7 +125,7 @@
         self.acknowledged_end = 0;
         self.unrecorded_ends.clear();
         self.lapsed_suspects.clear();
-        self.has_unwanted_runs = false;
+        self.unwanted_runs.clear();
         self.suspension = Suspension::default();
         self.throttle = Throttle::default();
         self.full_until_ms = 0;
@@ -152,7 +153,7 @@
         self.is_placeable()
             && now_ms < self.last_contact_ms + CONTACT_TIMEOUT_MS
             && now_ms >= self.full_until_ms
-            && !self.has_unwanted_runs
+            && self.unwanted_runs.is_empty()
             && !self.suspension.is_suspended(now_ms)
     }
 
--- a/crates/fleet/tests/unanswered_starts.rs
+++ b/crates/fleet/tests/unanswered_starts.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{Harness, service_step};
-use primrosestack_fleet::action::StartReply;
+use common::{Harness, run_status, service_step, step, task_id};
+use primrosestack_fleet::action::{Action, StartReply};
 use primrosestack_fleet::report::Report;
 
 /// Time without a run that the service contract allows a long-running task.
@@ -95,3 +95,44 @@
         .all(|&wait_ms| (4_936..=4_936 + 2 * 910).contains(&wait_ms));
     assert!(is_in_time, "{waits_ms:?}");
 }
+
+/// Guards against a run that appears after its start was given up, for which no log line tells the server and the run, and
+/// against such lines flooding the log.
+#[test]
+fn a_run_that_appears_after_its_start_was_given_up_is_logged_once() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let job = harness.submit(3, 0, vec![step(1)]);
+    harness.plan();
+    let (server, request) = harness.starts.pop().expect("the task was started");
+    let reply = StartReply::Refused;
+    harness
+        .shard
+        .start_replied(server, &request, reply, harness.now_ms);
+    let other = if harness.name(server) == "one" {
+        "two"
+    } else {
+        "one"
+    };
+    harness.report(other, &[run_status(task_id(job, 0, 0), 5)], &[]);
+    let mut logged = Vec::new();
+    for _ in 0..3 {
+        harness.now_ms += 1_000;
+        let report = Report {
+            sent_ms: harness.now_ms,
+            started_unix_ms: 5,
+            clock_ms: harness.now_ms + 7,
+            running: vec![run_status(request.task, request.run)],
+            ..Report::default()
+        };
+        harness.shard.apply_report(server, &report, harness.now_ms);
+        for action in harness.shard.take_actions() {
+            let Action::Log(decision) = action else {
+                continue;
+            };
+            if decision.event == "run_unexpected" {
+                logged.push((decision.task, decision.inputs[0]));
+            }
+        }
+    }
+    assert_eq!(logged, [(Some(request.task), ("run", 1))]);
+}
