Log void starts apart from lost runs

The line start_void also stood beside each run_lost of a server that was silent or began a new life, where nothing is known of the start. It now stands only for starts that were refused or are known not to have been carried out.

--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -296,7 +296,7 @@
         let Some(run) = self.remove_run(task_ref, server, number) else {
             return;
         };
-        if run.listed_ms.is_none() && run.state != RunState::Running {
+        if reason == AbandonReason::NotStartedOrStopped && run.listed_ms.is_none() {
             self.log_decision(
                 "start_void",
                 Some(task_ref),
