Keep starts without an answer for the next life of their server

When a server restarted under its name, all its runs were given up and their tasks started elsewhere at once. A start that had got no answer may be carried out seconds later, by the new life: it knows no earlier stop, and its clock began anew, so the lease in the start does not keep it out either. A start that the new life had confirmed before its registration or first report was seen was given up as well. Either way a task runs twice.

Such runs are now kept until the new life has reported: it either lists the run, or confirms a stop and does not list it. Starts that were confirmed before the old life last answered still end with it. Without a confirmed stop the wait ends 12 s after the start; a new life that does not answer at all is waited for as long as the longest lease.

Two tests of crash suspects restart a server under an unanswered start. The server now answers the stop there, as it would; what they assert has not changed.

--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -205,6 +205,7 @@
         match reply {
             StartReply::Started => {
                 let run = &mut self.task_mut(task_ref).runs[position];
+                run.start_answered_ms.get_or_insert(now_ms);
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
                 }
@@ -329,7 +330,9 @@
         self.enqueue_if_ready(task_ref, now_ms);
     }
 
-    /// Ends a server's incarnation after a restart or loss; none of its runs continue.
+    /// Ends a server's incarnation after a restart, or after its loss if `started_unix_ms` is 0. None of its runs
+    /// continue, but the next incarnation may have carried out, or may still carry out, starts that got no answer before
+    /// the last report: it knows neither stops nor the leases of the clock before. Those runs are kept until it reports.
     pub(crate) fn end_incarnation(&mut self, server: ServerKey, started_unix_ms: u64, now_ms: u64) {
         // A draining server was expected to leave.
         let suspects = if self.servers[server].draining_since_ms.is_some() {
@@ -345,10 +348,24 @@
             Some(server),
             [("runs", self.servers[server].runs.len() as u64)],
         );
+        let last_contact_ms = self.servers[server].last_contact_ms;
         for (task_ref, number) in self.servers[server].runs.clone() {
+            let task = self.task_mut(task_ref);
+            if let Some(position) = task.run_position(server, number)
+                && started_unix_ms != 0
+                && task.runs[position].may_begin_after(last_contact_ms)
+            {
+                task.runs[position].enter_incarnation();
+                continue;
+            }
             self.abandon_run(task_ref, server, number, AbandonReason::Interrupted, now_ms);
         }
         self.servers[server].begin_incarnation(started_unix_ms);
+        if !self.servers[server].runs.is_empty() {
+            // The clock of the new incarnation is not known, so such a start may carry the longest lease.
+            let lease_upper_bound_ms = Bounds::lease_upper_bound_ms(self.bounds.lease_max_ms);
+            self.record_lease(server, lease_upper_bound_ms, now_ms);
+        }
         self.count_crash(server, &suspects, now_ms);
     }
 }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -5,6 +5,9 @@
 use crate::record::TaskRecord;
 use crate::shard::ServerKey;
 
+/// Longest time after which a call that got no answer may still be carried out.
+const CALL_DELAY_MAX_MS: u64 = 12_000;
+
 /// State of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -36,6 +39,8 @@
     /// From when the run can no longer begin, since the lease that its start request carried has ended. Polls sent later
     /// list the run if it exists.
     pub start_expired_ms: u64,
+    /// When the server confirmed the start request; `None` if it has not.
+    pub start_answered_ms: Option<u64>,
     /// When a report last listed the run.
     pub listed_ms: Option<u64>,
     /// Whether the server is known not to have crashed at the start of the run.
@@ -70,6 +75,7 @@
             start_sent_ms: now_ms,
             visible_after_ms: None,
             start_expired_ms: now_ms,
+            start_answered_ms: None,
             listed_ms: None,
             outlived_start: false,
             missed_start: false,
@@ -88,6 +94,25 @@
         matches!(self.state, RunState::Stopping { .. })
     }
 
+    /// Whether the start request may be carried out by an incarnation of the server after the one that last answered at
+    /// `last_contact_ms`.
+    #[must_use]
+    pub(crate) fn may_begin_after(&self, last_contact_ms: u64) -> bool {
+        let is_answered = self
+            .start_answered_ms
+            .is_some_and(|answered_ms| answered_ms <= last_contact_ms);
+        self.listed_ms.is_none() && !is_answered
+    }
+
+    /// Drops what was known from an earlier incarnation of the server: the next one has heard of no stop.
+    pub(crate) fn enter_incarnation(&mut self) {
+        self.start_expired_ms = self.start_sent_ms + CALL_DELAY_MAX_MS;
+        if self.is_stopping() {
+            self.state = RunState::Unconfirmed;
+            self.visible_after_ms = None;
+        }
+    }
+
     /// Whether the run does not exist and can no longer begin if a report to a poll sent at `poll_sent_ms` does not
     /// list it, although neither its start nor a stop was answered: servers refuse starts whose lease has ended.
     #[must_use]
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -316,6 +316,14 @@
         starts
     }
 
+    /// All servers confirm the pending stops; polls sent from now on count for these.
+    pub fn confirm_stops(&mut self) {
+        for (server, task, run) in std::mem::take(&mut self.stops) {
+            self.shard.stop_replied(server, task, run, self.now_ms);
+        }
+        self.now_ms += 1;
+    }
+
     /// All servers report the expected runs of `jobs` as serving.
     pub fn report_running(&mut self, jobs: &[JobId]) {
         for key in self.shard.server_keys() {
--- a/crates/fleet/tests/crash_suspects.rs
+++ b/crates/fleet/tests/crash_suspects.rs
@@ -396,6 +396,7 @@
         harness.now_ms += 1_000;
         harness.restart("one");
         harness.write_records();
+        harness.confirm_stops();
         harness.claim("one");
     }
     assert_ne!(harness.shard.job_status(job), Some(JobStatus::Failed));
@@ -419,6 +420,7 @@
         harness.now_ms += 1_000;
         harness.restart("one");
         harness.write_records();
+        harness.confirm_stops();
         harness.claim("one");
     }
     assert_eq!(harness.shard.job_status(job), Some(JobStatus::Failed));
--- /dev/null
+++ b/crates/fleet/tests/late_orders.rs
@@ -0,0 +1,170 @@
+//! Orders that are carried out after their server began a new life under the same name.
+
+mod common;
+
+use common::{Harness, entry, run_status, step};
+use primrosestack_fleet::action::{StartReply, StartRequest};
+use primrosestack_fleet::report::{Report, RunStatus, ServerEntry};
+use primrosestack_fleet::shard::ServerKey;
+
+/// Start of the second life of a server; the harness gives the first one a lower value.
+const SECOND_LIFE_UNIX_MS: u64 = 6;
+
+/// Start of the third life of a server.
+const THIRD_LIFE_UNIX_MS: u64 = 7;
+
+/// A start that got no answer, the server that it was sent to, and the name of the other server.
+fn start_without_answer(harness: &mut Harness) -> (ServerKey, StartRequest, &'static str) {
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    let (server, request) = harness.starts.pop().expect("the task was started");
+    let reply = StartReply::Unknown;
+    harness
+        .shard
+        .start_replied(server, &request, reply, harness.now_ms);
+    let other = if harness.name(server) == "one" {
+        "two"
+    } else {
+        "one"
+    };
+    (server, request, other)
+}
+
+/// A new life of a server answers; its clock began anew.
+fn report_of_life(
+    harness: &mut Harness,
+    server: ServerKey,
+    started_unix_ms: u64,
+    running: &[RunStatus],
+) {
+    let report = Report {
+        sent_ms: harness.now_ms,
+        started_unix_ms,
+        clock_ms: 100,
+        running: running.to_vec(),
+        ..Report::default()
+    };
+    harness.shard.apply_report(server, &report, harness.now_ms);
+    harness.write_records();
+    harness.plan();
+    harness.tick();
+}
+
+/// Guards against a task running twice because a start that got no answer is carried out by the next life of its server,
+/// which knows neither the lease in the start nor earlier stops, while the task has been started elsewhere.
+#[test]
+fn a_start_may_be_carried_out_by_the_next_life_of_its_server() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, other) = start_without_answer(&mut harness);
+    for _ in 0..3 {
+        harness.now_ms += 500;
+        harness.report(other, &[], &[]);
+        report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    }
+    assert!(
+        harness.starts.is_empty(),
+        "the new life has not confirmed a stop of the run"
+    );
+    let status = run_status(request.task, request.run);
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[status]);
+    assert!(harness.starts.is_empty(), "the first run is there");
+}
+
+/// Guards against a task standing still after its server began a new life: a stop that this life has confirmed keeps the
+/// old start out, so that the task can start again.
+#[test]
+fn a_task_starts_again_once_the_next_life_keeps_its_old_start_out() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, other) = start_without_answer(&mut harness);
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    assert_eq!(harness.stops, [(server, request.task, request.run)]);
+    let now_ms = harness.now_ms;
+    harness
+        .shard
+        .stop_replied(server, request.task, request.run, now_ms);
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    assert_eq!(harness.starts.len(), 1);
+    assert!(harness.starts[0].1.run > request.run);
+}
+
+/// Guards against the answer to a stop by one life of a server being taken for one by the next, which has not heard of it.
+#[test]
+fn each_life_of_a_server_has_to_confirm_a_stop() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, other) = start_without_answer(&mut harness);
+    harness.now_ms += 500;
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    let now_ms = harness.now_ms;
+    harness
+        .shard
+        .stop_replied(server, request.task, request.run, now_ms);
+    for _ in 0..3 {
+        harness.now_ms += 500;
+        harness.report(other, &[], &[]);
+        report_of_life(&mut harness, server, THIRD_LIFE_UNIX_MS, &[]);
+    }
+    assert!(harness.starts.is_empty());
+}
+
+/// Guards against tasks whose runs were confirmed, and which therefore ended with their server, waiting for its next life.
+#[test]
+fn a_confirmed_run_ends_with_the_life_of_its_server() {
+    let mut harness = Harness::open(&["one", "two"]);
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    let (server, _) = harness.confirm_starts()[0].clone();
+    let other = if harness.name(server) == "one" {
+        "two"
+    } else {
+        "one"
+    };
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    assert_eq!(harness.starts.len(), 1);
+}
+
+/// Guards against a run being taken for lost because its server restarted, although the start reached the server after the
+/// restart and the new life runs it: the registration of that life arrived before its first report.
+#[test]
+fn a_start_that_the_next_life_confirmed_is_not_taken_for_lost() {
+    let mut harness = Harness::open(&["one", "two"]);
+    harness.submit(7, 0, vec![step(1)]);
+    harness.plan();
+    harness.now_ms += 100;
+    let (server, request) = harness.confirm_starts()[0].clone();
+    let name = harness.name(server);
+    let restarted = ServerEntry {
+        started_unix_ms: SECOND_LIFE_UNIX_MS,
+        ..entry(&name)
+    };
+    harness.shard.set_server(restarted, harness.now_ms);
+    harness.write_records();
+    harness.plan();
+    assert!(harness.starts.is_empty(), "the new life may run the task");
+    harness.now_ms += 500;
+    let status = run_status(request.task, request.run);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[status]);
+    assert!(harness.starts.is_empty() && harness.stops.is_empty());
+}
+
+/// Guards against a task waiting for ever for the answer to a stop by the new life of a server.
+#[test]
+fn a_task_does_not_wait_for_ever_for_the_next_life_of_its_server() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, _, other) = start_without_answer(&mut harness);
+    let begin_ms = harness.now_ms;
+    while harness.starts.is_empty() && harness.now_ms < begin_ms + 60_000 {
+        harness.now_ms += 500;
+        harness.report(other, &[], &[]);
+        report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    }
+    let waited_ms = harness.now_ms - begin_ms;
+    assert!((12_000..14_000).contains(&waited_ms), "{waited_ms} ms");
+}
