Log ends that a server lists no more

Whether another owner, or a late poll, had acknowledged ends that this owner never saw could not be told from the logs. Numbers of ends are consecutive, so a gap after the first one shows it: ends_missing names the server and the numbers around the gap.

--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -165,10 +165,16 @@
     }
 
     pub(crate) fn apply_end(&mut self, server: ServerKey, end: &RunEnd, now_ms: u64) {
-        if end.number <= self.servers[server].last_seen_end {
+        let last_seen_end = self.servers[server].last_seen_end;
+        if end.number <= last_seen_end {
             return;
         }
         self.servers[server].last_seen_end = end.number;
+        // Before the first end, earlier owners may have acknowledged any number of them.
+        if last_seen_end > 0 && end.number > last_seen_end + 1 {
+            let inputs = [("after", last_seen_end), ("before", end.number)];
+            self.log_decision("ends_missing", None, Some(server), inputs);
+        }
         let Some(task_ref) = self.find_task(end.task) else {
             return;
         };
--- a/crates/fleet/tests/late_orders.rs
+++ b/crates/fleet/tests/late_orders.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{Harness, entry, run_status, step};
-use primrosestack_fleet::action::{StartReply, StartRequest};
-use primrosestack_fleet::report::{Report, RunStatus, ServerEntry};
+use common::{Harness, entry, run_end, run_status, step, task_id};
+use primrosestack_fleet::action::{Action, StartReply, StartRequest};
+use primrosestack_fleet::report::{EndKind, Report, RunStatus, ServerEntry};
 use primrosestack_fleet::shard::ServerKey;
 
 /// Start of the second life of a server; the harness gives the first one a lower value.
@@ -168,3 +168,31 @@
     let waited_ms = harness.now_ms - begin_ms;
     assert!((12_000..14_000).contains(&waited_ms), "{waited_ms} ms");
 }
+
+/// Guards against ends that another owner acknowledged, and that this one therefore never sees, leaving no trace.
+#[test]
+fn ends_that_the_server_no_longer_lists_are_logged() {
+    let mut harness = Harness::open(&["one"]);
+    let job = harness.submit(7, 0, vec![step(9)]);
+    let server = harness.key("one");
+    let mut gaps = Vec::new();
+    for number in [4, 5, 8] {
+        let end = run_end(number, task_id(job, 0, 0), 1, EndKind::Stopped);
+        let report = Report {
+            sent_ms: harness.now_ms,
+            started_unix_ms: 5,
+            ended: vec![end],
+            ..Report::default()
+        };
+        harness.shard.apply_report(server, &report, harness.now_ms);
+        for action in harness.shard.take_actions() {
+            let Action::Log(decision) = action else {
+                continue;
+            };
+            if decision.event == "ends_missing" {
+                gaps.push(decision.inputs);
+            }
+        }
+    }
+    assert_eq!(gaps, [[("after", 5), ("before", 8)]]);
+}
