--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -397,8 +397,9 @@
         } else {
             100
         };
-        let last_run = self.task(task_ref).last_run;
-        if status.run <= last_run {
+        let last_run = task.last_run;
+        // Runs of unresolved tasks were begun by earlier owners, as expected.
+        if !task.unresolved && status.run <= last_run {
             self.log_decision(
                 "run_unexpected",
                 Some(task_ref),
