--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,5 +1,7 @@
 //! Planning: which waiting tasks are started next.
 
+use std::mem;
+
 use smol_str::SmolStr;
 
 use crate::action::Action;
@@ -62,7 +64,7 @@
             return;
         }
         self.sort_ready(unix_ms, now_ms);
-        let ready = std::mem::take(&mut self.ready);
+        let ready = mem::take(&mut self.ready);
         let mut unplaced = Vec::with_capacity(ready.len());
         let mut blocked_steps: Vec<(JobKey, u32, u32)> = Vec::new();
         for task_ref in ready {
@@ -116,13 +118,14 @@
         let jobs = &self.jobs;
         self.ready
             .retain(|task_ref| jobs.contains_key(task_ref.job));
-        let mut ready = std::mem::take(&mut self.ready);
+        let mut ready = mem::take(&mut self.ready);
         ready.sort_by_cached_key(|&task_ref| {
             let job = &self.jobs[task_ref.job];
             let spec = self.step_spec(task_ref);
-            let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
+            let task = self.task(task_ref);
+            let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
             let is_overdue = spec.long_running
-                && (job.is_delegated || waited_ms >= OVERDUE_MS)
+                && (job.is_delegated || task.moved || waited_ms >= OVERDUE_MS)
                 && self.fits_two(spec);
             let rank = match (spec.long_running, is_overdue) {
                 (true, true) => 0,
@@ -370,45 +373,18 @@
 
     /// Runs timer-driven work.
     pub fn tick(&mut self, now_ms: u64) {
+        let awaited_confirmation = mem::take(&mut self.awaits_confirmation);
         self.settle(now_ms);
         self.expire(now_ms);
+        if self.awaits_confirmation && !awaited_confirmation {
+            let confirmed_ms_ago = now_ms.saturating_sub(self.term_confirmed_ms);
+            let inputs = [("era", self.term), ("confirmed_ms_ago", confirmed_ms_ago)];
+            self.log_decision("leases_unconfirmed", None, None, inputs);
+        }
         self.drain_long_running(now_ms);
         self.purge_ended_jobs(now_ms);
     }
 
-    /// Stops long-running tasks on draining servers, so that they restart elsewhere.
-    fn drain_long_running(&mut self, now_ms: u64) {
-        let mut to_stop = Vec::new();
-        for (key, server) in &self.servers {
-            if !server.entry.draining
-                || now_ms >= server.last_contact_ms + crate::server::CONTACT_TIMEOUT_MS
-            {
-                continue;
-            }
-            for &(task_ref, number) in &server.runs {
-                if self.step_spec(task_ref).long_running && !self.is_stopping(task_ref, key, number)
-                {
-                    to_stop.push((task_ref, key, number));
-                }
-            }
-        }
-        for (task_ref, server, number) in to_stop {
-            self.log_decision(
-                "task_moved",
-                Some(task_ref),
-                Some(server),
-                [("run", u64::from(number))],
-            );
-            self.stop_run(task_ref, server, number, now_ms);
-        }
-    }
-
-    fn is_stopping(&self, task_ref: TaskRef, server: ServerKey, number: u32) -> bool {
-        let task = self.task(task_ref);
-        task.run_position(server, number)
-            .is_some_and(|position| task.runs[position].is_stopping())
-    }
-
     /// Purges recorded jobs whose retention period has passed.
     fn purge_ended_jobs(&mut self, now_ms: u64) {
         let retention_ms = self.bounds.retention_ms;
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -138,7 +138,10 @@
     /// Marks the shard as settled and releases unresolved tasks, once all servers of earlier owners have answered or
     /// their leases have expired.
     pub(crate) fn settle(&mut self, now_ms: u64) {
-        if self.settled || (!self.unclaimed.is_empty() && now_ms < self.settle_deadline_ms) {
+        if self.settled {
+            return;
+        }
+        if !self.unclaimed.is_empty() && !self.has_lease_ended(self.settle_deadline_ms, now_ms) {
             return;
         }
         self.settled = true;
@@ -213,6 +216,7 @@
             | EndKind::GangIncomplete => {}
         }
         let job = &mut self.jobs[task_ref.job];
+        job.started = true;
         job.mark_changed(now_ms);
         let version = job.version;
         self.changed.push(task_ref.job);
@@ -325,6 +329,7 @@
             });
             return;
         }
+        self.jobs[task_ref.job].started = true;
         let is_live = self.jobs[task_ref.job].is_live();
         let task = self.task_mut(task_ref);
         let Some(position) = task.run_position(server, status.run) else {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -46,7 +46,6 @@
         state.runs.push((task_ref, number));
         let job = &mut self.jobs[task_ref.job];
         job.run_count += 1;
-        job.started = true;
         let task = self.task_mut(task_ref);
         task.last_run = task.last_run.max(number);
         task.queued = false;
@@ -74,6 +73,7 @@
                 .suspected_run
                 .get_or_insert((task_ref, number));
         }
+        self.task_mut(task_ref).moved = false;
         let state = &self.servers[server];
         let tickets = &self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
             [task_ref.step as usize]
@@ -204,6 +204,7 @@
         }
         match reply {
             StartReply::Started => {
+                self.jobs[task_ref.job].started = true;
                 let run = &mut self.task_mut(task_ref).runs[position];
                 run.start_answered_ms.get_or_insert(now_ms);
                 if run.state == RunState::Starting {
