--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -138,7 +138,10 @@
     /// Marks the shard as settled and releases unresolved tasks, once all servers of earlier owners have answered or
     /// their leases have expired.
     pub(crate) fn settle(&mut self, now_ms: u64) {
-        if self.settled || (!self.unclaimed.is_empty() && now_ms < self.settle_deadline_ms) {
+        if self.settled {
+            return;
+        }
+        if !self.unclaimed.is_empty() && !self.has_lease_ended(self.settle_deadline_ms, now_ms) {
             return;
         }
         self.settled = true;
@@ -165,10 +168,16 @@
     }
 
     pub(crate) fn apply_end(&mut self, server: ServerKey, end: &RunEnd, now_ms: u64) {
-        if end.number <= self.servers[server].last_seen_end {
+        let last_seen_end = self.servers[server].last_seen_end;
+        if end.number <= last_seen_end {
             return;
         }
         self.servers[server].last_seen_end = end.number;
+        // Before the first end, earlier owners may have acknowledged any number of them.
+        if last_seen_end > 0 && end.number > last_seen_end + 1 {
+            let inputs = [("after", last_seen_end), ("before", end.number)];
+            self.log_decision("ends_missing", None, Some(server), inputs);
+        }
         let Some(task_ref) = self.find_task(end.task) else {
             return;
         };
@@ -207,6 +216,7 @@
             | EndKind::GangIncomplete => {}
         }
         let job = &mut self.jobs[task_ref.job];
+        job.started = true;
         job.mark_changed(now_ms);
         let version = job.version;
         self.changed.push(task_ref.job);
@@ -319,6 +329,7 @@
             });
             return;
         }
+        self.jobs[task_ref.job].started = true;
         let is_live = self.jobs[task_ref.job].is_live();
         let task = self.task_mut(task_ref);
         let Some(position) = task.run_position(server, status.run) else {
@@ -391,8 +402,9 @@
         } else {
             100
         };
-        let last_run = self.task(task_ref).last_run;
-        if status.run <= last_run {
+        let last_run = task.last_run;
+        // Runs of unresolved tasks were begun by earlier owners, as expected.
+        if !task.unresolved && status.run <= last_run {
             self.log_decision(
                 "run_unexpected",
                 Some(task_ref),
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -184,6 +184,7 @@
     /// Records that the store confirmed the term in response to a call sent at `sent_ms`.
     pub fn confirm(&self, sent_ms: u64) {
         self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+        self.shard.borrow_mut().confirm_term(sent_ms);
     }
 
     /// Commits a transaction on condition that the term has not ended, and steps down if it has. Each transaction
@@ -335,6 +336,16 @@
         }
     }
 
+    /// Checks the term after a server refused a call because it had seen a later one. Without an answer of the store, the
+    /// server's word counts.
+    pub async fn verify_term(&self) {
+        let refused_ms = now_ms();
+        self.check_term().await;
+        if self.confirmed_ms.get() < refused_ms {
+            self.step_down("server_fenced");
+        }
+    }
+
     pub(super) async fn maintain_authority(self: Rc<Self>) {
         let mut renewed_ms = 0;
         while !self.closed.get() {
@@ -343,7 +354,8 @@
                 self.release(cpu_millis).await;
                 return;
             }
-            if now >= self.confirmed_ms.get() + CONFIRM_AFTER_MS {
+            let is_awaited = self.shard.borrow().awaits_confirmation();
+            if is_awaited || now >= self.confirmed_ms.get() + CONFIRM_AFTER_MS {
                 self.check_term().await;
             }
             if self.must_announce.get() {
@@ -450,7 +462,7 @@
         Phase::Completed => JobStatus::Completed,
         Phase::Failed => JobStatus::Failed,
         Phase::Cancelled => JobStatus::Cancelled,
-        Phase::Live if progress.tasks.is_empty() => JobStatus::Queued,
-        Phase::Live => JobStatus::Running,
+        Phase::Live if progress.has_started() => JobStatus::Running,
+        Phase::Live => JobStatus::Queued,
     }
 }
