Finish moves from a draining server in time, and keep the room reserved for them

The owner of 220 servers has 0.1 cores and answers in steps of a quarter of a second.

The last stops are sent 1.5 s and the time of a stop before the server may leave. A registration that is read from a list counts as one heartbeat old. A task whose room was reserved starts first. Tasks are stopped for delegation only for room that no waiting task can be delegated to.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -6,18 +6,16 @@
 use smol_str::SmolStr;
 
 use crate::intake::Load;
-use crate::job::StepSpec;
 use crate::place::Choice;
 use crate::report::ServerEntry;
 use crate::server::{CONTACT_TIMEOUT_MS, Server};
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef};
+use crate::task::Move;
+use crate::transfer::DELEGATED_TASKS_MAX;
 
 /// Time besides the stop itself that the last stops need before a server leaves: transit, the report of the end, and the
 /// age of the registration.
-const STOP_TRANSIT_MS: u64 = 500;
-
-/// Maximum number of tasks stopped per call in order to delegate them, as many as can be delegated then.
-const STOPPED_FOR_DELEGATION_MAX: usize = 4;
+const STOP_TRANSIT_MS: u64 = 1_500;
 
 /// Run of a long-running task on a draining server.
 #[derive(Clone, Copy, Debug)]
@@ -37,13 +35,14 @@
 }
 
 impl Server {
-    /// Derives from a registration when the server may leave. A copy that is read again tells nothing new.
-    pub(crate) fn update_departure(&mut self, entry: &ServerEntry, drain_ms: u64, now_ms: u64) {
+    /// Derives from a registration written at `written_ms` when the server may leave. A copy that is read again tells
+    /// nothing new.
+    pub(crate) fn update_departure(&mut self, entry: &ServerEntry, drain_ms: u64, written_ms: u64) {
         let is_news = !self.entry.draining || entry.leaves_in_ms != self.entry.leaves_in_ms;
         self.departure_ms = match (entry.draining, self.departure_ms) {
             (false, _) => None,
             (true, Some(departure_ms)) if !is_news => Some(departure_ms),
-            (true, _) => Some(now_ms + entry.leaves_in_ms.unwrap_or(drain_ms)),
+            (true, _) => Some(written_ms + entry.leaves_in_ms.unwrap_or(drain_ms)),
         };
     }
 }
@@ -89,19 +88,19 @@
         }
         // A load that is reported later still includes the room for tasks whose runs have not ended.
         let mut others = others.to_vec();
-        for task_ref in moving {
-            Self::take_room(self.step_spec(task_ref), &mut others);
+        for task_ref in self.ready.iter().copied().chain(moving) {
+            if self.jobs.contains_key(task_ref.job) && self.step_spec(task_ref).can_be_delegated() {
+                self.take_room(task_ref, &mut others);
+            }
         }
         let mut to_stop = Vec::new();
         for run in runs {
-            if to_stop.len() >= STOPPED_FOR_DELEGATION_MAX {
+            if to_stop.len() >= DELEGATED_TASKS_MAX {
                 break;
             }
-            let job = &self.jobs[run.task_ref.job];
-            let spec = self.step_spec(run.task_ref);
-            if job.is_live()
-                && spec.can_be_delegated()
-                && Self::take_room(spec, &mut others).is_some()
+            if self.jobs[run.task_ref.job].is_live()
+                && self.step_spec(run.task_ref).can_be_delegated()
+                && self.take_room(run.task_ref, &mut others).is_some()
             {
                 to_stop.push(run);
             }
@@ -111,8 +110,13 @@
         }
     }
 
-    /// Takes one place for a task from the reported capacity of other shards. Returns the failure domain.
-    pub(crate) fn take_room(step: &StepSpec, others: &mut [(SmolStr, Load)]) -> Option<SmolStr> {
+    /// Takes one server for a task from the reported capacity of other shards. Returns its failure domain.
+    pub(crate) fn take_room(
+        &self,
+        task_ref: TaskRef,
+        others: &mut [(SmolStr, Load)],
+    ) -> Option<SmolStr> {
+        let step = self.step_spec(task_ref);
         others.iter_mut().find_map(|(domain, load)| {
             let free_capacity = &mut load.free_capacity;
             let fits = free_capacity.iter().position(|free| {
@@ -167,7 +171,9 @@
             return false;
         };
         let task = self.task(task_ref);
-        job.is_live() && self.step_spec(task_ref).long_running && (task.queued || task.moved)
+        job.is_live()
+            && self.step_spec(task_ref).long_running
+            && (task.queued || task.moved != Move::None)
     }
 
     /// Reserves room for a task on another server. Returns whether there was any.
@@ -217,7 +223,11 @@
                 ("left_ms", left_ms),
             ],
         );
-        self.task_mut(run.task_ref).moved = true;
+        self.task_mut(run.task_ref).moved = if has_room {
+            Move::Reserved
+        } else {
+            Move::Unreserved
+        };
         self.stop_run(run.task_ref, run.server, run.number, now_ms);
     }
 }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -8,6 +8,7 @@
 use crate::place::Choice;
 use crate::record::Phase;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef, to_u32};
+use crate::task::Move;
 
 /// Minimum lease with which a task is started.
 const START_LEASE_MIN_MS: u64 = 1_000;
@@ -110,7 +111,7 @@
 
     /// Sorts waiting tasks by priority. Within a priority, short tasks precede long-running ones, since callers wait
     /// for them, unless a long-running task is overdue and there is capacity for two like it, so that some is left for
-    /// short tasks. Jobs that can still meet their objective precede late ones; those whose result is no longer of use
+    /// short tasks. Tasks that were moved to reserved room come first. Jobs that can still meet their objective precede late ones; those whose result is no longer of use
     /// come last.
     fn sort_ready(&mut self, unix_ms: u64, now_ms: u64) {
         let jobs = &self.jobs;
@@ -123,12 +124,13 @@
             let task = self.task(task_ref);
             let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
             let is_overdue = spec.long_running
-                && (job.is_delegated || task.moved || waited_ms >= OVERDUE_MS)
+                && (job.is_delegated || task.moved != Move::None || waited_ms >= OVERDUE_MS)
                 && self.fits_two(spec);
             let rank = match (spec.long_running, is_overdue) {
-                (true, true) => 0,
-                (false, _) => 1,
-                (true, false) => 2,
+                _ if task.moved == Move::Reserved => 0,
+                (true, true) => 1,
+                (false, _) => 2,
+                (true, false) => 3,
             };
             let lateness = if spec.long_running {
                 0
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -10,7 +10,9 @@
     pub fn set_servers(&mut self, entries: impl IntoIterator<Item = ServerEntry>, now_ms: u64) {
         let mut seen: Vec<ServerKey> = Vec::new();
         for entry in entries {
-            seen.push(self.set_server(entry, now_ms));
+            // The servers renew their registrations at this interval, and the time left with them.
+            let written_ms = now_ms.saturating_sub(self.bounds.heartbeat_ms);
+            seen.push(self.apply_registration(entry, written_ms, now_ms));
         }
         seen.sort();
         for (key, server) in &mut self.servers {
@@ -20,8 +22,17 @@
         }
     }
 
-    /// Adds or updates the registration of a server.
+    /// Adds or updates the registration of a server that was just written.
     pub fn set_server(&mut self, entry: ServerEntry, now_ms: u64) -> ServerKey {
+        self.apply_registration(entry, now_ms, now_ms)
+    }
+
+    fn apply_registration(
+        &mut self,
+        entry: ServerEntry,
+        written_ms: u64,
+        now_ms: u64,
+    ) -> ServerKey {
         let found = self
             .server_index
             .binary_search_by(|(name, _)| name.cmp(&entry.name));
@@ -51,7 +62,7 @@
         if !entry.draining {
             server.draining_since_ms = None;
         }
-        server.update_departure(&entry, self.bounds.drain_ms, now_ms);
+        server.update_departure(&entry, self.bounds.drain_ms, written_ms);
         server.entry = entry;
         server.registered = true;
         if begins_draining {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -3,7 +3,7 @@
 use crate::action::{Action, StartReply, StartRequest};
 use crate::bounds::Bounds;
 use crate::shard::{ServerKey, Shard, TaskRef};
-use crate::task::{Run, RunState};
+use crate::task::{Move, Run, RunState};
 
 /// Interval at which an ineffective stop is retried; several round trips.
 pub(crate) const STOP_RETRY_MS: u64 = 1_000;
@@ -74,7 +74,7 @@
                 .suspected_run
                 .get_or_insert((task_ref, number));
         }
-        self.task_mut(task_ref).moved = false;
+        self.task_mut(task_ref).moved = Move::None;
         let state = &self.servers[server];
         let tickets = &self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
             [task_ref.step as usize]
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -5,6 +5,18 @@
 use crate::record::TaskRecord;
 use crate::shard::ServerKey;
 
+/// How a task was moved away from a draining server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Move {
+    /// Not moved since its last start.
+    #[default]
+    None,
+    /// Room on another server was reserved before the stop.
+    Reserved,
+    /// The server was about to leave, and no other had room.
+    Unreserved,
+}
+
 /// State of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -115,8 +127,8 @@
     pub remote: bool,
     /// Whether the task is in the shard's ready queue.
     pub queued: bool,
-    /// Whether its last run was stopped because its server is draining.
-    pub moved: bool,
+    /// Whether and how it was moved away from a draining server since its last start.
+    pub moved: Move,
     /// Runs that may exist; more than one only for speculative copies.
     pub runs: Vec<Run>,
     /// Highest run number used.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -9,6 +9,7 @@
 use crate::intake::Load;
 use crate::record::{TaskRecord, Transfer};
 use crate::shard::{JobKey, Shard, TaskRef};
+use crate::task::Move;
 
 /// Wait after which a task is delegated; local servers often have free capacity again within one poll.
 const DELEGATE_AFTER_MS: u64 = 1_200;
@@ -21,7 +22,7 @@
 const UNRECORDED_TRANSFERS_MAX: usize = 8;
 
 /// Maximum number of tasks delegated at a time; the next report of the other shard shows its remaining capacity.
-const DELEGATED_TASKS_MAX: usize = 4;
+pub(crate) const DELEGATED_TASKS_MAX: usize = 4;
 
 impl Shard {
     /// Delegates waiting long-running tasks to shards with free capacity, and stops some on draining servers for that.
@@ -42,8 +43,7 @@
             if job.outbound_transfers.len() >= UNRECORDED_TRANSFERS_MAX {
                 continue;
             }
-            let step = self.step_spec(task_ref).clone();
-            let Some(domain) = Self::take_room(&step, others) else {
+            let Some(domain) = self.take_room(task_ref, others) else {
                 continue;
             };
             self.delegate_to(task_ref, domain, now_ms);
@@ -58,10 +58,9 @@
             return false;
         };
         let task = self.task(task_ref);
-        let delegate_after_ms = if task.moved {
-            DELEGATE_MOVED_AFTER_MS
-        } else {
-            DELEGATE_AFTER_MS
+        let delegate_after_ms = match task.moved {
+            Move::None => DELEGATE_AFTER_MS,
+            Move::Reserved | Move::Unreserved => DELEGATE_MOVED_AFTER_MS,
         };
         job.is_live()
             && self.step_spec(task_ref).can_be_delegated()
@@ -75,7 +74,7 @@
         let task = self.task_mut(task_ref);
         task.remote = true;
         task.queued = false;
-        task.moved = false;
+        task.moved = Move::None;
         // Each transfer uses a run number, so that the newest of several records of a task can be identified.
         task.last_run += 1;
         let record = TaskRecord {
