Delegate more tasks at a time, and to different servers

When many servers drain, hundreds of long-running tasks of one failure domain wait while others have room.

A shard reports the free capacity of 24 servers, up to 16 tasks are delegated at a time, and the failure domain with the most servers that fit is taken, and of these servers one that depends on the task.

The tests many_tasks_are_delegated_at_a_time (4 instead of 16) and owners_delegate_to_different_servers (the same server twice) fail without the change.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -110,21 +110,33 @@
         }
     }
 
-    /// Takes one server for a task from the reported capacity of other shards. Returns its failure domain.
+    /// Takes one server for a task from the reported capacity of other shards, of which the one with the most servers that
+    /// fit. Returns its failure domain. Several owners see the same reports: which server is taken depends on the task, so
+    /// that they rarely count on the same one.
     pub(crate) fn take_room(
         &self,
         task_ref: TaskRef,
         others: &mut [(SmolStr, Load)],
     ) -> Option<SmolStr> {
         let step = self.step_spec(task_ref);
-        others.iter_mut().find_map(|(domain, load)| {
-            let free_capacity = &mut load.free_capacity;
-            let fits = free_capacity.iter().position(|free| {
+        let mut best: (usize, Vec<usize>) = (0, Vec::new());
+        for (index, (_, load)) in others.iter().enumerate() {
+            let servers = load.free_capacity.iter().enumerate();
+            let fitting = servers.filter(|(_, free)| {
                 free.cpu_millis >= step.cpu_millis && free.memory_mb >= step.memory_mb
-            })?;
-            free_capacity.remove(fits);
-            Some(domain.clone())
-        })
+            });
+            let positions: Vec<usize> = fitting.map(|(position, _)| position).collect();
+            if positions.len() > best.1.len() {
+                best = (index, positions);
+            }
+        }
+        let (index, positions) = best;
+        let id = self.jobs[task_ref.job].id.0;
+        let spread = usize::try_from(id % 997).unwrap_or_default() + task_ref.index as usize;
+        let position = *positions.get(spread.checked_rem(positions.len())?)?;
+        let (domain, load) = &mut others[index];
+        load.free_capacity.remove(position);
+        Some(domain.clone())
     }
 
     /// Long-running tasks on draining servers that answer: those that run, by the time at which the server may leave, and
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -13,8 +13,9 @@
 /// of 16 servers.
 const REMOTE_MARGIN_PERMILLE: u64 = 25;
 
-/// Number of servers whose free capacity is reported; more tasks are rarely delegated between two reports.
-const FREE_CAPACITIES_MAX: usize = 6;
+/// Number of servers whose free capacity is reported; each takes one task of another shard between two reports. When many
+/// servers drain at once, hundreds of tasks are delegated within seconds.
+const FREE_CAPACITIES_MAX: usize = 24;
 
 /// Load of a shard as reported by its owner. Waiting tasks count as if they were running.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -21,8 +21,8 @@
 /// the job.
 const UNRECORDED_TRANSFERS_MAX: usize = 8;
 
-/// Maximum number of tasks delegated at a time; the next report of the other shard shows its remaining capacity.
-pub(crate) const DELEGATED_TASKS_MAX: usize = 4;
+/// Maximum number of tasks delegated at a time, which limits the size of the records that wait for the store.
+pub(crate) const DELEGATED_TASKS_MAX: usize = 16;
 
 impl Shard {
     /// Delegates waiting long-running tasks to shards with free capacity, and stops some on draining servers for that.
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -301,3 +301,54 @@
     target.plan();
     assert_eq!(target.starts.len(), 1);
 }
+
+/// Guards against hundreds of tasks of draining servers waiting for their delegation although other failure domains have
+/// room for them.
+#[test]
+fn many_tasks_are_delegated_at_a_time() {
+    let mut source = Harness::open(&["one"]);
+    for id in 7..11 {
+        source.submit(id, 0, vec![service_step(12, "a")]);
+    }
+    source.plan();
+    assert_eq!(source.confirm_starts().len(), 16);
+    source.now_ms += DELEGATION_WAIT_MS;
+    let names: Vec<SmolStr> = (0..16).map(|n| format_smolstr!("s{n}")).collect();
+    let names: Vec<&str> = names.iter().map(SmolStr::as_str).collect();
+    let mut others = vec![(SmolStr::new("cxs"), Harness::open(&names).load())];
+    assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
+    let mut transfers = 0;
+    while source.shard.batch_due_ms(source.now_ms).is_some() {
+        let batch = source.shard.take_batch(source.now_ms);
+        let counts = batch.jobs.iter().map(|record| record.transfers.len());
+        transfers += counts.sum::<usize>();
+        source.shard.batch_written(&batch);
+    }
+    assert_eq!(transfers, 16);
+}
+
+/// Guards against the owners of several failure domains all counting on the same server for their tasks.
+#[test]
+fn owners_delegate_to_different_servers() {
+    let mut target = Harness::open(&["two", "three", "four"]);
+    for (name, cpu_millis) in [("two", 8_000), ("three", 12_000), ("four", 16_000)] {
+        let entry = primrosestack_fleet::report::ServerEntry {
+            cpu_millis,
+            ..common::entry(name)
+        };
+        target.shard.set_server(entry, target.now_ms);
+    }
+    let mut remaining = Vec::new();
+    for id in [7, 8] {
+        let mut source = Harness::open(&["one"]);
+        source.submit(id, 0, vec![service_step(17, "a")]);
+        source.plan();
+        source.confirm_starts();
+        source.now_ms += DELEGATION_WAIT_MS;
+        let mut others = vec![(SmolStr::new("cxs"), target.load())];
+        assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
+        remaining.push(others[0].1.free_capacity.clone());
+    }
+    assert_eq!(remaining[0].len(), 2);
+    assert_ne!(remaining[0], remaining[1]);
+}
