Keep the wait of a task that an earlier owner had

What callers see: a long-running task has no run for many seconds around changes of owner (LOST). The wait of a task began anew when its owner learned that no earlier owner runs it; only a task that has waited goes before short tasks or is delegated. Two changes of owner cost it seconds each.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -11,7 +11,7 @@
 use crate::crash_handover::{RecentStarts, SuspectedTask};
 use crate::job::{JobId, TaskId};
 use crate::record::Phase;
-use crate::shard::Shard;
+use crate::shard::{Shard, TaskRef};
 
 /// Task that the owner may have started, or whose end is not recorded.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -369,9 +369,19 @@
                 ),
             ],
         );
+        self.release_unresolved(released, now_ms);
+    }
+
+    /// Queues tasks that no earlier owner can have running any more. They have waited since this owner read their job, or
+    /// longer.
+    pub(crate) fn release_unresolved(&mut self, released: Vec<TaskRef>, now_ms: u64) {
         for task_ref in released {
             self.task_mut(task_ref).unresolved = false;
             self.enqueue_if_ready(task_ref, now_ms);
+            let arrived_ms = self.jobs[task_ref.job].arrived_ms;
+            if self.task(task_ref).queued {
+                self.task_mut(task_ref).ready_since_ms = arrived_ms;
+            }
         }
     }
 
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -163,10 +163,7 @@
                     .map(|(task_ref, _)| task_ref),
             );
         }
-        for task_ref in released {
-            self.task_mut(task_ref).unresolved = false;
-            self.enqueue_if_ready(task_ref, now_ms);
-        }
+        self.release_unresolved(released, now_ms);
     }
 
     pub(crate) fn apply_end(&mut self, server: ServerKey, end: &RunEnd, now_ms: u64) {
--- a/crates/fleet/tests/waits.rs
+++ b/crates/fleet/tests/waits.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{Harness, best_effort_step, run_end, service_step, step, task_id};
+use common::{DELEGATION_WAIT_MS, Harness, best_effort_step, run_end, service_step, step, task_id};
 use primrosestack_fleet::action::StartReply;
 use primrosestack_fleet::job::JobId;
 use primrosestack_fleet::report::EndKind;
+use smol_str::SmolStr;
 
 /// Guards against a long-running task that failed on the only server with free capacity waiting forever for another
 /// one.
@@ -229,3 +230,25 @@
     harness.submit(3, 2, vec![step(10_000)]);
     assert_eq!(harness.shard.plan_interval_min_ms(), 100);
 }
+
+/// Guards against the wait of a long-running task beginning anew when it is known that no earlier owner runs it: with each
+/// change of owner, short tasks took the room before it, and it was not delegated.
+#[test]
+fn a_task_of_an_earlier_owner_has_waited_since_its_job_was_read() {
+    let mut harness = Harness::open_term(2, &["gone", "one"], &["one"]);
+    harness.submit_at(7, 0, vec![service_step(1, "a")], 50);
+    harness.claim("one");
+    harness.submit(8, 0, vec![step(16)]);
+    harness.write_records();
+    harness.plan();
+    assert_eq!(harness.confirm_starts().len(), 16, "the server is full");
+    let mut others = vec![(SmolStr::new("cxs"), Harness::open(&["two"]).load())];
+    let begin_ms = harness.now_ms;
+    while !harness.shard.is_settled() {
+        harness.now_ms += 100;
+        harness.tick();
+    }
+    assert!(harness.now_ms > begin_ms + DELEGATION_WAIT_MS);
+    harness.plan();
+    assert!(harness.shard.delegate_tasks(&mut others, harness.now_ms));
+}
