Don't let the CPU of a best-effort task wrap

Callers: no one has reported it. A best-effort task with the largest possible CPU request could be started on a server that runs another one.

Cause: the sum of the CPU in use and that of the task was computed in 32 bits and wrapped to a small number. In a build with overflow checks it would panic, and the shard would be given up.

Change: the sum has 64 bits.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -97,8 +97,9 @@
             return false;
         }
         if spec.best_effort {
-            if server.best_effort_used_millis + spec.cpu_millis
-                > Self::best_effort_capacity_millis(server)
+            let used_millis = u64::from(server.best_effort_used_millis);
+            if used_millis + u64::from(spec.cpu_millis)
+                > u64::from(Self::best_effort_capacity_millis(server))
             {
                 return false;
             }
--- a/crates/fleet/tests/pressure.rs
+++ b/crates/fleet/tests/pressure.rs
@@ -6,6 +6,7 @@
 
 use common::{Harness, best_effort_step, service_step};
 use primrosestack_fleet::interference::{BestEffortUse, InterferenceEstimate, InterferenceModel};
+use primrosestack_fleet::job::StepSpec;
 use test_case::test_case;
 
 /// Tail latency without load in the model below.
@@ -161,3 +162,23 @@
             .all(|(_, task, _, _)| task.job == noisy_job)
     );
 }
+
+/// Guards against a task that is larger than any server being started beside another one, when their sum wraps.
+#[test]
+fn the_largest_task_fits_nowhere() {
+    let mut harness = Harness::open(&["one"]);
+    let small = harness.submit(7, 2, vec![best_effort_step(1, "small")]);
+    harness.plan();
+    assert_eq!(harness.confirm_starts().len(), 1);
+    let largest = StepSpec {
+        cpu_millis: u32::MAX,
+        ..best_effort_step(1, "largest")
+    };
+    harness.submit(8, 2, vec![largest]);
+    for _ in 0..100 {
+        harness.now_ms += 500;
+        harness.report_running(&[small]);
+        harness.plan();
+        assert!(harness.starts.is_empty(), "{:?}", harness.starts);
+    }
+}
