Take any announced time left of a draining server

What callers see: with a number too large in one registration, all long-running tasks of that server were stopped at once in a release build, and a debug build panicked: the time was added to the clock without saturation. The field is used since tasks leave draining servers in time.

a_server_may_announce_any_time_left failed before (left: 128, right: 0 stops) and passes now.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -43,7 +43,7 @@
         self.departure_ms = match (entry.draining, self.departure_ms) {
             (false, _) => None,
             (true, Some(departure_ms)) if !is_news => Some(departure_ms),
-            (true, _) => Some(written_ms + entry.leaves_in_ms.unwrap_or(drain_ms)),
+            (true, _) => Some(written_ms.saturating_add(entry.leaves_in_ms.unwrap_or(drain_ms))),
         };
     }
 }
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -134,6 +134,16 @@
     assert_eq!(harness.stops.len(), 16);
 }
 
+/// Guards against the largest time left being added to the clock: a debug build panics, and a release build stops all tasks
+/// at once.
+#[test]
+fn a_server_may_announce_any_time_left() {
+    let (mut harness, job) = full_server();
+    drain(&mut harness, "one", Some(u64::MAX));
+    pass(&mut harness, &[job], LEAVES_IN_MS);
+    assert_eq!(harness.stops.len(), 0);
+}
+
 /// Guards against a task running twice since it ended, as done, in the moment at which its server left: nobody learns of
 /// that end.
 #[test]
