Refuse registrations of servers that start in the future

What callers see: tasks of a live server are started a second time, and the server is never used again (TWICE, LOST). An entry of another writer over that of a server may hold a start that is years ahead; the server's runs were given up, and all its answers counted as those of an earlier life. The check against the year 9999 let such a number pass.

--- a/src/daemon/odd_entries.rs
+++ b/src/daemon/odd_entries.rs
@@ -7,6 +7,7 @@
 use primrosestack_platform::store::Item;
 use smol_str::SmolStr;
 
+use crate::daemon::clock::unix_ms;
 use crate::daemon::line_limit::LineLimit;
 use crate::logs::Line;
 
@@ -59,7 +60,7 @@
 
     /// Decodes the registration of a server; reports it and returns `None` if it names no server to use.
     pub fn decode_server(&self, item: &Item, now_ms: u64) -> Option<ServerEntry> {
-        let error = match decode_server(&item.key, &item.value) {
+        let error = match decode_server(&item.key, &item.value, unix_ms()) {
             Ok(entry) => {
                 self.forget(&item.key);
                 return Some(entry);
