Hand over failures that are not recorded

The first owner could not record the three failures, and told the successor the number of the last run. The server of that run answered first; its end frees the task, as the servers of earlier runs need not be waited for.

An owner hands over the numbers of failed runs that are not recorded, and the successor counts them.

The test unrecorded_failures_are_handed_over failed before (1 start instead of 0).

--- a/crates/fleet/src/crash_handover.rs
+++ b/crates/fleet/src/crash_handover.rs
@@ -103,6 +103,7 @@
                 index: task_ref.index,
                 inherited: false,
                 last_run: number,
+                failed_runs: Vec::new(),
             });
         }
         (!runs.is_empty()).then(|| RecentStarts {
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -14,7 +14,7 @@
 use crate::shard::Shard;
 
 /// Task that the owner may have started, or whose end is not recorded.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct InFlightTask {
     #[prost(fixed64, tag = "1")]
     pub job: u64,
@@ -31,6 +31,9 @@
     /// Highest run number that the owner used; 0 if unknown.
     #[prost(uint32, tag = "6")]
     pub last_run: u32,
+    /// Numbers of the runs whose failures are not recorded.
+    #[prost(uint32, repeated, tag = "7")]
+    pub failed_runs: Vec<u32>,
 }
 
 impl InFlightTask {
@@ -264,6 +267,11 @@
                     index: task_ref.index,
                     inherited: task.runs.is_empty() && !has_unrecorded_end,
                     last_run: task.last_run,
+                    failed_runs: if is_recorded {
+                        Vec::new()
+                    } else {
+                        task.failed_runs.clone()
+                    },
                 });
             }
         }
@@ -304,6 +312,7 @@
             return;
         }
         self.inherit_suspicions(handover, now_ms);
+        self.inherit_failures(&handover.in_flight, now_ms);
         self.predecessors.insert(Answer {
             term: handover.term,
             received_ms: now_ms,
@@ -313,6 +322,27 @@
         self.apply_answers(now_ms);
     }
 
+    /// Counts the failures that an earlier owner did not record: the servers that list them may answer after the last run
+    /// is known to have ended.
+    fn inherit_failures(&mut self, in_flight: &[InFlightTask], now_ms: u64) {
+        for known in in_flight {
+            let Some(task_ref) = self.find_task(known.id()) else {
+                continue;
+            };
+            let task = self.task_mut(task_ref);
+            let failures = task.failed_runs.len();
+            for &run in &known.failed_runs {
+                if !task.failed_runs.contains(&run) {
+                    task.failed_runs.push(run);
+                }
+            }
+            if task.failed_runs.len() > failures {
+                self.mark_job_changed(task_ref.job, now_ms);
+                self.fail_job_if_exhausted(task_ref, None, now_ms);
+            }
+        }
+    }
+
     /// Records that the owner of an earlier term was restarted at least `owned_for_ms` after its term began.
     pub fn predecessor_ended(&mut self, term: u64, owned_for_ms: u64, now_ms: u64) {
         if term >= self.term {
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -237,8 +237,6 @@
                 [("failed_run", u64::from(run))],
             );
         }
-        let long_running = self.step_spec(task_ref).long_running;
-        let attempts_max = self.jobs[task_ref.job].queue.attempts_max;
         let task = self.task_mut(task_ref);
         if !task.failed_runs.contains(&run) {
             task.failed_runs.push(run);
@@ -246,6 +244,19 @@
         if !task.avoided_servers.contains(&server) {
             task.avoided_servers.push(server);
         }
+        self.fail_job_if_exhausted(task_ref, Some(server), now_ms);
+    }
+
+    /// Ends the job if a task of it has failed as often as it may; `server` is that of the last failure, if known.
+    pub(crate) fn fail_job_if_exhausted(
+        &mut self,
+        task_ref: TaskRef,
+        server: Option<ServerKey>,
+        now_ms: u64,
+    ) {
+        let long_running = self.step_spec(task_ref).long_running;
+        let attempts_max = self.jobs[task_ref.job].queue.attempts_max;
+        let task = self.task(task_ref);
         let failures = to_u32(task.failed_runs.len());
         let is_exhausted =
             !long_running && attempts_max > 0 && failures >= attempts_max && !task.done;
@@ -253,7 +264,7 @@
             self.log_decision(
                 "job_failed",
                 Some(task_ref),
-                Some(server),
+                server,
                 [
                     ("failures", u64::from(failures)),
                     ("limit", u64::from(attempts_max)),
--- a/crates/fleet/tests/handovers.rs
+++ b/crates/fleet/tests/handovers.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
-use common::{Harness, service_step};
+use common::{Harness, run_end, service_step, step, task_id};
 use primrosestack_fleet::bounds::Bounds;
 use primrosestack_fleet::handover::{Handover, PastTerms};
+use primrosestack_fleet::report::EndKind;
+use primrosestack_fleet::shard::JobStatus;
 
 /// Guards against several short terms in a row that each wait anew for a server that none of their owners reached: after
 /// a rolling restart, long-running tasks stood still for 21 s.
@@ -68,3 +70,34 @@
     }
     assert!(past.find(1).is_none(), "the number is limited");
 }
+
+/// Guards against a start after the last permitted attempt: the successor hears of the last failure first, and of an earlier
+/// one only when its server answers.
+#[test]
+fn unrecorded_failures_are_handed_over() {
+    let mut first = Harness::open(&["one", "two", "three"]);
+    let job = first.submit_at(1, 0, vec![step(1)], 50);
+    let task = task_id(job, 0, 0);
+    let mut ends = Vec::new();
+    for run in 1..=3 {
+        first.plan();
+        let starts = first.confirm_starts();
+        assert_eq!(starts.len(), 1);
+        let name = first.name(starts[0].0);
+        first.now_ms += 200;
+        ends.push((name.clone(), run_end(1, task, run, EndKind::Failed)));
+        first.report(&name, &[], &[run_end(1, task, run, EndKind::Failed)]);
+    }
+    let handover = first.handover();
+    let servers = ["one", "two", "three", "new"];
+    let mut second = Harness::open_term(2, &servers[..3], &servers);
+    second.claim("new");
+    second.submit_at(1, 0, vec![step(1)], 50);
+    second.shard.apply_handover(&handover, second.now_ms);
+    let (last_server, last_end) = &ends[2];
+    second.report(last_server, &[], std::slice::from_ref(last_end));
+    second.write_records();
+    second.plan();
+    assert_eq!(second.starts.len(), 0);
+    assert_eq!(second.shard.job_status(job), Some(JobStatus::Failed));
+}
