--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod interference;
 pub mod job;
 pub mod ledger;
+mod listed_runs;
 pub mod load_views;
 mod overdue;
 pub mod place;
