Don't extend the wait for earlier owners with each claim

What callers see: tasks of an earlier owner wait while servers are claimed one after another (LOST). Each claim moved the end of the wait to now, which did no harm until the wait also needed a confirmation of the term from after its end; claims faster than confirmations then kept it open. The wait is judged between reports only, so that the line was not needed.

claims_do_not_extend_the_wait_for_earlier_owners failed before (assertion failed: is_settled) and passes now.

--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -47,7 +47,7 @@
                     ("ended", report.ended.len() as u64),
                 ],
             );
-            self.mark_claimed(server, now_ms);
+            self.mark_claimed(server);
             self.count_remembered_crash(server, report.started_unix_ms, now_ms);
         } else if silent_ms > crate::server::CONTACT_TIMEOUT_MS {
             self.log_decision(
@@ -75,7 +75,7 @@
         self.servers[server].acknowledge(is_recorded);
     }
 
-    pub(crate) fn mark_claimed(&mut self, server: ServerKey, now_ms: u64) {
+    pub(crate) fn mark_claimed(&mut self, server: ServerKey) {
         let state = &self.servers[server];
         // Nothing is started on a server that is not recorded.
         self.servers_changed |= !state.recorded;
@@ -83,8 +83,6 @@
             self.unclaimed.remove(index);
             self.shorten_wait();
         }
-        // The server's runs are known only once the report that is being applied has been processed.
-        self.settle_deadline_ms = self.settle_deadline_ms.max(now_ms);
     }
 
     /// Marks the shard as settled and releases unresolved tasks, once all servers of earlier owners have answered or
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -56,3 +56,22 @@
     harness.plan();
     assert_eq!(harness.starts.len(), 1);
 }
+
+/// Guards against a wait for earlier owners that never ends while servers are claimed one after another: each claim asked
+/// for a later confirmation.
+#[test]
+fn claims_do_not_extend_the_wait_for_earlier_owners() {
+    let mut harness = Harness::open_term(2, &["one", "gone"], &["one", "two", "three"]);
+    harness.submit_at(7, 0, vec![step(1)], 50);
+    harness.claim("one");
+    harness.write_records();
+    harness.confirms_term = false;
+    lapse_all_but(&mut harness, "one");
+    harness.shard.confirm_term(harness.now_ms);
+    harness.now_ms += 1;
+    harness.claim("two");
+    harness.claim("three");
+    harness.write_records();
+    harness.tick();
+    assert!(harness.shard.is_settled());
+}
