Reserve servers only for tasks that will find room there

What callers see: short tasks wait although servers have room. Reservations were made for best-effort tasks, which wait for headroom, for tasks too large in memory and for postponed ones, without an end; and they counted servers of all services.

Three new cases of overdue.rs failed before (7 starts instead of 8) and pass now.

--- a/crates/fleet/src/overdue.rs
+++ b/crates/fleet/src/overdue.rs
@@ -9,18 +9,17 @@
 /// has to collect meanwhile.
 const RESERVE_AFTER_MS: u64 = 2_500;
 
-/// One server in this many may be reserved: callers wait for short tasks.
+/// Wait until which a server is reserved: a task that has not started by then waits for something else than room.
+const RESERVE_UNTIL_MS: u64 = 12_000;
+
+/// One server in this many of a service may be reserved: callers wait for short tasks.
 const SERVERS_PER_RESERVATION: usize = 8;
 
 impl Shard {
     /// Reserves a server for each overdue long-running task that has room nowhere.
     pub(crate) fn reserve_servers(&mut self, now_ms: u64) {
         self.reserved_servers.clear();
-        let reservations_max = self.servers.len() / SERVERS_PER_RESERVATION;
         for task_ref in self.overdue_tasks(now_ms) {
-            if self.reserved_servers.len() >= reservations_max {
-                break;
-            }
             let Some(server) = self.server_to_reserve(task_ref, now_ms) else {
                 continue;
             };
@@ -43,8 +42,12 @@
             };
             let task = self.task(task_ref);
             let is_waiting = job.is_live() && task.queued && task.runs.is_empty();
-            let is_overdue = now_ms >= task.ready_since_ms + RESERVE_AFTER_MS;
-            if is_waiting && is_overdue && self.step_spec(task_ref).long_running {
+            let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
+            let is_overdue = (RESERVE_AFTER_MS..RESERVE_UNTIL_MS).contains(&waited_ms);
+            let spec = self.step_spec(task_ref);
+            let needs_room = spec.long_running && !spec.best_effort;
+            if is_waiting && is_overdue && needs_room && !self.is_start_postponed(task_ref, now_ms)
+            {
                 overdue.push((task.ready_since_ms, task_ref));
             }
         }
@@ -52,22 +55,49 @@
         overdue.into_iter().map(|(_, task_ref)| task_ref).collect()
     }
 
-    /// The usable server with the most free CPU of those that would have room for a task without their short tasks.
+    /// The server with the most free CPU of those that would have room for a task without their short tasks; `None` if
+    /// enough servers of the service are reserved.
     fn server_to_reserve(&self, task_ref: TaskRef, now_ms: u64) -> Option<ServerKey> {
-        let spec = self.step_spec(task_ref);
         let service = &self.jobs[task_ref.job].queue.service;
-        let candidates = self.servers.iter().filter(|(key, server)| {
-            let without_short_millis = server
-                .entry
-                .cpu_millis
-                .saturating_sub(server.service_used_millis);
-            server.is_usable(now_ms)
-                && server.entry.service == *service
-                && without_short_millis >= spec.cpu_millis
-                && (spec.label.is_empty() || server.has_label(&spec.label))
-                && !self.is_reserved(*key)
-        });
-        let freest = candidates.max_by_key(|(_, server)| server.cpu_free_millis());
-        freest.map(|(key, _)| key)
+        let mut usable = 0;
+        let mut reserved = 0;
+        let mut freest: Option<(u32, ServerKey)> = None;
+        for (key, server) in &self.servers {
+            if !server.is_usable(now_ms) || server.entry.service != *service {
+                continue;
+            }
+            usable += 1;
+            if self.is_reserved(key) {
+                reserved += 1;
+                continue;
+            }
+            let free = server.cpu_free_millis();
+            let is_freer = freest.is_none_or(|(most, _)| free > most);
+            if is_freer && self.would_fit_without_short_tasks(task_ref, key) {
+                freest = Some((free, key));
+            }
+        }
+        let (_, server) = freest?;
+        (reserved < usable / SERVERS_PER_RESERVATION).then_some(server)
+    }
+
+    fn would_fit_without_short_tasks(&self, task_ref: TaskRef, key: ServerKey) -> bool {
+        let spec = self.step_spec(task_ref);
+        let server = &self.servers[key];
+        let mut cpu_millis = server.entry.cpu_millis;
+        let mut memory_mb = server.entry.memory_mb;
+        for &(other, _) in &server.runs {
+            let other = self.step_spec(other);
+            if other.best_effort {
+                memory_mb = memory_mb.saturating_sub(other.memory_mb);
+            } else if other.long_running {
+                cpu_millis = cpu_millis.saturating_sub(other.cpu_millis);
+                memory_mb = memory_mb.saturating_sub(other.memory_mb);
+            }
+        }
+        cpu_millis >= spec.cpu_millis
+            && memory_mb >= spec.memory_mb
+            && server.entry.gpus >= spec.gpus
+            && (spec.label.is_empty() || server.has_label(&spec.label))
     }
 }
