Keep promised room while a task is being moved

What callers see: a long-running task that left a draining server has no run (LOST). Room elsewhere was looked for when its stop was sent, but short tasks could take it until the run had ended. Each plan now reserves the room of tasks whose stop is under way before it starts others.

promised_room_is_kept_while_a_task_is_being_moved failed before with one start instead of none, and passes now.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -28,7 +28,7 @@
 }
 
 /// Room reserved for a task while other moves are decided.
-struct Reservation {
+pub(crate) struct Reservation {
     task_ref: TaskRef,
     server: ServerKey,
     number: u32,
@@ -72,9 +72,7 @@
                 to_stop.push((run, has_room));
             }
         }
-        for reservation in reservations.into_iter().rev() {
-            self.release_room(&reservation);
-        }
+        self.release_reservations(reservations);
         for (run, has_room) in to_stop {
             self.move_away(&run, has_room, now_ms);
         }
@@ -213,6 +211,20 @@
             .is_some_and(|position| task.runs[position].is_stopping())
     }
 
+    /// Reserves the room that was promised to tasks whose stop is under way.
+    pub(crate) fn reserve_promised_room(&mut self, now_ms: u64) -> Vec<Reservation> {
+        let (_, moving) = self.draining_runs(now_ms);
+        let mut reservations = Vec::new();
+        let mut full_steps = Vec::new();
+        for task_ref in moving {
+            let is_promised = self.task(task_ref).moved == Move::Reserved;
+            if is_promised && self.is_waiting_for_move(task_ref) {
+                self.reserve_room(task_ref, &mut reservations, &mut full_steps, now_ms);
+            }
+        }
+        reservations
+    }
+
     /// Whether a long-running task without a run, or one that is being moved, waits for room in this shard.
     fn is_waiting_for_move(&self, task_ref: TaskRef) -> bool {
         let Some(job) = self.jobs.get(task_ref.job) else {
@@ -252,11 +264,13 @@
         true
     }
 
-    fn release_room(&mut self, reservation: &Reservation) {
-        self.remove_reserved_run(reservation.task_ref, reservation.server, reservation.number);
-        let task = self.task_mut(reservation.task_ref);
-        task.last_run = reservation.number - 1;
-        task.queued = reservation.was_queued;
+    pub(crate) fn release_reservations(&mut self, reservations: Vec<Reservation>) {
+        for reservation in reservations.into_iter().rev() {
+            self.remove_reserved_run(reservation.task_ref, reservation.server, reservation.number);
+            let task = self.task_mut(reservation.task_ref);
+            task.last_run = reservation.number - 1;
+            task.queued = reservation.was_queued;
+        }
     }
 
     fn move_away(&mut self, run: &DrainingRun, has_room: bool, now_ms: u64) {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -66,6 +66,7 @@
         }
         self.sort_ready(unix_ms, now_ms);
         self.reserve_servers(now_ms);
+        let reservations = self.reserve_promised_room(now_ms);
         let ready = mem::take(&mut self.ready);
         let mut unplaced = Vec::with_capacity(ready.len());
         let mut blocked_steps: Vec<(JobKey, u32, u32)> = Vec::new();
@@ -100,6 +101,7 @@
                 }
             }
         }
+        self.release_reservations(reservations);
         unplaced.retain(|&task_ref| self.is_startable(task_ref));
         self.ready.extend(unplaced);
     }
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -286,3 +286,19 @@
     );
     assert_eq!(harness.stops.len(), 1);
 }
+
+/// Guards against short tasks taking the room of a task between the decision to move it and the end of its run.
+#[test]
+fn promised_room_is_kept_while_a_task_is_being_moved() {
+    let (mut harness, job) = full_server();
+    add_server(&mut harness, "two", 1_000);
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    harness.tick();
+    assert_eq!(harness.stops.len(), 1);
+    harness.submit(8, 0, vec![step(1)]);
+    harness.plan();
+    assert_eq!(harness.starts.len(), 0, "the stop is under way");
+    assert_eq!(report_stopped(&mut harness, "one", 1), 1);
+    harness.plan();
+    assert_eq!(harness.confirm_starts()[0].1.task.job, job);
+}
