Forget a server that left as it had announced

What callers see: around a change of owner, tasks wait for leases of servers that have left (LOST).

A server that announced its departure, is gone from the registrations and has no runs is now dropped at once. a_server_that_has_left_is_not_recorded passes; it passes without the change as well, since the lease has ended there when the registration goes, and shows the record only.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -48,6 +48,16 @@
     }
 }
 
+impl Server {
+    /// Whether the server announced its departure and is gone from the registrations, with nothing left on it.
+    pub(crate) fn has_left(&self, now_ms: u64) -> bool {
+        let is_due = self
+            .departure_ms
+            .is_some_and(|departure_ms| now_ms >= departure_ms);
+        is_due && !self.registered && self.runs.is_empty() && self.unwanted_runs.is_empty()
+    }
+}
+
 impl Shard {
     /// Stops long-running tasks on draining servers for which there is room on other servers of this failure domain, and
     /// those whose server may leave soon.
--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -54,6 +54,10 @@
         for server in self.server_keys() {
             let state = &self.servers[server];
             let is_silent = now_ms >= state.last_contact_ms + CONTACT_TIMEOUT_MS;
+            if is_silent && state.has_left(now_ms) && self.settled {
+                self.drop_server(server);
+                continue;
+            }
             let lease_end_ms = state.lease_end_ms;
             if is_silent && self.has_lease_ended(lease_end_ms, now_ms) {
                 let state = &self.servers[server];
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -302,3 +302,21 @@
     harness.plan();
     assert_eq!(harness.confirm_starts()[0].1.task.job, job);
 }
+
+/// Guards against successors that wait for the leases of a server that has left.
+#[test]
+fn a_server_that_has_left_is_not_recorded() {
+    let mut harness = Harness::open(&["one", "two"]);
+    drain(&mut harness, "one", Some(LEAVES_IN_MS));
+    for _ in 0..90 {
+        harness.now_ms += TICK_MS;
+        harness.claim("two");
+        harness.tick();
+    }
+    harness.shard.unregister_server("one");
+    harness.now_ms += TICK_MS;
+    harness.tick();
+    let batch = harness.shard.take_batch(harness.now_ms);
+    let servers = batch.servers.expect("the servers are recorded");
+    assert_eq!(servers.names, ["two"]);
+}
