Read the term once for many refusals

Each refused poll read the term from the store, one after another. With a store that does not answer, an owner that servers refuse waited for one time-out after the other, and a term read in the millisecond of the refusal did not count. A refusal now uses a confirmation that came while it waited, and none is read after the shard was given up.

--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -325,9 +325,17 @@
         self.plan_and_execute();
     }
 
-    /// Reads the term, and steps down if it has ended.
-    pub(super) async fn check_term(&self) {
+    /// Reads the term, and steps down if it has ended. Returns whether the store confirmed it.
+    pub(super) async fn check_term(&self) -> bool {
+        let called_ms = now_ms();
         let _guard = self.write_lock.lock().await;
+        if self.closed.get() {
+            return false;
+        }
+        if self.confirmed_ms.get() > called_ms {
+            // Another call was faster.
+            return true;
+        }
         let sent_ms = now_ms();
         let result = self
             .node
@@ -335,20 +343,20 @@
             .read(&keys::term(&self.failure_domain))
             .await;
         self.node.record_store_call("read_era", &result);
-        let Ok(item) = result else { return };
-        if item.is_some_and(|item| self.refresh_term_revision(&item)) {
+        let Ok(item) = result else { return false };
+        let is_current = item.is_some_and(|item| self.refresh_term_revision(&item));
+        if is_current {
             self.confirm(sent_ms);
         } else {
             self.step_down("era_ended");
         }
+        is_current
     }
 
     /// Checks the term after a server refused a call because it had seen a later one. Without an answer of the store, the
     /// server's word counts.
     pub async fn verify_term(&self) {
-        let refused_ms = now_ms();
-        self.check_term().await;
-        if self.confirmed_ms.get() < refused_ms {
+        if !self.check_term().await {
             self.step_down("server_fenced");
         }
     }
