Delegate a released task only if it has no room here

A long-running task that was released after a change of owner had waited long enough to be delegated before the next plan looked for local room, and its wait also let best-effort tasks start throttled at once. The owner plans before it delegates, and only long-running tasks keep their wait. Found by review.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -402,14 +402,14 @@
         self.release_unresolved(released, now_ms);
     }
 
-    /// Queues tasks that no earlier owner can have running any more. They have waited since this owner read their job, or
-    /// longer.
+    /// Queues tasks that no earlier owner can have running any more. Long-running ones have waited since this owner read
+    /// their job, or longer.
     pub(crate) fn release_unresolved(&mut self, released: Vec<TaskRef>, now_ms: u64) {
         for task_ref in released {
             self.task_mut(task_ref).unresolved = false;
             self.enqueue_if_ready(task_ref, now_ms);
             let arrived_ms = self.jobs[task_ref.job].arrived_ms;
-            if self.task(task_ref).queued {
+            if self.task(task_ref).queued && self.step_spec(task_ref).long_running {
                 self.task_mut(task_ref).ready_since_ms = arrived_ms;
             }
         }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -417,6 +417,8 @@
             let is_store_silent = self.node.is_store_silent();
             self.shard.borrow_mut().set_store_silent(is_store_silent);
             self.shard.borrow_mut().tick(now_ms());
+            // What has room here is not delegated.
+            self.plan_and_execute();
             let mut others = self.node.other_loads(&self.failure_domain);
             if self
                 .shard
