Show in a test that a server which left is forgotten within its lease

It now renews the lease before the departure; without the change it fails (the servers are not recorded anew), with it it passes.

--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -17,6 +17,9 @@
 /// some time to send hundreds of them.
 const LATEST_STOP_BEFORE_MS: u64 = BOUNDS.stop_ms + 1_000;
 
+/// Time after which a server counts as silent, well within its lease.
+const SILENT_MS: u64 = 2_000;
+
 fn entry_with_cpu(name: &str, cpu_millis: u32) -> ServerEntry {
     ServerEntry {
         cpu_millis,
@@ -307,14 +310,19 @@
 #[test]
 fn a_server_that_has_left_is_not_recorded() {
     let mut harness = Harness::open(&["one", "two"]);
+    let one = harness.key("one");
     drain(&mut harness, "one", Some(LEAVES_IN_MS));
-    for _ in 0..90 {
-        harness.now_ms += TICK_MS;
-        harness.claim("two");
-        harness.tick();
-    }
+    pass(&mut harness, &[], LEAVES_IN_MS);
+    let lease = harness.shard.lease(one, u64::MAX, harness.now_ms);
+    let (_, lease_upper_bound_ms) = lease.expect("the server answers");
+    let now_ms = harness.now_ms;
+    harness
+        .shard
+        .record_lease(one, lease_upper_bound_ms, now_ms);
     harness.shard.unregister_server("one");
-    harness.now_ms += TICK_MS;
+    harness.write_records();
+    harness.now_ms += SILENT_MS;
+    harness.claim("two");
     harness.tick();
     let batch = harness.shard.take_batch(harness.now_ms);
     let servers = batch.servers.expect("the servers are recorded");
