Stop looking for servers to reserve at the limit

With hundreds of overdue tasks, each plan looked at all servers for each of them although no more servers could be reserved. Found by reading; the tests of overdue.rs pass.

--- a/crates/fleet/src/overdue.rs
+++ b/crates/fleet/src/overdue.rs
@@ -19,7 +19,11 @@
     /// Reserves a server for each overdue long-running task that has room nowhere.
     pub(crate) fn reserve_servers(&mut self, now_ms: u64) {
         self.reserved_servers.clear();
+        let reservations_max = self.servers.len() / SERVERS_PER_RESERVATION;
         for task_ref in self.overdue_tasks(now_ms) {
+            if self.reserved_servers.len() >= reservations_max {
+                break;
+            }
             let Some(server) = self.server_to_reserve(task_ref, now_ms) else {
                 continue;
             };
