--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -27,7 +27,7 @@
     number: u32,
 }
 
-/// Room reserved for a task while other moves are decided.
+/// Room reserved for a task while moves, or a plan, are decided.
 pub(crate) struct Reservation {
     task_ref: TaskRef,
     server: ServerKey,
@@ -46,9 +46,7 @@
             (true, _) => Some(written_ms.saturating_add(entry.leaves_in_ms.unwrap_or(drain_ms))),
         };
     }
-}
 
-impl Server {
     /// Whether the server announced its departure and is gone from the registrations, with nothing left on it.
     pub(crate) fn has_left(&self, now_ms: u64) -> bool {
         let is_due = self
--- a/crates/fleet/src/overdue.rs
+++ b/crates/fleet/src/overdue.rs
@@ -1,7 +1,7 @@
 //! Room for long-running tasks that have waited too long.
 //!
 //! Short tasks take each core that becomes free, so that room for a larger task never collects on one server. A server is
-//! therefore reserved for each overdue task: no short task starts there until the overdue one has room.
+//! therefore reserved for each overdue task for some time: no short task starts there meanwhile.
 
 use crate::shard::{ServerKey, Shard, TaskRef};
 
@@ -16,7 +16,8 @@
 const SERVERS_PER_RESERVATION: usize = 8;
 
 impl Shard {
-    /// Reserves a server for each overdue long-running task that has room nowhere.
+    /// Reserves a server for each overdue long-running task, up to the limit. One that has room already starts in the same
+    /// plan.
     pub(crate) fn reserve_servers(&mut self, now_ms: u64) {
         self.reserved_servers.clear();
         let reservations_max = self.servers.len() / SERVERS_PER_RESERVATION;
