Review case 2: ends of a restarted worker acknowledged unread

TWICE: a poll with the cursor of the life before takes note of ends that nobody has read; the tasks run again.

--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -42,6 +42,7 @@
         "cancel" => cancel(&mut site, has_trouble),
         "lease" => lease(&mut site, trouble),
         "crash" => crash(&mut site, has_trouble),
+        "cursor" => cursor(&mut site, has_trouble),
         _ => Err("unknown scenario".into()),
     };
     match &outcome {
@@ -360,6 +361,43 @@
     Ok(site.record.doubled_runs())
 }
 
+/// A worker starts again under its id while short tasks are sent to it.
+fn cursor(site: &mut Site, has_trouble: bool) -> Outcome {
+    let length_ms = 100;
+    site.record.expect(
+        "quote",
+        Work {
+            cpu: 500,
+            length_ms: Some(length_ms),
+        },
+    );
+    let body = format!(
+        "{{\"spec\":\"quote\",\"steps\":[{{\"count\":1,\"cpu\":500,\"memMb\":1000,\
+         \"estimatedMs\":{length_ms},\"affinity\":\"r-poa-0\"}}]}}"
+    );
+    let began = Instant::now();
+    let mut disruption = None;
+    for number in 0_u64..200 {
+        let due = began + Duration::from_millis(number * 40);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        if has_trouble && number == 100 {
+            let worker = Arc::clone(&site.workers[0]);
+            disruption = Some(thread::spawn(move || {
+                worker.lose_power();
+                thread::sleep(Duration::from_millis(1_200));
+                worker.restart(Duration::from_millis(600));
+            }));
+        }
+        let path = format!("{SHORT_PREFIX}{:016x}", 0x3a5c_0000_0000_0000 + number);
+        site.send("poa", "POST", &path, &body);
+    }
+    if let Some(disruption) = disruption {
+        disruption.join().map_err(|_| "the disruption failed")?;
+    }
+    thread::sleep(Duration::from_secs(10));
+    Ok(site.record.doubled_runs())
+}
+
 /// Three workers lose power one after the other, two of them shortly before the start of a task is sent there.
 fn crash(site: &mut Site, has_trouble: bool) -> Outcome {
     let (id, length_ms) = ("9e3a5d7c0f1b2846", 3_000);
