--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -81,6 +81,14 @@
         self.changed.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.remove(key);
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// Decoded value of the key that ends with `suffix`.
     pub fn value_of(&self, suffix: &str) -> Vec<u8> {
         let state = self.state.lock().unwrap();
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -252,6 +252,18 @@
         self.record.line(&format!("worker {} loses power", self.id));
     }
 
+    /// Loses power and never comes back; the entry is removed after three heartbeat intervals.
+    pub fn lose_for_good(self: &Arc<Worker>) {
+        self.lose_power();
+        let lost = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3 * HEARTBEAT_MS));
+            lost.store.remove(&format!("servers/{}", lost.id));
+            lost.record
+                .line(&format!("the entry of worker {} is removed", lost.id));
+        });
+    }
+
     /// Begins a new life under the same id, which knows nothing of the one before and registers after a while.
     pub fn restart(&self, registers_after: Duration) {
         let mut state = State::born_now();
