Acknowledge ends only to the incarnation that listed them

Cause: a poll carried the acknowledged number of the server's incarnation that last answered. A server that had restarted under the same name and address took it for its own numbers and forgot ends that nobody had read.

The acknowledgement has a type that can only be read for its incarnation.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod expiry;
 pub mod handover;
 pub mod headroom;
+pub mod incarnation;
 pub mod intake;
 pub mod interference;
 pub mod job;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::headroom::Headroom;
+use crate::incarnation::{Incarnation, OfIncarnation};
 use crate::job::TaskId;
 use crate::report::ServerEntry;
 use crate::shard::{JobKey, TaskRef};
@@ -134,6 +135,19 @@
         self.full_until_ms = 0;
     }
 
+    /// Incarnation that answered last.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation::started_at(self.started_unix_ms)
+    }
+
+    /// Number up to which the ends of the present incarnation are acknowledged; `None` for none.
+    #[must_use]
+    pub fn acknowledgement(&self) -> Option<OfIncarnation<u64>> {
+        (self.acknowledged_end > 0)
+            .then(|| OfIncarnation::new(self.incarnation(), self.acknowledged_end))
+    }
+
     /// The server's clock at `now_ms`, extrapolated from its last answer.
     #[must_use]
     pub fn clock_at(&self, now_ms: u64) -> u64 {
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -5,6 +5,7 @@
 
 use primrosestack_fleet::claim;
 use primrosestack_fleet::prelude::*;
+use primrosestack_fleet::server::Server;
 use primrosestack_platform::servers::{Poll, PollReply, Target};
 
 use crate::daemon::clock::{now_ms, unix_ms};
@@ -221,9 +222,7 @@
         let shard = self.shard.borrow();
         let lease = shard.lease(server, self.authority_end_ms(), now);
         let timing = shard.poll_timing(server, now);
-        let acknowledged_end = shard
-            .server(server)
-            .map_or(0, |state| state.acknowledged_end);
+        let acknowledged_end = shard.server(server).and_then(Server::acknowledgement);
         (
             Poll {
                 acknowledged_end,
