Send lease ends only to the incarnation whose clock they are on

Cause: polls and starts carried lease ends on the clock of the server's incarnation that last answered. A server that had restarted took one for a lease of the longest time that it allows, 10 s, of which its owner counts 4.9 s and a successor 6.5 s.

Change: lease ends have a type that can only be read for their incarnation, and are sent on connections of that incarnation only. A start on a new connection waits for a poll that tells which incarnation answers; to another one it is not sent. The accounting is as before: a longer one would not cover successors.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::incarnation::OfIncarnation;
 use crate::job::TaskId;
 use crate::shard::ServerKey;
 
@@ -18,7 +19,7 @@
     /// Ticket from the advisor; empty for none.
     pub ticket: SmolStr,
     /// End of the server's lease on the server's clock.
-    pub lease_end_ms: u64,
+    pub lease_end_ms: OfIncarnation<u64>,
     /// Time on the local clock until which the request may be sent; later, the server may have been draining for too long.
     pub send_by_ms: u64,
 }
@@ -50,6 +51,8 @@
     Refused,
     /// Another server is registered at the address.
     WrongInstance,
+    /// The server has restarted since its last report; the request was not sent.
+    OtherIncarnation,
     /// No reply: the start may have been carried out, or may still be.
     Unknown,
 }
--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -1,6 +1,7 @@
 //! Timer-driven work: lease expiry, stop retries and stall detection.
 
 use crate::bounds::Bounds;
+use crate::incarnation::OfIncarnation;
 use crate::runs::{AbandonReason, STOP_RETRY_MS};
 use crate::server::CONTACT_TIMEOUT_MS;
 use crate::shard::{ServerKey, Shard};
@@ -191,7 +192,7 @@
         server: ServerKey,
         authority_end_ms: u64,
         now_ms: u64,
-    ) -> Option<(u64, u64)> {
+    ) -> Option<(OfIncarnation<u64>, u64)> {
         let remaining_ms = authority_end_ms.saturating_sub(now_ms);
         let lease_ms = self
             .bounds
@@ -203,8 +204,9 @@
         if lease_ms == 0 || !state.claimed || is_silent {
             return None;
         }
+        let lease_end_ms = state.clock_at(now_ms) + lease_ms;
         Some((
-            state.clock_at(now_ms) + lease_ms,
+            OfIncarnation::new(state.incarnation(), lease_end_ms),
             Bounds::lease_upper_bound_ms(lease_ms),
         ))
     }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -2,6 +2,7 @@
 
 use crate::action::{Action, StartReply, StartRequest};
 use crate::bounds::Bounds;
+use crate::incarnation::OfIncarnation;
 use crate::shard::{ServerKey, Shard, TaskRef};
 use crate::task::{Move, Run, RunState};
 
@@ -88,7 +89,7 @@
             command: self.jobs[task_ref.job].spec.command.as_str().into(),
             checkpoint: self.task(task_ref).checkpoint.clone(),
             ticket,
-            lease_end_ms,
+            lease_end_ms: OfIncarnation::new(state.incarnation(), lease_end_ms),
             send_by_ms: self.registrations_valid_until_ms(),
         };
         let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
@@ -240,7 +241,8 @@
                 self.servers[server].fenced = true;
                 self.abandon_start(task_ref, server, request.run, now_ms);
             }
-            StartReply::NoCapacity => {
+            // A start to another incarnation waits for its first report.
+            StartReply::NoCapacity | StartReply::OtherIncarnation => {
                 self.servers[server].full_until_ms = now_ms + FULL_SERVER_RETRY_MS;
                 self.abandon_start(task_ref, server, request.run, now_ms);
             }
