Open the occurrences that earlier owners may have started

Cause: the next owner opened the occurrences one after the other with its plans, as if nothing had begun. Until then it dropped and acknowledged the ends that servers listed for them, and stopped their runs.

Change: an occurrence is opened when it is due, or when a record, a report, a transfer or a handover names one of its tasks. In jobs older than the term its tasks wait for the servers of earlier owners. Steps start only in occurrences that are due. On related paths: failures of such occurrences count, handovers that name them are applied, an owner that is replaced at once hands over all that may run, and a delegate of a recurring job runs the tasks that it was given, and no others.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -6,8 +6,7 @@
 use crate::crashes::LAPSED_SERVER_WAIT_MS;
 use crate::job::{JobId, JobSpec, TaskId};
 use crate::record::{Phase, Progress, StoredJob};
-use crate::shard::{Job, JobKey, Occurrence, Shard, StepState, TaskRef, to_u32};
-use crate::task::Task;
+use crate::shard::{Job, JobKey, Shard, TaskRef};
 
 /// Run numbers reserved per task and term. Runs of a term are numbered above all runs of earlier terms, including those
 /// that were never recorded.
@@ -75,6 +74,8 @@
             version: 0,
             recorded_version: 0,
             started: stored.progress.as_ref().is_some_and(Progress::has_started),
+            predates_term,
+            due_occurrences: 0,
             is_delegated: stored.is_delegated,
             delegate_domains: Vec::new(),
             outbound_transfers: Vec::new(),
@@ -93,10 +94,8 @@
             return;
         }
         if !self.jobs[key].spec.is_recurring() {
-            self.open_occurrence(key, now_ms);
-        }
-        if stored.is_delegated {
-            self.mark_all_remote(key);
+            self.open_occurrences(key, 1, now_ms);
+            self.jobs[key].due_occurrences = 1;
         }
         if let Some(progress) = stored.progress {
             self.restore(key, &progress, now_ms);
@@ -132,9 +131,7 @@
             .map(|task| task.occurrence + 1)
             .max()
             .unwrap_or(0);
-        while to_u32(self.jobs[key].occurrences.len()) < occurrences {
-            self.open_occurrence(key, now_ms);
-        }
+        self.open_occurrences(key, occurrences, now_ms);
         let job = &mut self.jobs[key];
         job.delegate_domains = progress.delegate_domains.iter().map(SmolStr::new).collect();
         for record in &progress.tasks {
@@ -172,6 +169,7 @@
         for occurrence in &mut self.jobs[key].occurrences {
             for task in occurrence.steps.iter_mut().flat_map(|step| &mut step.tasks) {
                 if task.remote {
+                    task.unresolved = false;
                     continue;
                 }
                 task.unresolved = !task.done && !task.remote && !settled;
@@ -180,60 +178,6 @@
         }
     }
 
-    /// Adds the next occurrence of a job.
-    pub(crate) fn open_occurrence(&mut self, key: JobKey, now_ms: u64) {
-        let job = &mut self.jobs[key];
-        let mut occurrence = Occurrence::default();
-        for spec in &job.spec.steps {
-            let task = Task {
-                ready_since_ms: now_ms,
-                ..Task::default()
-            };
-            occurrence.steps.push(StepState {
-                remaining: spec.tasks,
-                tasks: vec![task; spec.tasks as usize],
-                ..StepState::default()
-            });
-            job.remaining += spec.tasks;
-        }
-        job.occurrences.push(occurrence);
-    }
-
-    /// Opens steps whose predecessors are done and queues their tasks.
-    pub(crate) fn open_steps(&mut self, key: JobKey, now_ms: u64) {
-        let job = &mut self.jobs[key];
-        let mut opened = Vec::new();
-        for (occurrence_index, occurrence) in job.occurrences.iter_mut().enumerate() {
-            for (step_index, spec) in job.spec.steps.iter().enumerate() {
-                if occurrence.steps[step_index].open {
-                    continue;
-                }
-                if spec
-                    .after
-                    .iter()
-                    .any(|&after| occurrence.steps[after as usize].remaining > 0)
-                {
-                    continue;
-                }
-                occurrence.steps[step_index].open = true;
-                opened.push((to_u32(occurrence_index), to_u32(step_index), spec.tasks));
-            }
-        }
-        for (occurrence, step, tasks) in opened {
-            for index in 0..tasks {
-                self.enqueue_if_ready(
-                    TaskRef {
-                        job: key,
-                        occurrence,
-                        step,
-                        index,
-                    },
-                    now_ms,
-                );
-            }
-        }
-    }
-
     /// Adds a task to the ready queue if it can be started and is not queued yet.
     pub(crate) fn enqueue_if_ready(&mut self, task_ref: TaskRef, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(task_ref.job) else {
--- a/crates/fleet/src/crash_handover.rs
+++ b/crates/fleet/src/crash_handover.rs
@@ -132,7 +132,7 @@
             step: record.step,
             index: record.index,
         };
-        let Some(task_ref) = self.find_task(id) else {
+        let Some(task_ref) = self.find_started_task(id, now_ms) else {
             return;
         };
         let outlived_run = self.task(task_ref).outlived_run;
@@ -166,7 +166,7 @@
     fn inherit_starts(&mut self, starts: &RecentStarts, now_ms: u64) {
         let mut suspects = Vec::new();
         for run in &starts.runs {
-            let Some(task_ref) = self.find_task(run.id()) else {
+            let Some(task_ref) = self.find_started_task(run.id(), now_ms) else {
                 continue;
             };
             suspects.push((task_ref, run.last_run));
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -326,7 +326,7 @@
     /// is known to have ended.
     fn inherit_failures(&mut self, in_flight: &[InFlightTask], now_ms: u64) {
         for known in in_flight {
-            let Some(task_ref) = self.find_task(known.id()) else {
+            let Some(task_ref) = self.find_started_task(known.id(), now_ms) else {
                 continue;
             };
             let task = self.task_mut(task_ref);
@@ -363,9 +363,29 @@
             return;
         }
         self.shorten_wait();
-        let Some(in_flight) = self.predecessors.in_flight(self.term) else {
+        let Some((held, freed)) = self.resolve_by_answers(now_ms) else {
             return;
         };
+        self.log_decision(
+            "handover_taken",
+            None,
+            None,
+            [
+                ("era", self.term),
+                ("held", held),
+                ("freed", freed),
+                (
+                    "settles_in_ms",
+                    self.settle_deadline_ms.saturating_sub(now_ms),
+                ),
+            ],
+        );
+    }
+
+    /// Queues all tasks that earlier owners did not have in flight by their answers. Returns how many they had, and how
+    /// many were queued; `None` if the answers do not tell.
+    pub(crate) fn resolve_by_answers(&mut self, now_ms: u64) -> Option<(u64, u64)> {
+        let in_flight = self.predecessors.in_flight(self.term)?;
         let mut released = Vec::new();
         let mut awaited = Vec::new();
         for (key, job) in &self.jobs {
@@ -385,21 +405,9 @@
         for (task_ref, run) in awaited {
             self.task_mut(task_ref).awaited_run = run;
         }
-        self.log_decision(
-            "handover_taken",
-            None,
-            None,
-            [
-                ("era", self.term),
-                ("held", in_flight.len() as u64),
-                ("freed", released.len() as u64),
-                (
-                    "settles_in_ms",
-                    self.settle_deadline_ms.saturating_sub(now_ms),
-                ),
-            ],
-        );
+        let counts = (in_flight.len() as u64, released.len() as u64);
         self.release_unresolved(released, now_ms);
+        Some(counts)
     }
 
     /// Queues tasks that no earlier owner can have running any more. Long-running ones have waited since this owner read
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 mod listed_runs;
 pub mod load_views;
+mod occurrences;
 mod overdue;
 pub mod place;
 pub mod plan;
--- a/crates/fleet/src/listed_runs.rs
+++ b/crates/fleet/src/listed_runs.rs
@@ -55,7 +55,7 @@
     }
 
     pub(crate) fn apply_run_status(&mut self, server: ServerKey, status: &RunStatus, now_ms: u64) {
-        let Some(task_ref) = self.find_task(status.task) else {
+        let Some(task_ref) = self.find_started_task(status.task, now_ms) else {
             // The job has been purged, or does not belong to this shard.
             self.actions.push(Action::Stop {
                 server,
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -9,7 +9,7 @@
 use crate::job::{StepSpec, TaskId};
 use crate::place::Choice;
 use crate::record::Phase;
-use crate::shard::{JobKey, ServerKey, Shard, TaskRef, to_u32};
+use crate::shard::{JobKey, ServerKey, Shard, TaskRef};
 use crate::task::Move;
 
 /// Minimum lease with which a task is started.
@@ -205,24 +205,6 @@
         true
     }
 
-    /// Opens due occurrences of recurring jobs.
-    fn open_due_occurrences(&mut self, unix_ms: u64, now_ms: u64) {
-        let mut due = Vec::new();
-        for (key, job) in &self.jobs {
-            let next = to_u32(job.occurrences.len());
-            if !job.is_live() || !job.spec.is_recurring() || next >= job.spec.repetitions {
-                continue;
-            }
-            if job.spec.due_unix_ms(next) <= unix_ms {
-                due.push(key);
-            }
-        }
-        for key in due {
-            self.open_occurrence(key, now_ms);
-            self.open_steps(key, now_ms);
-        }
-    }
-
     /// Starts all tasks of a gang if all of them fit.
     fn start_gang(&mut self, task_ref: TaskRef, lease_ms: u64, now_ms: u64) -> bool {
         let spec = self.step_spec(task_ref).clone();
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -125,7 +125,7 @@
             let inputs = [("after", last_seen_end), ("before", end.number)];
             self.log_decision("ends_missing", None, Some(server), inputs);
         }
-        let Some(task_ref) = self.find_task(end.task) else {
+        let Some(task_ref) = self.find_started_task(end.task, now_ms) else {
             return;
         };
         self.remove_run(task_ref, server, end.run);
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -55,6 +55,10 @@
 }
 
 /// Job in a shard.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 #[derive(Clone, Debug)]
 pub struct Job {
     pub id: JobId,
@@ -62,9 +66,13 @@
     pub spec: JobSpec,
     /// Current configuration of its queue.
     pub queue: Queue,
-    /// Occurrences that are due.
+    /// Occurrences that are due, or that an earlier owner may have started.
     pub occurrences: Vec<Occurrence>,
-    /// Number of tasks in due occurrences that are not done.
+    /// How many of them are due by this owner's time of day.
+    pub due_occurrences: u32,
+    /// Whether the job was accepted before the term began, so that an earlier owner may have started its tasks.
+    pub predates_term: bool,
+    /// Number of tasks in these occurrences that are not done.
     pub remaining: u32,
     /// Current state.
     pub phase: Phase,
@@ -103,7 +111,7 @@
 }
 
 impl Job {
-    /// All tasks of due occurrences.
+    /// All tasks of opened occurrences.
     pub fn tasks(&self, key: JobKey) -> impl Iterator<Item = (TaskRef, &Task)> {
         let occurrences = self.occurrences.iter().enumerate();
         let steps = occurrences.flat_map(|(occurrence, state)| {
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -108,15 +108,6 @@
         );
     }
 
-    /// Marks all tasks of a delegated job as remote.
-    pub(crate) fn mark_all_remote(&mut self, key: JobKey) {
-        for occurrence in &mut self.jobs[key].occurrences {
-            for task in occurrence.steps.iter_mut().flat_map(|step| &mut step.tasks) {
-                task.remote = true;
-            }
-        }
-    }
-
     /// Accepts tasks that another shard delegated to this one. Tasks have no runs when they are delegated, so those
     /// delegated since this term began cannot run under an earlier owner.
     pub(crate) fn accept_transfers(
@@ -134,7 +125,7 @@
                 index: record.index,
             };
             let id = self.task_id(task_ref);
-            if self.find_task(id).is_none() {
+            if self.find_started_task(id, now_ms).is_none() {
                 continue;
             }
             let settled = self.settled;
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -15,7 +15,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
-use crate::daemon::clock::now_ms;
+use crate::daemon::clock::{now_ms, unix_ms};
 use crate::daemon::inbox::{collect_stored_jobs, decode_or_log};
 use crate::daemon::keys;
 use crate::daemon::node::Node;
@@ -140,6 +140,7 @@
         for (id, stored) in collect_stored_jobs(&inbox.rows, &progress.rows) {
             shard.add_job(id, stored, now);
         }
+        shard.open_due_occurrences(unix_ms(), now);
         shard.set_servers(
             node.decode_registrations(&registrations.rows, &failure_domain),
             now,
