Suspect only runs that have begun of crashing their server

Cause: a start without an answer was a suspect of the crash, also when it was sent after the server had lost power.

Change: suspects are runs whose start was answered or that a report listed. Two tests took an unanswered start for the cause of a crash. One now answers it and sends the early report that it guards against, with the same expected end.

--- a/crates/fleet/tests/crash_suspects.rs
+++ b/crates/fleet/tests/crash_suspects.rs
@@ -6,7 +6,7 @@
 use primrosestack_fleet::action::StartReply;
 use primrosestack_fleet::job::{JobId, JobSpec};
 use primrosestack_fleet::record::{Progress, StoredJob, TaskRecord};
-use primrosestack_fleet::report::{EndKind, ServerEntry};
+use primrosestack_fleet::report::{EndKind, Report, ServerEntry};
 use primrosestack_fleet::shard::JobStatus;
 use smol_str::SmolStr;
 use test_case::test_case;
@@ -410,21 +410,51 @@
     let job = harness.submit(7, 0, vec![step(1)]);
     for _ in 0..2 {
         harness.plan();
-        let (server, request) = harness.starts.pop().expect("the task was started");
         harness.now_ms += 300;
+        harness.confirm_starts();
+        // The report to a poll that was sent with the start.
+        let server = harness.key("one");
+        let started_unix_ms = harness.shard.server(server).unwrap().started_unix_ms;
+        let report = Report {
+            sent_ms: harness.now_ms,
+            started_unix_ms,
+            clock_ms: harness.now_ms + 7,
+            ..Report::default()
+        };
+        harness.now_ms += 100;
+        harness.shard.apply_report(server, &report, harness.now_ms);
+        harness.now_ms += 1_000;
+        harness.restart("one");
+        harness.write_records();
+        harness.confirm_stops();
+        harness.claim("one");
+    }
+    assert_eq!(harness.shard.job_status(job), Some(JobStatus::Failed));
+}
+
+/// Guards against a job being failed although no server is known to have begun its task: its starts were sent to servers
+/// that had lost power.
+#[test]
+fn a_start_without_an_answer_is_no_suspect() {
+    let mut harness = Harness::open(&["one"]);
+    let job = harness.submit(7, 0, vec![step(1)]);
+    for _ in 0..4 {
+        harness.plan();
+        let (server, request) = harness.starts.pop().expect("the task was started");
+        harness.now_ms += 600;
         let now_ms = harness.now_ms;
         harness
             .shard
             .start_replied(server, &request, StartReply::Unknown, now_ms);
-        harness.now_ms += 100;
-        harness.claim("one");
-        harness.now_ms += 1_000;
+        harness.now_ms += 2_000;
         harness.restart("one");
         harness.write_records();
         harness.confirm_stops();
         harness.claim("one");
+        harness.now_ms += 12_000;
+        harness.claim("one");
     }
-    assert_eq!(harness.shard.job_status(job), Some(JobStatus::Failed));
+    assert_eq!(harness.shard.job_status(job), Some(JobStatus::Queued));
 }
 
 /// Guards against a job being failed because its task starts on the same unsound server again and again although others
