Write a cancellation for the delegates of the job as well

Cause: the cancellation was written for the home shard only, whose owner passes it on. While all hosts of that failure domain are down, nobody does.

Change: the host that accepts the cancellation reads from the job's record to which shards tasks are delegated, and writes it for them in the same transaction. One more read for each cancellation.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -24,7 +24,9 @@
 
 use crate::daemon::clock::{now_ms, unix_ms};
 use crate::daemon::keys;
-use crate::daemon::lookup::{count_queued_jobs, find_home, query_owner, read_job_status};
+use crate::daemon::lookup::{
+    count_queued_jobs, find_home, query_owner, read_delegates, read_job_status,
+};
 use crate::daemon::node::Node;
 use crate::logs::Line;
 
@@ -39,7 +41,7 @@
 /// `Retry-After` while the store is unavailable; by then, this host has called the store again.
 const RETRY_AFTER_S: u64 = 1;
 
-type Reply = Response<Full<Bytes>>;
+pub type Reply = Response<Full<Bytes>>;
 
 /// Serves callers until the daemon stops.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
@@ -391,7 +393,8 @@
     }
 }
 
-async fn cancel(node: &Rc<Node>, id: JobId, deadline: Instant) -> Reply {
+/// Cancels a job in its home shard and in those that run delegated tasks of it.
+pub async fn cancel(node: &Rc<Node>, id: JobId, deadline: Instant) -> Reply {
     let home = match find_home(node, id).await {
         Ok(Some(home)) => home,
         Ok(None) => return empty_reply(StatusCode::GONE),
@@ -403,7 +406,21 @@
             return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
         }
     };
-    let transaction = Transaction::default().put(keys::cancellation(&home, id), Vec::new());
+    let delegates = match read_delegates(node, &home, id).await {
+        Ok(delegates) => delegates,
+        Err(failure) => {
+            Line::info("job_not_cancelled")
+                .with("job", id)
+                .with_reason(failure)
+                .write();
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
+        }
+    };
+    let mut transaction = Transaction::default().put(keys::cancellation(&home, id), Vec::new());
+    // The home shard may have no owner at present that would tell them.
+    for delegate in &delegates {
+        transaction = transaction.put(keys::cancellation(delegate, id), Vec::new());
+    }
     loop {
         let result = tokio::time::timeout_at(deadline, node.store.commit(&transaction)).await;
         let result = result.unwrap_or(Err(StoreFailure::NoAnswer));
@@ -413,6 +430,7 @@
                 Line::info("job_cancelled")
                     .with("job", id)
                     .with("shard", &home)
+                    .with("delegates", delegates.len())
                     .with("revision", revision)
                     .write();
                 if let Some(owned) = node.owned_shard(&home) {
--- a/src/daemon/lookup.rs
+++ b/src/daemon/lookup.rs
@@ -82,6 +82,25 @@
     home: &SmolStr,
     id: JobId,
 ) -> Result<Option<JobStatus>, StoreFailure> {
+    let progress = read_progress_record(node, home, id).await?;
+    Ok(progress.as_ref().map(status_of))
+}
+
+/// Failure domains whose shards run delegated tasks of a job, by the record of its home shard.
+pub(super) async fn read_delegates(
+    node: &Node,
+    home: &SmolStr,
+    id: JobId,
+) -> Result<Vec<String>, StoreFailure> {
+    let progress = read_progress_record(node, home, id).await?;
+    Ok(progress.unwrap_or_default().delegate_domains)
+}
+
+async fn read_progress_record(
+    node: &Node,
+    home: &SmolStr,
+    id: JobId,
+) -> Result<Option<Progress>, StoreFailure> {
     let key = keys::progress(home, id);
     let result = node.store.read(&key).await;
     node.record_store_call("read_progress", &result);
@@ -89,7 +108,7 @@
         return Ok(None);
     };
     match record::decode::<Progress>(&key, &item.value) {
-        Ok(progress) => Ok(Some(status_of(&progress))),
+        Ok(progress) => Ok(Some(progress)),
         Err(error) => {
             Line::error("record_unreadable")
                 .with("job", id)
