--- a/crates/fleet/src/occurrences.rs
+++ b/crates/fleet/src/occurrences.rs
@@ -19,12 +19,11 @@
     pub fn open_due_occurrences(&mut self, unix_ms: u64, now_ms: u64) {
         let mut due_jobs = Vec::new();
         let mut is_any_opened = false;
-        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        let jobs = self.jobs.iter();
+        let recurring = jobs.filter(|(_, job)| job.is_live() && job.spec.is_recurring());
+        let keys: Vec<JobKey> = recurring.map(|(key, _)| key).collect();
         for key in keys {
             let job = &self.jobs[key];
-            if !job.is_live() || !job.spec.is_recurring() {
-                continue;
-            }
             let tasks: u32 = job.spec.steps.iter().map(|step| step.tasks).sum();
             let count_max = (OPENED_TASKS_MAX / tasks.max(1)).max(1);
             let next = job.due_occurrences;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -406,31 +406,14 @@
             return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
         }
     };
-    let delegates = match read_delegates(node, &home, id).await {
-        Ok(delegates) => delegates,
-        Err(failure) => {
-            Line::info("job_not_cancelled")
-                .with("job", id)
-                .with_reason(failure)
-                .write();
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
-        }
-    };
-    let mut transaction = Transaction::default().put(keys::cancellation(&home, id), Vec::new());
-    // The home shard may have no owner at present that would tell them.
-    for delegate in &delegates {
-        transaction = transaction.put(keys::cancellation(delegate, id), Vec::new());
-    }
     loop {
-        let result = tokio::time::timeout_at(deadline, node.store.commit(&transaction)).await;
+        let result = tokio::time::timeout_at(deadline, write_cancellation(node, &home, id)).await;
         let result = result.unwrap_or(Err(StoreFailure::NoAnswer));
-        node.record_store_call("cancel_job", &result);
         match result {
             Ok(revision) => {
                 Line::info("job_cancelled")
                     .with("job", id)
                     .with("shard", &home)
-                    .with("delegates", delegates.len())
                     .with("revision", revision)
                     .write();
                 if let Some(owned) = node.owned_shard(&home) {
@@ -456,3 +439,15 @@
         tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
     }
 }
+
+/// Writes a cancellation for the home shard, which may have no owner at present that would tell the delegates, and for
+/// these. Returns the revision.
+async fn write_cancellation(node: &Node, home: &SmolStr, id: JobId) -> Result<u64, StoreFailure> {
+    let mut transaction = Transaction::default().put(keys::cancellation(home, id), Vec::new());
+    for delegate in read_delegates(node, home, id).await? {
+        transaction = transaction.put(keys::cancellation(&delegate, id), Vec::new());
+    }
+    let result = node.store.commit(&transaction).await;
+    node.record_store_call("cancel_job", &result);
+    result
+}
