Open no occurrence that is far ahead of a job

Cause: since a report, transfer or handover that names a task opens its occurrence and all before it. A malformed one could name any of four billion and exhaust the memory of the process.

Change: at most as many tasks are opened at a time as a plan opens. What is further ahead counts as unknown, as before. A test shows as well that failures in a handover count for unopened occurrences, which the postmortem said and no test showed.

--- a/crates/fleet/src/occurrences.rs
+++ b/crates/fleet/src/occurrences.rs
@@ -91,13 +91,17 @@
         job.occurrences.push(occurrence);
     }
 
-    /// Finds a task that was started. Opens its occurrence if only an earlier owner knew that it was due.
+    /// Finds a task that was started. Opens its occurrence if only an earlier owner knew that it was due, but not one so far
+    /// ahead that no owner can have opened it: a malformed report must not exhaust the memory.
     pub(crate) fn find_started_task(&mut self, id: TaskId, now_ms: u64) -> Option<TaskRef> {
         let key = self.find_job(id.job)?;
         let job = &self.jobs[key];
         let step = job.spec.steps.get(id.step as usize)?;
         let exists = id.index < step.tasks && id.occurrence < job.spec.occurrences();
-        if exists && job.is_live() {
+        let tasks: u32 = job.spec.steps.iter().map(|step| step.tasks).sum();
+        let missing = (id.occurrence as usize + 1).saturating_sub(job.occurrences.len());
+        let is_near = missing <= 1 || missing * tasks as usize <= OPENED_TASKS_MAX as usize;
+        if exists && job.is_live() && is_near {
             self.open_occurrences(key, id.occurrence + 1, now_ms);
         }
         self.find_task(id)
--- a/crates/fleet/tests/recurring.rs
+++ b/crates/fleet/tests/recurring.rs
@@ -7,6 +7,7 @@
 use primrosestack_fleet::job::{JobId, JobSpec, StepSpec, TaskId};
 use primrosestack_fleet::record::{StoredJob, TaskRecord, Transfer};
 use primrosestack_fleet::report::EndKind;
+use primrosestack_fleet::shard::JobStatus;
 
 /// Revision before the terms of the tests began.
 const EARLIER_REVISION: u64 = 50;
@@ -146,6 +147,43 @@
     assert_eq!(started(&harness), [0, 2]);
 }
 
+/// Guards against a failure in a handover that is not counted since its occurrence is not open.
+#[test]
+fn failures_that_a_handover_tells_of_unopened_occurrences_count() {
+    let (mut harness, job) = second_owner(&["one", "two"]);
+    harness.claim("one");
+    let handover = Handover {
+        term: 1,
+        settled: true,
+        in_flight: vec![InFlightTask {
+            job: job.0,
+            occurrence: 1,
+            last_run: 3,
+            failed_runs: vec![1, 2, 3],
+            ..InFlightTask::default()
+        }],
+        ..Handover::default()
+    };
+    harness.shard.apply_handover(&handover, harness.now_ms);
+    harness.write_records();
+    assert_eq!(harness.shard.job_status(job), Some(JobStatus::Failed));
+}
+
+/// Guards against a malformed report that exhausts the memory: a job may have billions of occurrences.
+#[test]
+fn a_report_opens_no_occurrence_that_is_far_ahead() {
+    let mut harness = Harness::open_term(2, &["one"], &["one"]);
+    let job = JobId(7);
+    let mut stored = recurring(job.0, vec![step(1)]);
+    if let Some(spec) = &mut stored.spec {
+        spec.repetitions = u32::MAX;
+    }
+    harness.shard.add_job(job, stored, harness.now_ms);
+    harness.report("one", &[run_status(occurrence(job, u32::MAX - 1), 1)], &[]);
+    assert_eq!(harness.stops.len(), 1);
+    assert_eq!(harness.handover().in_flight, []);
+}
+
 /// Guards against a successor that starts a run of an owner before this one, since this one did not know its occurrence.
 #[test]
 fn a_handover_names_occurrences_that_may_have_been_due_to_an_earlier_owner() {
