Start a task again soon when the servers of its last starts stay silent

What callers see: a task has no run for half a minute although there is room (LOST). Cause: a task whose last three servers fell silent within half a second of its start, and are not heard of again, waits 30 s for them, and each new owner began this wait anew. The service contract allows a long-running task 6 s without a run, and a waiting job 3 s; it also allows two more starts after three servers have crashed under a task.

Change: these two starts are made 2 s after the last lapse. Only the start after them waits for news of the servers, for 120 s at most. The task keeps the time of its last lapse rather than the end of a wait, so the wait follows the count.

Tests: a_task_whose_servers_stay_silent_soon_runs_again (three cases) fails before: 3 starts in 40 s where 4 or 5 are asserted. Two tests of the same file asserted that the fourth start waits; they now assert the same of the sixth, with servers away for longer. a_crashing_task_is_limited_... is as before: five starts at most in 90 s, also if the servers never return.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -3,7 +3,6 @@
 use smol_str::SmolStr;
 
 use crate::action::{Action, Decision};
-use crate::crashes::LAPSED_SERVER_WAIT_MS;
 use crate::job::{JobId, JobSpec, TaskId};
 use crate::record::{Phase, Progress, StoredJob};
 use crate::shard::{Job, JobKey, Shard, TaskRef};
@@ -146,7 +145,7 @@
             };
             task.last_run = record.last_run;
             task.failed_runs.clone_from(&record.failed_runs);
-            task.restore_suspicion(record, now_ms + LAPSED_SERVER_WAIT_MS);
+            task.restore_suspicion(record, Some(now_ms));
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.remote = record.remote;
             if record.done && !task.done {
--- a/crates/fleet/src/crash_handover.rs
+++ b/crates/fleet/src/crash_handover.rs
@@ -4,7 +4,7 @@
 //! owner that gives up its term in between tells its successor what it has counted, and on which servers tasks had just
 //! started, so that the successor recognises the crashes of these.
 
-use crate::crashes::{LAPSED_SERVER_WAIT_MS, LapsedServer};
+use crate::crashes::LapsedServer;
 use crate::handover::{Handover, InFlightTask};
 use crate::job::{JobId, TaskId};
 use crate::record::{Phase, TaskRecord};
@@ -203,7 +203,7 @@
                 continue;
             }
             task.lapsed_runs.push(number);
-            task.lapse_wait_end_ms = now_ms + LAPSED_SERVER_WAIT_MS;
+            task.last_lapse_ms = Some(now_ms);
         }
     }
 }
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -5,14 +5,15 @@
 //! longer suspected. The counts are recorded with the task, so that they outlast a change of owner.
 //!
 //! A server that lapses after a start may have crashed, or may be out of reach. A task with [`CRASHES_MAX`] crashes and
-//! lapses together is not started until one of the lapsed servers answers, for [`LAPSED_SERVER_WAIT_MS`] at most.
+//! lapses together waits until one of the lapsed servers answers: for [`BRIEF_LAPSE_WAIT_MS`] at most, and from
+//! [`POSSIBLE_CRASHES_MAX`] on for [`LAPSED_SERVER_WAIT_MS`].
 
 use smol_str::SmolStr;
 
 use crate::record::Phase;
 use crate::server::Server;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef, to_u32};
-use crate::task::Run;
+use crate::task::{Run, Task};
 
 /// Age at which a listed run has outlived its start; servers crash within a few milliseconds of it.
 pub(crate) const OUTLIVED_START_MS: u64 = 500;
@@ -30,8 +31,16 @@
 /// suspects would start one after the other.
 const BESIDE_SUSPECT_AFTER_MS: u64 = 3_000;
 
-/// Wait for servers that lapsed after starts of a task and may have crashed: longer than a server takes to restart.
-pub(crate) const LAPSED_SERVER_WAIT_MS: u64 = 30_000;
+/// Crashes and lapses together from which a task is not started without news of its servers; the service contract allows
+/// two more starts after three crashes.
+const POSSIBLE_CRASHES_MAX: u32 = 5;
+
+/// Wait for lapsed servers before one of these two starts; the service contract allows 9 s from a crash to the next run,
+/// of which the lease of a silent server takes 5 s.
+const BRIEF_LAPSE_WAIT_MS: u64 = 2_000;
+
+/// Wait for lapsed servers after these starts: a server that stays away for longer is not expected back.
+const LAPSED_SERVER_WAIT_MS: u64 = 120_000;
 
 /// Lapsed servers that are remembered; more at a time were cut off rather than crashed.
 const LAPSED_SERVERS_MAX: usize = 256;
@@ -48,6 +57,18 @@
     pub(crate) suspects: Vec<(TaskRef, u32)>,
 }
 
+/// Time after the last lapse for which a task waits for its lapsed servers.
+fn lapse_wait_ms(task: &Task) -> u64 {
+    let possible_crashes = to_u32(task.crashed_runs.len() + task.lapsed_runs.len());
+    if task.lapsed_runs.is_empty() || possible_crashes < CRASHES_MAX {
+        0
+    } else if possible_crashes < POSSIBLE_CRASHES_MAX {
+        BRIEF_LAPSE_WAIT_MS
+    } else {
+        LAPSED_SERVER_WAIT_MS
+    }
+}
+
 impl Shard {
     /// Runs on a server that may have crashed it: those that are known to have begun, and not to have outlived their start.
     /// A start without an answer may have been sent after the crash, or before it and never received.
@@ -105,7 +126,7 @@
             let task = self.task_mut(task_ref);
             task.suspected = true;
             task.lapsed_runs.push(number);
-            task.lapse_wait_end_ms = now_ms + LAPSED_SERVER_WAIT_MS;
+            task.last_lapse_ms = Some(now_ms);
             self.mark_job_changed(task_ref.job, now_ms);
             if !self.awaits_lapsed_servers(task_ref, now_ms) {
                 continue;
@@ -114,7 +135,7 @@
             let inputs = [
                 ("crashes", task.crashed_runs.len() as u64),
                 ("lapses", task.lapsed_runs.len() as u64),
-                ("wait_ms", LAPSED_SERVER_WAIT_MS),
+                ("wait_ms", lapse_wait_ms(task)),
             ];
             self.log_decision("start_postponed", Some(task_ref), Some(server), inputs);
         }
@@ -124,8 +145,9 @@
     /// Whether a task waits until it is known whether the servers of its last starts have crashed.
     fn awaits_lapsed_servers(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let task = self.task(task_ref);
-        let crashes = to_u32(task.crashed_runs.len() + task.lapsed_runs.len());
-        !task.lapsed_runs.is_empty() && crashes >= CRASHES_MAX && now_ms < task.lapse_wait_end_ms
+        let wait_ms = lapse_wait_ms(task);
+        task.last_lapse_ms
+            .is_some_and(|last_lapse_ms| now_ms < last_lapse_ms + wait_ms)
     }
 
     /// Whether a task that may crash servers must not start at present: it waits for servers that lapsed, or for the
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -140,7 +140,7 @@
             task.last_run = record.last_run.max(run_number_base);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             // The home shard delegates a task only after this wait.
-            task.restore_suspicion(record, 0);
+            task.restore_suspicion(record, None);
             task.unresolved = predates_term && !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
         }
