Weigh the rate of crashes before a task is given up for them

What callers see: a job is shown as failed although its task crashed nothing. Cause: a job was given up after two crashes in which its task was the only suspect, however often servers crash anyway. If servers are lost at a rate r, a start meets a loss with a probability p of about r times 1.5 s, and a task is wrongly given up with p^2: once in 400 tasks at one loss a server each 30 s.

Change: losses of servers without any suspect are counted for 30 s. The limit is the least number of crashes, 2 to 4, at which p to this power is 1e-4 at most; without such losses it is 2, as before. Losses with a suspect do not count, so that crashing tasks do not excuse each other. Four is one start less than the service contract allows. A handover tells the losses to the successor. job_given_up logs the limit and the losses behind it.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -18,10 +18,8 @@
 /// Age at which a listed run has outlived its start; servers crash within a few milliseconds of it.
 pub(crate) const OUTLIVED_START_MS: u64 = 500;
 
-/// Crashes after which a task is given up if it was their only suspect.
-const SOLE_SUSPECT_CRASHES_MAX: u32 = 2;
-
-/// Crashes after which a task is given up in any case; other suspects of three crashes in a row are improbable.
+/// Crashes after which a task is given up even if there were other suspects, unless servers are lost often; other suspects
+/// of three crashes in a row are improbable.
 const CRASHES_MAX: u32 = 3;
 
 /// Wait after which a suspected task starts beside other recent starts; on a busy server there is always one.
@@ -284,11 +282,18 @@
     ) {
         let task = self.task(task_ref);
         let crashes = to_u32(task.crashed_runs.len());
-        let is_due = crashes >= CRASHES_MAX || task.sole_crashes >= SOLE_SUSPECT_CRASHES_MAX;
-        if !is_due || task.done || !self.jobs[task_ref.job].is_live() {
+        let sole_crashes = task.sole_crashes;
+        let (limit, losses) = self.sole_suspect_crashes_limit(now_ms);
+        let is_due = crashes >= limit.max(CRASHES_MAX) || sole_crashes >= limit;
+        if !is_due || self.task(task_ref).done || !self.jobs[task_ref.job].is_live() {
             return;
         }
-        let inputs = [("crashes", u64::from(crashes))];
+        let inputs = [
+            ("crashes", u64::from(crashes)),
+            ("sole_crashes", u64::from(sole_crashes)),
+            ("limit", u64::from(limit)),
+            ("unexplained_losses", losses),
+        ];
         self.log_decision("job_given_up", Some(task_ref), server, inputs);
         self.end_job(task_ref.job, Phase::Failed, now_ms);
     }
--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -61,6 +61,7 @@
             }
             let lease_end_ms = state.lease_end_ms;
             if is_silent && self.has_lease_ended(lease_end_ms, now_ms) {
+                self.note_loss(server, now_ms);
                 let state = &self.servers[server];
                 let runs = state.runs.clone();
                 if !runs.is_empty() {
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -74,6 +74,9 @@
     /// Servers of which it is not known whether the last starts there crashed them.
     #[prost(message, repeated, tag = "8")]
     pub recent_starts: Vec<RecentStarts>,
+    /// Ages of the recent losses of servers without a suspect, in milliseconds.
+    #[prost(uint64, repeated, tag = "9")]
+    pub loss_ages_ms: Vec<u64>,
 }
 
 impl Handover {
@@ -289,6 +292,7 @@
             unreached_servers: self.unclaimed.iter().map(ToString::to_string).collect(),
             suspected_tasks: self.suspected_tasks(),
             recent_starts: self.recent_starts(),
+            loss_ages_ms: self.loss_ages_ms(now_ms),
         }
     }
 
@@ -311,6 +315,7 @@
         if handover.term >= self.term {
             return;
         }
+        self.inherit_losses(&handover.loss_ages_ms, now_ms);
         self.inherit_suspicions(handover, now_ms);
         self.inherit_failures(&handover.in_flight, now_ms);
         self.predecessors.insert(Answer {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bounds;
 pub mod claim;
 pub mod crash_handover;
+mod crash_rate;
 mod crashes;
 mod drain;
 pub mod expiry;
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -26,6 +26,7 @@
         let silent_ms = now_ms.saturating_sub(state.last_contact_ms);
         state.claimed = true;
         state.fenced = false;
+        state.loss_noted = false;
         // The same incarnation answers, so the server had not crashed.
         let cleared = std::mem::take(&mut state.lapsed_suspects);
         if report.sent_ms >= state.last_contact_ms || !was_claimed {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -337,6 +337,7 @@
     /// continue, but the next incarnation may have carried out, or may still carry out, starts that got no answer before
     /// the last report: it knows neither stops nor the leases of the clock before. Those runs are kept until it reports.
     pub(crate) fn end_incarnation(&mut self, server: ServerKey, started_unix_ms: u64, now_ms: u64) {
+        self.note_loss(server, now_ms);
         // A draining server was expected to leave.
         let suspects = if self.servers[server].draining_since_ms.is_some() {
             Vec::new()
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -59,6 +59,8 @@
     pub suspected_run: Option<(TaskRef, u32)>,
     /// Runs that may have crashed the server, which was not heard of again before their lease expired.
     pub lapsed_suspects: Vec<(TaskRef, u32)>,
+    /// Whether the loss of the server since its last answer was noted.
+    pub loss_noted: bool,
     /// Runs in the last report that this shard does not know or want, sorted. They are being stopped, take capacity until
     /// then, and their size may be unknown.
     pub unwanted_runs: Vec<(TaskId, u32)>,
@@ -105,6 +107,7 @@
             runs: Vec::new(),
             suspected_run: None,
             lapsed_suspects: Vec::new(),
+            loss_noted: false,
             unwanted_runs: Vec::new(),
             cpu_used_millis: 0,
             best_effort_used_millis: 0,
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -7,6 +7,7 @@
 
 use crate::action::{Action, Decision};
 use crate::bounds::Bounds;
+use crate::crash_rate::UnexplainedLosses;
 use crate::crashes::LapsedServer;
 use crate::handover::Predecessors;
 use crate::interference::InterferenceModel;
@@ -230,6 +231,7 @@
     pub(crate) actions: Vec<Action>,
     /// Servers that lapsed and left the registrations with runs that may have crashed them, oldest first.
     pub(crate) lapsed_servers: Vec<LapsedServer>,
+    pub(crate) unexplained_losses: UnexplainedLosses,
     pub(crate) interference: InterferenceModel,
     /// When the interference estimates were last recorded.
     pub(crate) interference_recorded_ms: u64,
@@ -280,6 +282,7 @@
             purged: Vec::new(),
             actions: Vec::new(),
             lapsed_servers: Vec::new(),
+            unexplained_losses: UnexplainedLosses::default(),
             interference,
             interference_recorded_ms: now_ms,
         }
