Tell a closed connection from silence after a start

Cause: a start that got no answer was one case for the client. A server that crashes under a start closes the connection; one without power, or out of reach, leaves the start unanswered. Only the first shows that a process was there when the start was sent.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -55,6 +55,9 @@
     OtherIncarnation,
     /// No reply: the start may have been carried out, or may still be.
     Unknown,
+    /// The server closed the connection after the start was sent and before it replied; like [`StartReply::Unknown`]
+    /// otherwise.
+    ConnectionClosed,
 }
 
 /// Action for the daemon.
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -226,7 +226,7 @@
                     });
                 }
             }
-            StartReply::Unknown => {
+            StartReply::Unknown | StartReply::ConnectionClosed => {
                 let run = &mut self.task_mut(task_ref).runs[position];
                 if run.state == RunState::Starting {
                     run.state = RunState::Unconfirmed;
