Count crashes under starts that the server cut off

Change: a start whose connection the server closed before it answered is a suspect as well (cut_off.rs), if the incarnation that it was sent to had answered a poll within 1.2 s before that, and has not answered one sent later. Without the first, it would be a start that reached a server only after it had lost power and was back: its host resets the connections of before. Without the second, it would be a server that closes connections and serves on. Both compare times of the owner's monotonic clock only: the start of an incarnation is told by the server's wall clock, and a lease clock that runs 2% slow is off by more than that after a minute. The count is made when a later incarnation is seen, as for other suspects, also after a lapse and by a successor. New log line: start_cut_off with run, answered_ms_ago and suspected.

Of the cases of innocent starts, each guard has one that fails without it: the answer before (2 cases), the incarnation (1), the answer after (1). a_start_without_an_answer_is_no_suspect passes unchanged.

Cost: a time per run; one look at each run of a server per report.

Limits: a server that loses power and is back within 1.2 s of its last answer is taken for one that crashed, if a start was under way. So is one that crashes for another cause in the milliseconds in which a start is sent.

--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -49,15 +49,16 @@
 }
 
 impl Shard {
-    /// Runs on a server that may have crashed it: those that are known to have begun, and not to have outlived their start.
-    /// A start without an answer may have been sent after the crash, or before it and never received.
+    /// Runs on a server that may have crashed it: those that are known to have begun, or whose start the server cut off, and
+    /// that are not known to have outlived their start. Any other start without an answer may have been sent after the crash,
+    /// or before it and never received.
     pub(crate) fn crash_suspects(&self, server: ServerKey) -> Vec<(TaskRef, u32)> {
         let mut suspects = Vec::new();
         for &(task_ref, number) in &self.servers[server].runs {
             let task = self.task(task_ref);
             let is_innocent = task.run_position(server, number).is_some_and(|position| {
                 let run = &task.runs[position];
-                !run.has_begun() || run.missed_start || run.beside_suspect
+                !run.may_have_begun() || run.missed_start || run.beside_suspect
             });
             if !is_innocent && self.is_recent_start(task_ref, server, number) {
                 suspects.push((task_ref, number));
@@ -311,9 +312,9 @@
 }
 
 impl Run {
-    /// Whether the server answered the start request or has listed the run.
-    fn has_begun(&self) -> bool {
-        self.start_answered_ms.is_some() || self.listed_ms.is_some()
+    /// Whether the server answered the start request, has listed the run, or ended while it had the request.
+    fn may_have_begun(&self) -> bool {
+        self.start_answered_ms.is_some() || self.listed_ms.is_some() || self.cut_off_ms.is_some()
     }
 
     /// Whether a report at `now_ms` that lists the run shows that it has outlived its start.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod crash_handover;
 mod crashes;
+mod cut_off;
 mod drain;
 pub mod expiry;
 pub mod handover;
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -33,6 +33,7 @@
             state.last_contact_ms = now_ms;
         }
         self.clear_lapse(cleared, now_ms);
+        self.clear_cut_off(server, report.sent_ms);
         if !was_claimed {
             // A lease granted by the predecessor may still be valid; the server accepts no more from it.
             let lease_upper_bound_ms = Bounds::lease_upper_bound_ms(self.bounds.lease_ms());
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -231,6 +231,9 @@
                 if run.state == RunState::Starting {
                     run.state = RunState::Unconfirmed;
                 }
+                if reply == StartReply::ConnectionClosed {
+                    self.note_cut_off(task_ref, server, request, now_ms);
+                }
             }
             StartReply::WrongInstance => {
                 // Not started, so this run cannot be the cause of a crash.
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -57,6 +57,9 @@
     pub listed_ms: Option<u64>,
     /// Whether the server is known not to have crashed at the start of the run.
     pub outlived_start: bool,
+    /// When the server closed the connection of the start request instead of answering it; `None` if it did not, or if
+    /// this tells nothing about a crash.
+    pub cut_off_ms: Option<u64>,
     /// Whether a poll from half a second after the start was answered without listing the run, so that it had not crashed
     /// the server.
     pub missed_start: bool,
@@ -90,6 +93,7 @@
             start_answered_ms: None,
             listed_ms: None,
             outlived_start: false,
+            cut_off_ms: None,
             missed_start: false,
             beside_suspect: false,
             early_percent: None,
@@ -119,6 +123,7 @@
     /// Drops what was known from an earlier incarnation of the server: the next one has heard of no stop.
     pub(crate) fn enter_incarnation(&mut self) {
         self.start_expired_ms = self.start_sent_ms + CALL_DELAY_MAX_MS;
+        self.cut_off_ms = None;
         if self.is_stopping() {
             self.state = RunState::Unconfirmed;
             self.visible_after_ms = None;
