--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod crash_handover;
 mod crash_rate;
 mod crashes;
+mod cut_off;
 mod drain;
 pub mod expiry;
 pub mod handover;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -226,11 +226,14 @@
                     });
                 }
             }
-            StartReply::Unknown => {
+            StartReply::Unknown | StartReply::ConnectionClosed => {
                 let run = &mut self.task_mut(task_ref).runs[position];
                 if run.state == RunState::Starting {
                     run.state = RunState::Unconfirmed;
                 }
+                if reply == StartReply::ConnectionClosed {
+                    self.note_cut_off(task_ref, server, request, now_ms);
+                }
             }
             StartReply::WrongInstance => {
                 // Not started, so this run cannot be the cause of a crash.
