Park jobs that fail together on the only servers they can use

Cause: a failure on a server does not count against a job while another active job fails there and nowhere else. If two jobs fail on the only open server of their rack pools, each excuses the other. Two jobs are too few for a quarantine (3), so neither the server nor a job is ever given up. Change: where fewer than 3 servers are open to a job, a server excuses it only while the jobs that fail there and nowhere else, itself included, are enough for a quarantine. The rule for 3 servers and more is unchanged. Tests of the other packages were not run.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -250,13 +250,16 @@
             return;
         };
         let servers = failures.servers.iter();
-        let failed_servers = servers
-            .filter(|key| self.is_healthy_for_other_jobs(**key, job))
-            .count();
+        let failed_on = |blames: fn(&Self, ServerKey, JobId) -> bool| {
+            servers
+                .clone()
+                .filter(|key| blames(self, **key, job))
+                .count()
+        };
         let open_servers = self.open_servers_of(job);
-        let is_faulty = failed_servers >= PARK_MIN_SERVERS
+        let is_faulty = failed_on(Self::is_healthy_for_other_jobs) >= PARK_MIN_SERVERS
             || (open_servers < PARK_MIN_SERVERS
-                && failed_servers >= open_servers.max(1)
+                && failed_on(Self::is_below_quarantine) >= open_servers.max(1)
                 && failures.rounds >= PARK_MIN_ROUNDS);
         if is_faulty {
             self.park(job, ParkReason::FailsEverywhere);
@@ -276,18 +279,30 @@
     /// Whether a server is not itself the likely cause of failures: since its last success, every other active job that
     /// failed there has also failed elsewhere.
     fn is_healthy_for_other_jobs(&self, key: ServerKey, job: JobId) -> bool {
-        let Some(server) = self.fleet.get(key) else {
-            return false;
-        };
+        self.others_failing_only_there(key, job) == Some(0)
+    }
+
+    /// Whether the failures of a job on a server do not add up to a quarantine. Where no other server can tell which of
+    /// them is at fault, fewer jobs than that would excuse each other for ever.
+    fn is_below_quarantine(&self, key: ServerKey, job: JobId) -> bool {
+        let own = usize::from(!fails_elsewhere(&self.failures, job, key));
+        let others = self.others_failing_only_there(key, job);
+        others.is_some_and(|others| others + own < QUARANTINE_MIN_JOBS)
+    }
+
+    /// Returns the number of other active jobs that failed on a server since its last success and on no other server, or
+    /// `None` if it is quarantined or unknown.
+    fn others_failing_only_there(&self, key: ServerKey, job: JobId) -> Option<usize> {
+        let server = self.fleet.get(key)?;
         if server.health.is_quarantined() {
-            return false;
+            return None;
         }
-        let mut others = server
-            .health
-            .failed_since_success()
-            .filter(|other| *other != job);
+        let failed: BTreeSet<JobId> = server.health.failed_since_success().collect();
         // A job that has been parked since then was itself the cause of its failures.
-        others.all(|other| !self.is_active(other) || fails_elsewhere(&self.failures, other, key))
+        let only_there = failed.into_iter().filter(|other| {
+            *other != job && self.is_active(*other) && !fails_elsewhere(&self.failures, *other, key)
+        });
+        Some(only_there.count())
     }
 
     /// Starts pending tasks, avoiding servers on which the job has failed. Otherwise a scheduler that prefers one
