Move jobs away from a failure domain that has no server for them

Cause: a job stays in the shard of its home, and only long-running tasks without label, accelerators or gang can be delegated.

Change: if the servers of the home that answer could not run a waiting step even if they were empty, for 3 s, and no run of the job may exist, the owner moves the job with its progress to a failure domain that reports room. One transaction on condition of the term, the home and the absence of a cancellation. Until its outcome is known, no task of the job starts and nothing of it is recorded; a repeat after a lost answer reads from the home whether the first attempt took effect. Runs are numbered above those of earlier homes. An inbox entry that was read before the move does not bring the job back. Cancellations are conditional on the home and read it from the store; a status that the remembered home does not know is looked up there too. write_in_term returns a conflict of a condition other than the term instead of repeating the transaction for ever.

Cost: one read and one write of nine entries (the term included) for each moved job, 16 jobs a pass of 250 ms at most; a cancellation reads the home from the store; a job's record grows by its run base after a move only; each tick one pass over the waiting steps.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -22,6 +22,9 @@
 impl Shard {
     /// Adds a job read from the store, or merges its transfers and cancellation into a known job.
     pub fn add_job(&mut self, id: JobId, stored: StoredJob, now_ms: u64) {
+        if !stored.is_delegated && self.has_moved(id, stored.created_revision) {
+            return;
+        }
         let predates_term = stored.created_revision <= self.term_revision;
         if let Some(key) = self.find_job(id) {
             self.accept_transfers(key, &stored.transfers, predates_term, now_ms);
@@ -80,6 +83,11 @@
             delegate_domains: Vec::new(),
             outbound_transfers: Vec::new(),
             transfer_keys: stored.transfer_keys.clone(),
+            run_base: stored
+                .progress
+                .as_ref()
+                .map_or(0, |progress| progress.run_base),
+            moving: false,
             run_count: 0,
             arrived_ms: now_ms,
             ended_ms: (recorded != Phase::Live).then_some(now_ms),
@@ -98,7 +106,13 @@
             self.jobs[key].due_occurrences = 1;
         }
         if let Some(progress) = stored.progress {
-            self.restore(key, &progress, now_ms);
+            // A job that has just moved here waited for lapsed servers in its earlier home.
+            let wait_ms = if predates_term {
+                LAPSED_SERVER_WAIT_MS
+            } else {
+                0
+            };
+            self.restore(key, &progress, now_ms, now_ms + wait_ms);
         }
         if predates_term {
             self.mark_unresolved(key);
@@ -124,7 +138,7 @@
     }
 
     /// Restores progress that an earlier owner recorded.
-    pub(crate) fn restore(&mut self, key: JobKey, progress: &Progress, now_ms: u64) {
+    fn restore(&mut self, key: JobKey, progress: &Progress, now_ms: u64, lapse_wait_end_ms: u64) {
         let occurrences = progress
             .tasks
             .iter()
@@ -146,7 +160,7 @@
             };
             task.last_run = record.last_run;
             task.failed_runs.clone_from(&record.failed_runs);
-            task.restore_suspicion(record, now_ms + LAPSED_SERVER_WAIT_MS);
+            task.restore_suspicion(record, lapse_wait_end_ms);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.remote = record.remote;
             if record.done && !task.done {
@@ -164,7 +178,9 @@
 
     /// Marks tasks that an earlier owner may have started as unresolved.
     pub(crate) fn mark_unresolved(&mut self, key: JobKey) {
-        let base = self.run_number_base();
+        let base = self
+            .run_number_base()
+            .saturating_add(self.jobs[key].run_base);
         let settled = self.settled;
         for occurrence in &mut self.jobs[key].occurrences {
             for task in occurrence.steps.iter_mut().flat_map(|step| &mut step.tasks) {
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -51,6 +51,9 @@
     pub cpu_millis: u32,
     #[prost(uint32, tag = "2")]
     pub memory_mb: u32,
+    /// Accelerators.
+    #[prost(uint32, tag = "3")]
+    pub gpus: u32,
 }
 
 impl Load {
@@ -133,6 +136,7 @@
             load.free_capacity.push(FreeCapacity {
                 cpu_millis: server.cpu_free_millis(),
                 memory_mb: server.memory_free_mb(),
+                gpus: server.entry.gpus.saturating_sub(server.gpus_used),
             });
             load.labels
                 .extend(server.entry.labels.iter().map(ToString::to_string));
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -6,6 +6,8 @@
 use smol_str::SmolStr;
 use snafu::{OptionExt, Snafu, ensure};
 
+use crate::record::Progress;
+
 /// Maximum number of tasks over all steps of a job; a progress record of this size stays below 200 KiB.
 pub const TASKS_MAX: u32 = 20_000;
 
@@ -196,6 +198,9 @@
     /// Time of acceptance, in milliseconds since the Unix epoch.
     #[prost(uint64, tag = "8")]
     pub accepted_unix_ms: u64,
+    /// Progress of a job that moved here from another shard, as of the move; only in the inbox.
+    #[prost(message, optional, tag = "9")]
+    pub recorded: Option<Progress>,
 }
 
 /// Reason why a job is rejected.
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -61,10 +61,11 @@
     }
 }
 
-fn progress_of(key: JobKey, job: &Job) -> Progress {
+pub(crate) fn progress_of(key: JobKey, job: &Job) -> Progress {
     let mut progress = Progress {
         queue: job.queue.name.clone(),
         started: job.started,
+        run_base: job.run_base,
         ..Progress::default()
     };
     progress.set_phase(job.phase);
@@ -151,7 +152,7 @@
             return Some(now_ms);
         }
         let jobs = self.changed.iter().filter_map(|&key| self.jobs.get(key));
-        jobs.filter(|job| job.version > job.recorded_version)
+        jobs.filter(|job| job.version > job.recorded_version && !job.moving)
             .map(|job| {
                 if job.is_live() {
                     job.unrecorded_since_ms + BATCH_DELAY_MS
@@ -197,6 +198,9 @@
         let mut entries = 0;
         for &key in &self.changed {
             let job = &self.jobs[key];
+            if job.moving {
+                continue;
+            }
             let record = record_of(key, job);
             entries += record.entry_count();
             if entries > BATCH_ENTRIES_MAX && !batch.jobs.is_empty() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prelude;
 pub mod record;
 mod registry;
+pub mod rehome;
 pub mod report;
 mod run_ends;
 mod runs;
--- a/crates/fleet/src/occurrences.rs
+++ b/crates/fleet/src/occurrences.rs
@@ -66,9 +66,10 @@
 
     /// Adds the next occurrence of a job. An earlier owner may have started its tasks if the job is older than the term.
     fn open_occurrence(&mut self, key: JobKey, now_ms: u64) {
-        let base = self.run_number_base();
+        let term_base = self.run_number_base();
         let settled = self.settled;
         let job = &mut self.jobs[key];
+        let base = term_base.saturating_add(job.run_base);
         // Delegated tasks arrive with transfers, the others are run elsewhere.
         let remote = job.is_delegated;
         let may_have_started = job.predates_term && !remote;
@@ -76,7 +77,7 @@
             ready_since_ms: now_ms,
             remote,
             unresolved: may_have_started && !settled,
-            last_run: if may_have_started { base } else { 0 },
+            last_run: if may_have_started { base } else { job.run_base },
             ..Task::default()
         };
         let mut occurrence = Occurrence::default();
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -75,7 +75,9 @@
             if !self.is_startable(task_ref) {
                 continue;
             }
-            if blocked_steps.contains(&step_key) || self.is_start_postponed(task_ref, now_ms) {
+            let is_held =
+                self.jobs[task_ref.job].moving || self.is_start_postponed(task_ref, now_ms);
+            if blocked_steps.contains(&step_key) || is_held {
                 unplaced.push(task_ref);
                 continue;
             }
@@ -371,6 +373,8 @@
         self.drain_long_running(now_ms);
         self.stop_before_departure(now_ms);
         self.purge_ended_jobs(now_ms);
+        self.update_unserved(now_ms);
+        self.forget_moved_jobs(now_ms);
     }
 
     /// Purges recorded jobs whose retention period has passed.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -73,6 +73,9 @@
     /// Whether any task is known to have begun.
     #[prost(bool, tag = "5")]
     pub started: bool,
+    /// Number above which the runs of this shard are numbered: the highest that earlier home shards used.
+    #[prost(uint32, tag = "6")]
+    pub run_base: u32,
 }
 
 impl Progress {
--- /dev/null
+++ b/crates/fleet/src/rehome.rs
@@ -0,0 +1,318 @@
+//! Move of a job to the shard of another failure domain, if no server of its home could ever run its waiting tasks.
+//!
+//! A job moves as a whole, with its progress, in one transaction on condition of the owner's term, and only while no run
+//! of it may exist. Until the outcome of the transaction is known, no task of the job starts and nothing of it is recorded.
+
+use smol_str::SmolStr;
+
+use crate::intake::Load;
+use crate::job::{JobId, JobSpec, StepSpec};
+use crate::ledger::progress_of;
+use crate::record::Progress;
+use crate::server::{CONTACT_TIMEOUT_MS, Server};
+use crate::shard::{Job, JobKey, Shard, TaskRef, to_u32};
+
+/// Time without a server for its tasks after which a job moves; servers that restart, and those that a new owner has to
+/// claim, are back within it.
+const MOVE_AFTER_MS: u64 = 3_000;
+
+/// Maximum number of different needs that are examined in one pass.
+const NEEDS_MAX: usize = 64;
+
+/// What a step needs of the servers of a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Need {
+    service: SmolStr,
+    label: SmolStr,
+    cpu_millis: u32,
+    memory_mb: u32,
+    gpus: u32,
+    /// Tasks that have to fit at the same time: all members of a gang, else one.
+    tasks: u32,
+    /// Maximum number of them on one server; 0 for no limit.
+    max_per_server: u32,
+    best_effort: bool,
+}
+
+/// A job that is to be moved.
+#[derive(Clone, Debug)]
+pub struct JobMove {
+    pub id: JobId,
+    pub key: JobKey,
+    /// Failure domain that becomes the job's home.
+    pub failure_domain: SmolStr,
+    /// Specification, with the progress for the new home.
+    pub spec: JobSpec,
+    pub progress: Progress,
+}
+
+/// A job that has moved away.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MovedJob {
+    id: JobId,
+    /// Revision of the move.
+    revision: u64,
+    moved_ms: u64,
+}
+
+impl Need {
+    fn of(job: &Job, step: &StepSpec) -> Self {
+        Self {
+            service: SmolStr::new(&job.queue.service),
+            label: SmolStr::new(&step.label),
+            cpu_millis: step.cpu_millis,
+            memory_mb: step.memory_mb,
+            gpus: step.gpus,
+            tasks: if step.gang { step.tasks } else { 1 },
+            max_per_server: if step.gang { step.max_per_server } else { 0 },
+            best_effort: step.best_effort,
+        }
+    }
+
+    /// How many tasks fit into an amount of CPU, memory and accelerators.
+    fn count_in(&self, cpu_millis: u32, memory_mb: u32, gpus: u32) -> u32 {
+        let parts = [
+            cpu_millis.checked_div(self.cpu_millis),
+            memory_mb.checked_div(self.memory_mb),
+            gpus.checked_div(self.gpus),
+            (self.max_per_server > 0).then_some(self.max_per_server),
+        ];
+        let least = parts.into_iter().flatten().min();
+        least.unwrap_or(self.tasks).min(self.tasks)
+    }
+
+    /// How many tasks an empty server would take; none if it does not answer or is leaving.
+    fn count_on(&self, server: &Server, now_ms: u64) -> u32 {
+        let can_serve = server.is_placeable()
+            && now_ms < server.last_contact_ms + CONTACT_TIMEOUT_MS
+            && server.entry.service == self.service
+            && (self.label.is_empty() || server.has_label(&self.label));
+        if !can_serve {
+            return 0;
+        }
+        let entry = &server.entry;
+        self.count_in(entry.cpu_millis, entry.memory_mb, entry.gpus)
+    }
+
+    /// How many tasks fit into the free capacity that another shard reports.
+    fn count_free(&self, load: &Load) -> u32 {
+        let has_label = self.label.is_empty()
+            || load
+                .labels
+                .binary_search_by(|label| label.as_str().cmp(&self.label))
+                .is_ok();
+        if !has_label {
+            return 0;
+        }
+        let mut count: u32 = 0;
+        for free in &load.free_capacity {
+            let cpu_millis = if self.best_effort {
+                self.cpu_millis
+            } else {
+                free.cpu_millis
+            };
+            count = count.saturating_add(self.count_in(cpu_millis, free.memory_mb, free.gpus));
+        }
+        count
+    }
+}
+
+/// Subtracts a task from the free capacity that another shard reports.
+fn take_free(load: &mut Load, step: &StepSpec) {
+    let cpu_millis = if step.best_effort { 0 } else { step.cpu_millis };
+    let fitting = load.free_capacity.iter_mut().find(|free| {
+        free.cpu_millis >= cpu_millis && free.memory_mb >= step.memory_mb && free.gpus >= step.gpus
+    });
+    let Some(free) = fitting else { return };
+    free.cpu_millis -= cpu_millis;
+    free.memory_mb -= step.memory_mb;
+    free.gpus -= step.gpus;
+}
+
+impl Shard {
+    /// Finds the needs of waiting tasks that no set of servers here could meet, and since when.
+    pub(crate) fn update_unserved(&mut self, now_ms: u64) {
+        let mut needs: Vec<(Need, bool)> = Vec::new();
+        let mut previous: Option<TaskRef> = None;
+        for &task_ref in &self.ready {
+            let is_same_step = previous.is_some_and(|previous| {
+                (previous.job, previous.step) == (task_ref.job, task_ref.step)
+            });
+            previous = Some(task_ref);
+            let Some(job) = self.jobs.get(task_ref.job) else {
+                continue;
+            };
+            if is_same_step || !self.settled {
+                continue;
+            }
+            let need = Need::of(job, self.step_spec(task_ref));
+            let Err(index) = needs.binary_search_by(|(known, _)| known.cmp(&need)) else {
+                continue;
+            };
+            if needs.len() >= NEEDS_MAX {
+                break;
+            }
+            let is_met = self.could_meet(&need, now_ms);
+            needs.insert(index, (need, is_met));
+        }
+        let mut unserved = Vec::new();
+        for (need, is_met) in needs {
+            if is_met {
+                continue;
+            }
+            let found = self
+                .unserved
+                .binary_search_by(|(known, _)| known.cmp(&need));
+            let since_ms = found.map_or(now_ms, |index| self.unserved[index].1);
+            unserved.push((need, since_ms));
+        }
+        self.unserved = unserved;
+    }
+
+    fn could_meet(&self, need: &Need, now_ms: u64) -> bool {
+        let mut count = 0;
+        for server in self.servers.values() {
+            count += need.count_on(server, now_ms);
+            if count >= need.tasks {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Takes a job that has to move, with a failure domain that has room for its waiting step. The caller reports the
+    /// outcome with [`Self::job_moved`] or [`Self::job_kept`]; until then, the job stands still.
+    pub fn take_job_move(
+        &mut self,
+        others: &mut [(SmolStr, Load)],
+        now_ms: u64,
+    ) -> Option<JobMove> {
+        if self.unserved.is_empty() {
+            return None;
+        }
+        let mut previous: Option<TaskRef> = None;
+        for &task_ref in &self.ready {
+            let is_same_step = previous.is_some_and(|previous| {
+                (previous.job, previous.step) == (task_ref.job, task_ref.step)
+            });
+            previous = Some(task_ref);
+            if is_same_step || !self.can_move(task_ref, now_ms) {
+                continue;
+            }
+            let job = &self.jobs[task_ref.job];
+            let step = self.step_spec(task_ref);
+            let need = Need::of(job, step);
+            let counts = others.iter().map(|(_, load)| need.count_free(load));
+            let best = counts.enumerate().max_by_key(|&(_, count)| count);
+            let Some((index, _)) = best.filter(|&(_, count)| count >= need.tasks) else {
+                continue;
+            };
+            let (failure_domain, load) = &mut others[index];
+            for _ in 0..step.tasks {
+                take_free(load, step);
+            }
+            let failure_domain = failure_domain.clone();
+            return Some(self.begin_move(task_ref, failure_domain, now_ms));
+        }
+        None
+    }
+
+    /// Whether a waiting task makes its job move. The job has no run, here or at a delegate, and no unread transfers.
+    fn can_move(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(task_ref.job) else {
+            return false;
+        };
+        let is_whole = job.run_count == 0
+            && job.delegate_domains.is_empty()
+            && job.outbound_transfers.is_empty()
+            && job.transfer_keys.is_empty();
+        if !is_whole || !job.is_live() || job.is_delegated || job.moving || !self.settled {
+            return false;
+        }
+        let need = Need::of(job, self.step_spec(task_ref));
+        let found = self
+            .unserved
+            .binary_search_by(|(known, _)| known.cmp(&need));
+        let is_unserved = found.is_ok_and(|index| now_ms >= self.unserved[index].1 + MOVE_AFTER_MS);
+        is_unserved && !self.is_start_postponed(task_ref, now_ms)
+    }
+
+    fn begin_move(&mut self, task_ref: TaskRef, failure_domain: SmolStr, now_ms: u64) -> JobMove {
+        let key = task_ref.job;
+        let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
+        let job = &mut self.jobs[key];
+        job.moving = true;
+        let last_runs = job.tasks(key).map(|(_, task)| task.last_run);
+        let run_base = last_runs.max().unwrap_or(0).max(job.run_base);
+        let progress = Progress {
+            run_base,
+            ..progress_of(key, job)
+        };
+        let job_move = JobMove {
+            id: job.id,
+            key,
+            failure_domain,
+            spec: JobSpec {
+                recorded: Some(progress.clone()),
+                ..job.spec.clone()
+            },
+            progress,
+        };
+        let inputs = [
+            ("waited_ms", waited_ms),
+            ("waiting", self.ready.len() as u64),
+        ];
+        self.log_decision("job_moves", Some(task_ref), None, inputs);
+        job_move
+    }
+
+    /// Forgets a job that has moved at a revision.
+    pub fn job_moved(&mut self, key: JobKey, revision: u64, now_ms: u64) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        if let Ok(index) = self.job_index.binary_search_by_key(&job.id, |(id, _)| *id) {
+            self.job_index.remove(index);
+        }
+        self.ready.retain(|task_ref| task_ref.job != key);
+        let moved = MovedJob {
+            id: job.id,
+            revision,
+            moved_ms: now_ms,
+        };
+        match self
+            .moved_jobs
+            .binary_search_by_key(&job.id, |known| known.id)
+        {
+            Ok(index) => self.moved_jobs[index] = moved,
+            Err(index) => self.moved_jobs.insert(index, moved),
+        }
+    }
+
+    /// Resumes a job that has not moved.
+    pub fn job_kept(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.moving = false;
+        self.changed.push(key);
+    }
+
+    /// Whether an entry of the inbox was read before its job moved away, and is out of date.
+    pub(crate) fn has_moved(&self, id: JobId, created_revision: u64) -> bool {
+        let found = self.moved_jobs.binary_search_by_key(&id, |moved| moved.id);
+        found.is_ok_and(|index| created_revision <= self.moved_jobs[index].revision)
+    }
+
+    pub(crate) fn forget_moved_jobs(&mut self, now_ms: u64) {
+        let retention_ms = self.bounds.retention_ms;
+        self.moved_jobs
+            .retain(|moved| now_ms < moved.moved_ms + retention_ms);
+    }
+
+    /// Number of jobs that wait for a server which this shard does not have.
+    #[must_use]
+    pub fn unserved_needs(&self) -> u32 {
+        to_u32(self.unserved.len())
+    }
+}
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -12,6 +12,7 @@
 use crate::interference::InterferenceModel;
 use crate::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
 use crate::record::{Phase, ServerSet, Transfer};
+use crate::rehome::{MovedJob, Need};
 use crate::server::Server;
 use crate::task::Task;
 
@@ -92,6 +93,10 @@
     pub outbound_transfers: Vec<(SmolStr, Transfer)>,
     /// Keys of the transfers that delegated tasks to this shard.
     pub transfer_keys: Vec<SmolStr>,
+    /// Number above which its runs are numbered; 0 if it has not moved.
+    pub run_base: u32,
+    /// Whether it is being moved to another shard.
+    pub moving: bool,
     /// Number of runs that may exist.
     pub run_count: u32,
     /// When the job was added to the shard.
@@ -228,6 +233,10 @@
     /// Jobs whose records have to be purged, and whether another shard is their home.
     pub(crate) purged: Vec<(JobId, bool)>,
     pub(crate) actions: Vec<Action>,
+    /// Needs of waiting tasks that no servers here could meet, and since when, sorted.
+    pub(crate) unserved: Vec<(Need, u64)>,
+    /// Jobs that moved to other shards lately, sorted.
+    pub(crate) moved_jobs: Vec<MovedJob>,
     /// Servers that lapsed and left the registrations with runs that may have crashed them, oldest first.
     pub(crate) lapsed_servers: Vec<LapsedServer>,
     pub(crate) interference: InterferenceModel,
@@ -279,6 +288,8 @@
             changed: Vec::new(),
             purged: Vec::new(),
             actions: Vec::new(),
+            unserved: Vec::new(),
+            moved_jobs: Vec::new(),
             lapsed_servers: Vec::new(),
             interference,
             interference_recorded_ms: now_ms,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -24,9 +24,7 @@
 
 use crate::daemon::clock::{now_ms, unix_ms};
 use crate::daemon::keys;
-use crate::daemon::lookup::{
-    count_queued_jobs, find_home, query_owner, read_delegates, read_job_status,
-};
+use crate::daemon::lookup::{count_queued_jobs, find_status, read_delegates, read_home};
 use crate::daemon::node::Node;
 use crate::logs::Line;
 
@@ -358,34 +356,14 @@
     }
 }
 
-async fn job_status(node: &Rc<Node>, id: JobId) -> Reply {
-    let home = match find_home(node, id).await {
-        Ok(Some(home)) => home,
-        Ok(None) => return empty_reply(StatusCode::GONE),
-        Err(failure) => {
-            Line::info("state_unknown")
-                .with("job", id)
-                .with_reason(failure)
-                .write();
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
-        }
-    };
-    if let Some(status) = node
-        .owned_shard(&home)
-        .and_then(|owned| owned.job_status(id))
-    {
-        return json_reply(callers::encode_job_status(status));
-    }
-    if let Some(status) = query_owner(node, &home, id).await {
-        return json_reply(callers::encode_job_status(status));
-    }
-    match read_job_status(node, &home, id).await {
+/// Replies with the status of a job.
+pub async fn job_status(node: &Rc<Node>, id: JobId) -> Reply {
+    match find_status(node, id).await {
         Ok(Some(status)) => json_reply(callers::encode_job_status(status)),
         Ok(None) => empty_reply(StatusCode::GONE),
         Err(failure) => {
             Line::info("state_unknown")
                 .with("job", id)
-                .with("shard", &home)
                 .with_reason(failure)
                 .write();
             refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
@@ -395,22 +373,12 @@
 
 /// Cancels a job in its home shard and in those that run delegated tasks of it.
 pub async fn cancel(node: &Rc<Node>, id: JobId, deadline: Instant) -> Reply {
-    let home = match find_home(node, id).await {
-        Ok(Some(home)) => home,
-        Ok(None) => return empty_reply(StatusCode::GONE),
-        Err(failure) => {
-            Line::info("job_not_cancelled")
-                .with("job", id)
-                .with_reason(failure)
-                .write();
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
-        }
-    };
     loop {
-        let result = tokio::time::timeout_at(deadline, write_cancellation(node, &home, id)).await;
+        let result = tokio::time::timeout_at(deadline, write_cancellation(node, id)).await;
         let result = result.unwrap_or(Err(StoreFailure::NoAnswer));
         match result {
-            Ok(revision) => {
+            Ok(None) => return empty_reply(StatusCode::GONE),
+            Ok(Some((home, revision))) => {
                 Line::info("job_cancelled")
                     .with("job", id)
                     .with("shard", &home)
@@ -441,13 +409,22 @@
 }
 
 /// Writes a cancellation for the home shard, which may have no owner at present that would tell the delegates, and for
-/// these. Returns the revision.
-async fn write_cancellation(node: &Node, home: &SmolStr, id: JobId) -> Result<u64, StoreFailure> {
-    let mut transaction = Transaction::default().put(keys::cancellation(home, id), Vec::new());
-    for delegate in read_delegates(node, home, id).await? {
+/// these. Returns the home shard and the revision; `Ok(None)` if the job does not exist. The owner of the home shard may move
+/// the job meanwhile, so the write is conditional on the home.
+async fn write_cancellation(
+    node: &Node,
+    id: JobId,
+) -> Result<Option<(SmolStr, u64)>, StoreFailure> {
+    let Some((home, home_revision)) = read_home(node, id).await? else {
+        return Ok(None);
+    };
+    let mut transaction = Transaction::default()
+        .expect_revision(keys::home(id), home_revision)
+        .put(keys::cancellation(&home, id), Vec::new());
+    for delegate in read_delegates(node, &home, id).await? {
         transaction = transaction.put(keys::cancellation(&delegate, id), Vec::new());
     }
     let result = node.store.commit(&transaction).await;
     node.record_store_call("cancel_job", &result);
-    result
+    Ok(Some((home, result?)))
 }
--- a/src/daemon/inbox.rs
+++ b/src/daemon/inbox.rs
@@ -72,7 +72,9 @@
     };
     let id = match keys::parse_inbox_key(&item.key)? {
         InboxKey::Job(id) => {
-            stored.spec = decode_or_log(item);
+            let mut spec: Option<JobSpec> = decode_or_log(item);
+            stored.progress = spec.as_mut().and_then(|spec| spec.recorded.take());
+            stored.spec = spec;
             id
         }
         InboxKey::DelegatedJob(id) => {
@@ -119,6 +121,7 @@
             job.spec = entry.spec.or(job.spec.take());
             job.created_revision = job.created_revision.max(entry.created_revision);
         }
+        job.progress = entry.progress.or(job.progress.take());
         job.cancelled |= entry.cancelled;
         job.delegates_failed |= entry.delegates_failed;
         job.transfers.extend(entry.transfers);
--- a/src/daemon/lookup.rs
+++ b/src/daemon/lookup.rs
@@ -21,6 +21,15 @@
     if let Some(home) = node.cached_home(id) {
         return Ok(Some(home));
     }
+    let home = read_home(node, id).await?;
+    Ok(home.map(|(home, _)| home))
+}
+
+/// Home shard of a job according to the store, with the revision of its record; `Ok(None)` if the job does not exist.
+pub(super) async fn read_home(
+    node: &Node,
+    id: JobId,
+) -> Result<Option<(SmolStr, u64)>, StoreFailure> {
     let key = keys::home(id);
     let result = node.store.read(&key).await;
     node.record_store_call("read_home", &result);
@@ -29,8 +38,44 @@
         return Err(StoreFailure::Malformed { status: 200 });
     };
     let home = SmolStr::from(home.failure_domain);
+    node.forget_home(id);
     node.cache_home(id, &home);
-    Ok(Some(home))
+    Ok(Some((home, item.revision)))
+}
+
+/// Status of a job; `Ok(None)` if it does not exist. A cached home that does not know the job may have been left by it.
+pub(super) async fn find_status(
+    node: &Rc<Node>,
+    id: JobId,
+) -> Result<Option<JobStatus>, StoreFailure> {
+    let Some(mut home) = find_home(node, id).await? else {
+        return Ok(None);
+    };
+    loop {
+        if let Some(status) = status_at(node, &home, id).await? {
+            return Ok(Some(status));
+        }
+        match read_home(node, id).await? {
+            Some((current, _)) if current != home => home = current,
+            _ => return Ok(None),
+        }
+    }
+}
+
+/// Status of a job in its home shard.
+async fn status_at(
+    node: &Rc<Node>,
+    home: &SmolStr,
+    id: JobId,
+) -> Result<Option<JobStatus>, StoreFailure> {
+    let owned = node.owned_shard(home);
+    if let Some(status) = owned.and_then(|owned| owned.job_status(id)) {
+        return Ok(Some(status));
+    }
+    if let Some(status) = query_owner(node, home, id).await {
+        return Ok(Some(status));
+    }
+    read_job_status(node, home, id).await
 }
 
 /// Status of a job according to the owner of its home shard; `None` if this host knows no other owner, the owner does
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 pub mod output;
 pub mod owner;
 pub mod peers;
+pub mod rehoming;
 mod scrape;
 pub mod services;
 pub mod settings;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -362,6 +362,14 @@
         homes.insert(index, (id, failure_domain.clone()));
     }
 
+    /// Forgets the home shard of a job, which may have changed.
+    pub fn forget_home(&self, id: JobId) {
+        let mut homes = self.home_cache.borrow_mut();
+        if let Ok(index) = homes.binary_search_by_key(&id, |(existing, _)| *existing) {
+            homes.remove(index);
+        }
+    }
+
     #[must_use]
     pub fn cached_home(&self, id: JobId) -> Option<SmolStr> {
         let homes = self.home_cache.borrow();
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -21,7 +21,7 @@
 use crate::daemon::node::Node;
 use crate::daemon::peers::PeerRequest;
 use crate::daemon::services::spawn_for_shard;
-use crate::daemon::{election, journal};
+use crate::daemon::{election, journal, rehoming};
 use crate::logs::Line;
 
 /// Interval of time-dependent checks.
@@ -200,7 +200,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`StoreFailure`] if the transaction was not committed, or may not have been.
+    /// Returns [`StoreFailure`] if the transaction was not committed, or may not have been; a conflict also if a condition
+    /// of the caller's does not hold.
     pub async fn write_in_term(
         &self,
         call: &'static str,
@@ -230,11 +231,16 @@
                     return Ok(revision);
                 }
                 Err(StoreFailure::Conflict { items }) => {
+                    let expected_revision = self.term_revision.get();
                     let current = items.iter().find(|item| item.key == key);
                     if !current.is_some_and(|item| self.refresh_term_revision(item)) {
                         self.step_down("era_ended");
                         return Err(StoreFailure::Conflict { items });
                     }
+                    if self.term_revision.get() == expected_revision {
+                        // Another condition of the transaction does not hold.
+                        return Err(StoreFailure::Conflict { items });
+                    }
                     // An earlier transaction without a response was committed after all: retry with its revision.
                 }
                 Err(failure) => return Err(failure),
@@ -447,6 +453,7 @@
         Rc::clone(owned).follow_registrations(),
     );
     spawn_for_shard(owned, "records", journal::run(Rc::clone(owned)));
+    spawn_for_shard(owned, "moves", rehoming::run(Rc::clone(owned)));
 }
 
 pub async fn release_all(node: &Rc<Node>) {
--- /dev/null
+++ b/src/daemon/rehoming.rs
@@ -0,0 +1,161 @@
+//! Moves jobs to the shards of other failure domains.
+//!
+//! A move changes the job's home on condition that it has not changed, that no cancellation was written for the old one, and
+//! that the owner's term has not ended. Cancellations are conditional on the home, so one of the two fails.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use primrosestack_fleet::prelude::JobSpec;
+use primrosestack_fleet::record::Home;
+use primrosestack_fleet::rehome::JobMove;
+use primrosestack_platform::store::{StoreFailure, Transaction};
+use prost::Message;
+
+use crate::daemon::clock::now_ms;
+use crate::daemon::inbox::decode_or_log;
+use crate::daemon::keys;
+use crate::daemon::owner::OwnedShard;
+use crate::logs::Line;
+
+const PASS_INTERVAL_MS: u64 = 250;
+
+/// Bounds the writes and the room of others that are used by the loads of one report.
+const MOVES_PER_PASS_MAX: usize = 16;
+
+/// Delay before an attempt is repeated whose outcome is not known.
+const RETRY_DELAY_MS: u64 = 150;
+
+/// Outcome of an attempt to move a job.
+enum Attempt {
+    /// The job has moved at this revision.
+    Moved(u64),
+    /// The attempt had no effect, and the job must stay.
+    Refused,
+    /// The attempt had no effect.
+    Failed,
+    /// The attempt may have taken effect, or may still do so.
+    Unknown,
+}
+
+/// Moves jobs as long as the shard is open.
+pub async fn run(owned: Rc<OwnedShard>) {
+    while !owned.closed.get() {
+        tokio::time::sleep(Duration::from_millis(PASS_INTERVAL_MS)).await;
+        let mut others = owned.node.other_loads(&owned.failure_domain);
+        let mut is_any_moved = false;
+        for _ in 0..MOVES_PER_PASS_MAX {
+            if owned.closed.get() || owned.panicked.get() {
+                return;
+            }
+            let taken = owned
+                .shard
+                .borrow_mut()
+                .take_job_move(&mut others, now_ms());
+            let Some(job_move) = taken else { break };
+            is_any_moved = true;
+            move_job(&owned, &job_move).await;
+        }
+        if is_any_moved {
+            owned.node.set_loads(others);
+        }
+    }
+}
+
+/// Repeats the move of a job until its outcome is known or the term has ended.
+pub async fn move_job(owned: &Rc<OwnedShard>, job_move: &JobMove) {
+    let mut may_be_committed = false;
+    while !owned.closed.get() && !owned.panicked.get() {
+        let guard = owned.records_lock.lock().await;
+        let attempt = try_move(owned, job_move).await;
+        match attempt {
+            Attempt::Moved(revision) => {
+                owned
+                    .shard
+                    .borrow_mut()
+                    .job_moved(job_move.key, revision, now_ms());
+                owned.node.forget_home(job_move.id);
+                Line::info("job_moved")
+                    .with("job", job_move.id)
+                    .with("shard", &owned.failure_domain)
+                    .with("to", &job_move.failure_domain)
+                    .with("revision", revision)
+                    .write();
+                return;
+            }
+            Attempt::Failed if may_be_committed => {}
+            Attempt::Refused | Attempt::Failed => {
+                owned.shard.borrow_mut().job_kept(job_move.key);
+                owned.records_due.notify_one();
+                return;
+            }
+            Attempt::Unknown => may_be_committed = true,
+        }
+        drop(guard);
+        tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+    }
+}
+
+async fn try_move(owned: &Rc<OwnedShard>, job_move: &JobMove) -> Attempt {
+    let id = job_move.id;
+    let own = &owned.failure_domain;
+    let result = owned.node.store.read(&keys::home(id)).await;
+    owned.node.record_store_call("read_home", &result);
+    let Ok(item) = result else {
+        return Attempt::Failed;
+    };
+    let home_revision = item.as_ref().map_or(0, |item| item.revision);
+    let Some(home) = item.as_ref().and_then(decode_or_log::<Home>) else {
+        return Attempt::Refused;
+    };
+    if home.failure_domain != own.as_str() {
+        // An earlier attempt took effect.
+        return Attempt::Moved(home_revision);
+    }
+    let transaction = transaction_of(own, job_move, home_revision);
+    match owned.write_in_term("move_job", &transaction).await {
+        Ok(revision) => Attempt::Moved(revision),
+        Err(failure) => {
+            Line::info("job_not_moved")
+                .with("job", id)
+                .with("shard", own)
+                .with_reason(&failure)
+                .write();
+            match failure {
+                StoreFailure::Unavailable { .. } => Attempt::Failed,
+                StoreFailure::Conflict { items } => {
+                    // If it is the home that has changed, the next attempt reads it.
+                    let key = keys::cancellation(own, id);
+                    let is_cancelled = items
+                        .iter()
+                        .any(|item| item.key == key && item.revision > 0);
+                    if is_cancelled {
+                        Attempt::Refused
+                    } else {
+                        Attempt::Unknown
+                    }
+                }
+                _ => Attempt::Unknown,
+            }
+        }
+    }
+}
+
+/// Transaction that moves a job from its home, which was written at `home_revision`.
+fn transaction_of(own: &str, job_move: &JobMove, home_revision: u64) -> Transaction {
+    let id = job_move.id;
+    let to = job_move.failure_domain.as_str();
+    let home = Home {
+        failure_domain: to.to_owned(),
+    };
+    let spec: &JobSpec = &job_move.spec;
+    Transaction::default()
+        .expect_revision(keys::home(id), home_revision)
+        .expect_revision(keys::cancellation(own, id), 0)
+        .put(keys::home(id), home.encode_to_vec())
+        .put(keys::job(to, id), spec.encode_to_vec())
+        .put(keys::progress(to, id), job_move.progress.encode_to_vec())
+        .remove(keys::job(own, id))
+        .remove(keys::progress(own, id))
+        .remove(keys::failure(own, id))
+}
--- /dev/null
+++ b/tests/rehoming.rs
@@ -0,0 +1,352 @@
+//! Moves of jobs between shards, and requests for jobs that have moved.
+
+mod daemon_fake;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use daemon_fake::owned_shard_at;
+use http_body_util::BodyExt;
+use primrosestack::daemon::clock::now_ms;
+use primrosestack::daemon::node::Node;
+use primrosestack::daemon::owner::OwnedShard;
+use primrosestack::daemon::{entry, keys, rehoming};
+use primrosestack_fleet::intake::{FreeCapacity, Load};
+use primrosestack_fleet::prelude::*;
+use primrosestack_fleet::record::{Home, Progress, StoredJob, Term};
+use primrosestack_fleet::rehome::JobMove;
+use prost::Message;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+const JOB: JobId = JobId(7);
+
+/// Items of the store with the revisions of their last change, by key.
+#[derive(Default)]
+struct Contents {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    /// Number of transactions that are carried out without an answer.
+    answers_lost: u32,
+    /// Number of transactions that were carried out.
+    commits: u32,
+}
+
+impl Contents {
+    fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        self.items.insert(key.to_owned(), (value, self.revision));
+    }
+
+    fn item(&self, key: &str) -> Value {
+        let (value, revision) = self.items.get(key).cloned().unwrap_or_default();
+        let value = BASE64.encode(value);
+        json!({"key": key, "value": value, "revision": revision, "created": revision})
+    }
+
+    fn commit(&mut self, body: &Value) -> (u16, Value) {
+        let conditions = body["expectedRevision"].as_array().expect("conditions");
+        let keys = conditions
+            .iter()
+            .map(|row| row["key"].as_str().expect("a key"));
+        let current: Vec<Value> = keys.map(|key| self.item(key)).collect();
+        let mut pairs = conditions.iter().zip(&current);
+        if pairs.any(|(row, item)| row["revision"] != item["revision"]) {
+            return (412, json!({"items": current}));
+        }
+        self.revision += 1;
+        self.commits += 1;
+        for row in body["put"].as_array().expect("puts") {
+            let value = BASE64.decode(row["value"].as_str().expect("a value"));
+            let key = row["key"].as_str().expect("a key").to_owned();
+            self.items
+                .insert(key, (value.expect("base64"), self.revision));
+        }
+        for key in body["remove"].as_array().expect("removals") {
+            self.items.remove(key.as_str().expect("a key"));
+        }
+        (200, json!({"revision": self.revision}))
+    }
+
+    /// Status and body of the answer to a request; `None` for none.
+    fn answer(&mut self, head: &str, body: &[u8]) -> Option<(u16, Value)> {
+        if head.starts_with("POST") {
+            let body = serde_json::from_slice(body).expect("a transaction");
+            let answer = self.commit(&body);
+            if self.answers_lost > 0 {
+                self.answers_lost -= 1;
+                return None;
+            }
+            return Some(answer);
+        }
+        let path = head.split(' ').nth(1).expect("a path").replace("%2F", "/");
+        if let Some((_, prefix)) = path.split_once("prefix=") {
+            let prefix = prefix.split('&').next().expect("a prefix");
+            let keys = self.items.keys().filter(|key| key.starts_with(prefix));
+            let items: Vec<Value> = keys.map(|key| self.item(key)).collect();
+            return Some((200, json!({"items": items, "at": self.revision})));
+        }
+        let key = path.split_once("key=").expect("a key").1;
+        let is_there = self.items.contains_key(key);
+        Some((if is_there { 200 } else { 404 }, self.item(key)))
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> (String, Vec<u8>) {
+    let mut bytes = Vec::new();
+    loop {
+        let mut part = [0; 4_096];
+        let read = stream.read(&mut part).await.expect("a request");
+        bytes.extend_from_slice(&part[..read]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let lower = head.to_lowercase();
+        let length = lower.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
+        if body.len() >= length.unwrap_or(0) {
+            return (head.to_owned(), body.as_bytes().to_vec());
+        }
+    }
+}
+
+async fn serve_store(listener: TcpListener, contents: Rc<RefCell<Contents>>) {
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let (head, body) = read_request(&mut stream).await;
+        let answer = contents.borrow_mut().answer(&head, &body);
+        let Some((status, body)) = answer else {
+            continue;
+        };
+        let body = body.to_string();
+        let length = body.len();
+        let reply = format!(
+            "HTTP/1.1 {status} status\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        );
+        stream.write_all(reply.as_bytes()).await.expect("sent");
+    }
+}
+
+fn spec() -> JobSpec {
+    let step = StepSpec {
+        tasks: 1,
+        cpu_millis: 1_000,
+        memory_mb: 1_000,
+        ..StepSpec::default()
+    };
+    JobSpec {
+        id: JOB.0,
+        steps: vec![step],
+        queue: Some(Queue::default()),
+        ..JobSpec::default()
+    }
+}
+
+fn home_in(failure_domain: &str) -> Vec<u8> {
+    let home = Home {
+        failure_domain: failure_domain.to_owned(),
+    };
+    home.encode_to_vec()
+}
+
+struct Setup {
+    contents: Rc<RefCell<Contents>>,
+    node: Rc<Node>,
+    owned: Rc<OwnedShard>,
+}
+
+/// Opens a shard without servers that has accepted a job.
+async fn setup() -> Setup {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let contents = Rc::new(RefCell::new(Contents::default()));
+    {
+        let mut contents = contents.borrow_mut();
+        let term = Term {
+            number: daemon_fake::LEADERSHIP.term,
+            ..Term::default()
+        };
+        contents.revision = daemon_fake::LEADERSHIP.start_revision - 1;
+        contents.put(&keys::term("poa"), term.encode_to_vec());
+        contents.put(&keys::home(JOB), home_in("poa"));
+        contents.put(&keys::job("poa", JOB), spec().encode_to_vec());
+    }
+    tokio::task::spawn_local(serve_store(listener, Rc::clone(&contents)));
+    let (node, owned) = owned_shard_at(&address).await;
+    Setup {
+        contents,
+        node,
+        owned,
+    }
+}
+
+/// The move of the job, which is due after some seconds without servers.
+fn take_move(owned: &OwnedShard) -> JobMove {
+    let free = FreeCapacity {
+        cpu_millis: 4_000,
+        memory_mb: 4_000,
+        gpus: 0,
+    };
+    let load = Load {
+        free_capacity: vec![free],
+        ..Load::default()
+    };
+    let mut others = [("cxs".into(), load)];
+    let mut shard = owned.shard.borrow_mut();
+    let now = now_ms();
+    shard.tick(now);
+    shard.tick(now + 5_000);
+    let taken = shard.take_job_move(&mut others, now + 5_000);
+    taken.expect("the job has to move")
+}
+
+fn decoded<T: Message + Default>(contents: &Contents, key: &str) -> Option<T> {
+    let (value, _) = contents.items.get(key)?;
+    Some(T::decode(value.as_slice()).expect("a record"))
+}
+
+/// Guards against a job that has two homes or none after a move.
+#[tokio::test]
+async fn a_move_changes_the_home_in_one_transaction() {
+    let run = async {
+        let setup = setup().await;
+        let job_move = take_move(&setup.owned);
+        rehoming::move_job(&setup.owned, &job_move).await;
+        let contents = setup.contents.borrow();
+        assert_eq!(contents.commits, 1);
+        let home: Home = decoded(&contents, &keys::home(JOB)).expect("a home");
+        assert_eq!(home.failure_domain, "cxs");
+        let moved: JobSpec = decoded(&contents, &keys::job("cxs", JOB)).expect("the job");
+        assert!(moved.recorded.is_some());
+        assert!(
+            contents
+                .items
+                .contains_key(keys::progress("cxs", JOB).as_str())
+        );
+        assert!(!contents.items.contains_key(keys::job("poa", JOB).as_str()));
+        assert!(setup.owned.shard.borrow().find_job(JOB).is_none());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a repeated move that overwrites what the new home has recorded since.
+#[tokio::test]
+async fn a_move_whose_answer_was_lost_is_not_carried_out_twice() {
+    let run = async {
+        let setup = setup().await;
+        setup.contents.borrow_mut().answers_lost = 1;
+        let job_move = take_move(&setup.owned);
+        rehoming::move_job(&setup.owned, &job_move).await;
+        assert_eq!(setup.contents.borrow().commits, 1);
+        assert!(setup.owned.shard.borrow().find_job(JOB).is_none());
+        assert!(!setup.owned.closed.get());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a job that moves away from its cancellation, and whose tasks start in the new home.
+#[tokio::test]
+async fn a_job_with_a_cancellation_does_not_move() {
+    let run = async {
+        let setup = setup().await;
+        let job_move = take_move(&setup.owned);
+        let key = keys::cancellation("poa", JOB);
+        setup.contents.borrow_mut().put(&key, Vec::new());
+        rehoming::move_job(&setup.owned, &job_move).await;
+        assert_eq!(setup.contents.borrow().commits, 0);
+        assert!(!setup.owned.closed.get());
+        let cancelled = StoredJob {
+            cancelled: true,
+            ..StoredJob::default()
+        };
+        setup.owned.receive_job(JOB, cancelled);
+        let batch = setup.owned.shard.borrow_mut().take_batch(now_ms());
+        assert!(batch.jobs[0].deletes_spec, "the cancellation is recorded");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against an owner that gives a job away after its successor has read it.
+#[tokio::test]
+async fn an_earlier_owner_does_not_move_jobs() {
+    let run = async {
+        let setup = setup().await;
+        let job_move = take_move(&setup.owned);
+        let term = Term {
+            number: daemon_fake::LEADERSHIP.term + 1,
+            ..Term::default()
+        };
+        let value = term.encode_to_vec();
+        setup.contents.borrow_mut().put(&keys::term("poa"), value);
+        rehoming::move_job(&setup.owned, &job_move).await;
+        assert_eq!(setup.contents.borrow().commits, 0);
+        assert!(setup.owned.closed.get());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Writes that the job has moved to `cxs` although hosts remember `poa` as its home.
+fn move_behind_the_cache(setup: &Setup) {
+    setup.node.cache_home(JOB, &"poa".into());
+    let mut contents = setup.contents.borrow_mut();
+    contents.items.remove(keys::job("poa", JOB).as_str());
+    contents.put(&keys::home(JOB), home_in("cxs"));
+    contents.put(&keys::job("cxs", JOB), spec().encode_to_vec());
+    let progress = Progress {
+        started: true,
+        ..Progress::default()
+    };
+    contents.put(&keys::progress("cxs", JOB), progress.encode_to_vec());
+}
+
+/// Guards against an accepted job that is said not to exist, since a host remembers its old home.
+#[tokio::test]
+async fn the_status_of_a_moved_job_is_that_in_its_new_home() {
+    let run = async {
+        let setup = setup().await;
+        let job = setup.owned.shard.borrow().find_job(JOB).expect("the job");
+        setup.owned.shard.borrow_mut().job_moved(job, 99, now_ms());
+        move_behind_the_cache(&setup);
+        let reply = entry::job_status(&setup.node, JOB).await;
+        assert!(reply.status().is_success(), "{}", reply.status());
+        let body = reply
+            .into_body()
+            .collect()
+            .await
+            .expect("a body")
+            .to_bytes();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        assert!(text.contains("running"), "{text}");
+        let missing = entry::job_status(&setup.node, JobId(8)).await;
+        assert_eq!(missing.status().as_u16(), 410);
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a cancellation that is written for the old home of a job, where nobody reads it.
+#[tokio::test]
+async fn a_moved_job_is_cancelled_in_its_new_home() {
+    let run = async {
+        let setup = setup().await;
+        move_behind_the_cache(&setup);
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let reply = entry::cancel(&setup.node, JOB, deadline).await;
+        assert!(reply.status().is_success(), "{}", reply.status());
+        let contents = setup.contents.borrow();
+        let is_written = |domain| {
+            let key = keys::cancellation(domain, JOB);
+            contents.items.contains_key(key.as_str())
+        };
+        assert!(is_written("cxs"));
+        assert!(!is_written("poa"));
+    };
+    LocalSet::new().run_until(run).await;
+}
