Emulator of a deployment that drives the shard's decisions

Cause: the daemon had no fault test of its own.

Change: `primrosestack_standin::emulator`, deterministic and without sockets, on one virtual clock: a store with one revision counter and conditional transactions, servers with leases on their own clocks and numbered ends, entry hosts that take, confirm, release and hand over shards, and callers. Owners drive `primrosestack_fleet::shard::Shard`. Checks use only what servers carried out and callers were shown: two runs at a time, starts after a recorded end, of cancelled jobs, out of order or beyond the attempts, numbers that fall or repeat, states without cause, and work that stands still.

--- /dev/null
+++ b/crates/standin/src/emulator/schedule.rs
@@ -0,0 +1,192 @@
+//! Jobs, and days with seeded faults.
+
+use primrosestack_fleet::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::server_events::{CRASHING_COMMAND, FAILING_COMMAND};
+use super::{Deployment, Fault, World};
+
+/// Faults and submissions begin in this time.
+const BUSY_MS: u64 = 25_000;
+
+/// Longest duration of a fault.
+const FAULT_MAX_MS: u64 = 7_000;
+
+/// Time for which everything can come to rest after the last fault; a task may wait 30 s for servers that lapsed.
+const REST_MS: u64 = 45_000;
+
+/// A step of tasks with one core each and a duration in milliseconds.
+#[must_use]
+pub fn step(tasks: u32, estimate_ms: u32) -> StepSpec {
+    StepSpec {
+        tasks,
+        cpu_millis: 1_000,
+        memory_mb: 1_000,
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// A step of tasks that run until their job is cancelled.
+#[must_use]
+pub fn long_running_step(tasks: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        image: "web".into(),
+        ..step(tasks, 400)
+    }
+}
+
+/// A job of steps; a task may fail three times.
+#[must_use]
+pub fn job(id: u64, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        id,
+        command: "do".into(),
+        steps,
+        queue: Some(Queue {
+            name: "sheets".into(),
+            service: "sheets".into(),
+            priority: 0,
+            attempts_max: 3,
+            stretch_factor: 2.0,
+            target_ms: 1_000,
+            advisor_decision_ms: 0,
+            servers_check_capacity: true,
+        }),
+        ..JobSpec::default()
+    }
+}
+
+/// A deployment with jobs and faults, as a seed decides.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub deployment: Deployment,
+    /// Faults with the times at which they begin.
+    pub faults: Vec<(u64, Fault)>,
+    /// Times, failure domains of the callers, and jobs.
+    submissions: Vec<(u64, usize, JobSpec)>,
+    cancellations: Vec<(u64, usize, JobId)>,
+}
+
+impl Plan {
+    /// Draws a plan; `faults_max` is 0 for a calm day.
+    #[must_use]
+    pub fn draw(seed: u64, faults_max: usize) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let deployment = Deployment {
+            domains: random.random_range(2..=3),
+            hosts_per_domain: random.random_range(1..=3),
+            servers_per_domain: random.random_range(3..=5),
+            cpu_millis: 16_000,
+        };
+        let mut submissions = Vec::new();
+        let mut cancellations = Vec::new();
+        for nth in 1..=random.random_range(8..=16) {
+            let at_ms = random.random_range(1_500..BUSY_MS);
+            let domain = random.random_range(0..deployment.domains);
+            let spec = draw_job(&mut random, nth);
+            let is_lasting = spec.steps[0].long_running;
+            if random.random_range(0..100) < if is_lasting { 40 } else { 15 } {
+                let cancel_ms = at_ms + random.random_range(100..12_000);
+                cancellations.push((cancel_ms, domain, JobId(spec.id)));
+            }
+            submissions.push((at_ms, domain, spec));
+        }
+        let mut faults = Vec::new();
+        for _ in 0..random.random_range(0..=faults_max) {
+            let at_ms = random.random_range(1_000..BUSY_MS);
+            faults.push((at_ms, draw_fault(&mut random, deployment)));
+        }
+        faults.sort_by_key(|&(at_ms, _)| at_ms);
+        Self {
+            seed,
+            deployment,
+            faults,
+            submissions,
+            cancellations,
+        }
+    }
+
+    /// Runs the plan until everything should have come to rest.
+    #[must_use]
+    pub fn run(&self, has_trace: bool) -> World {
+        let mut world = World::open(self.seed, self.deployment);
+        if has_trace {
+            world = world.with_trace();
+        }
+        for (at_ms, fault) in &self.faults {
+            world.fault_at(*at_ms, fault.clone());
+        }
+        for (at_ms, domain, spec) in &self.submissions {
+            world.submit_at(*at_ms, *domain, spec.clone());
+        }
+        for &(at_ms, domain, id) in &self.cancellations {
+            world.cancel_at(at_ms, domain, id);
+        }
+        let rest_ms = if self.faults.is_empty() {
+            15_000
+        } else {
+            REST_MS
+        };
+        world.run_to_rest(BUSY_MS + FAULT_MAX_MS + rest_ms);
+        world
+    }
+}
+
+fn draw_job(random: &mut Pcg64Mcg, id: u64) -> JobSpec {
+    let duration_ms = random.random_range(200..4_000);
+    let tasks = random.random_range(1..=6);
+    match random.random_range(0..100) {
+        0..20 => job(id, vec![long_running_step(random.random_range(1..=4))]),
+        20..30 => JobSpec {
+            command: FAILING_COMMAND.into(),
+            ..job(id, vec![step(1, 300)])
+        },
+        30..34 => JobSpec {
+            command: CRASHING_COMMAND.into(),
+            ..job(id, vec![step(1, 300)])
+        },
+        34..50 => JobSpec {
+            repetitions: random.random_range(2..=12),
+            first_due_unix_ms: super::START_UNIX_MS + random.random_range(1_000..20_000),
+            interval_ms: random.random_range(50..1_500),
+            ..job(id, vec![step(1, duration_ms)])
+        },
+        50..70 => {
+            let second = StepSpec {
+                after: vec![0],
+                ..step(tasks, duration_ms / 2)
+            };
+            job(id, vec![step(tasks, duration_ms), second])
+        }
+        _ => job(id, vec![step(tasks, duration_ms)]),
+    }
+}
+
+fn draw_fault(random: &mut Pcg64Mcg, deployment: Deployment) -> Fault {
+    let host = random.random_range(0..deployment.domains * deployment.hosts_per_domain);
+    let server = random.random_range(0..deployment.domains * deployment.servers_per_domain);
+    let domain = random.random_range(0..deployment.domains);
+    let for_ms = random.random_range(200..FAULT_MAX_MS);
+    let away_ms = random.random_range(300..5_000);
+    match random.random_range(0..16) {
+        0 => Fault::KillHost { host, away_ms },
+        1 | 2 => Fault::KillOwner { domain, away_ms },
+        3 => Fault::StopHost { host, away_ms },
+        4 => Fault::FreezeHost { host, for_ms },
+        5 => Fault::CutHost { host, for_ms },
+        6 => Fault::CutHostFromStore { host, for_ms },
+        7 | 8 => Fault::CrashServer { server, away_ms },
+        9 => Fault::CutServer { server, for_ms },
+        10 => Fault::LateOrders { server, for_ms },
+        11 => Fault::LostAnswers { server, for_ms },
+        12 => Fault::CutDomain { domain, for_ms },
+        13 => Fault::StoreDown { for_ms },
+        14 => Fault::StoreSlow { for_ms },
+        _ if random.random_bool(0.5) => Fault::StoreLostAnswers { for_ms },
+        _ => Fault::StoreLate { for_ms },
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! independently of the product, so that a test can verify its outcome.
 
 pub mod backend;
+pub mod emulator;
 pub mod hostlist;
 pub mod ledger;
 pub mod platform;
