--- a/crates/standin/src/emulator/fault.rs
+++ b/crates/standin/src/emulator/fault.rs
@@ -25,6 +25,8 @@
     CutHostFromStore { host: usize, for_ms: u64 },
     /// A server loses power, and starts again under its name.
     CrashServer { server: usize, away_ms: u64 },
+    /// The process of a server ends and starts again; its connections are reset.
+    RestartServer { server: usize, away_ms: u64 },
     /// A server loses power for good.
     LoseServer { server: usize },
     /// No call reaches a server, which runs on.
@@ -78,6 +80,7 @@
                 self.hosts[host].store_cut_until_ms = now + for_ms;
             }
             Fault::CrashServer { server, away_ms } => self.crash_server(server, away_ms),
+            Fault::RestartServer { server, away_ms } => self.restart_server(server, away_ms),
             Fault::LoseServer { server } => {
                 self.servers[server].is_lost = true;
                 self.crash_server(server, 0);
--- a/crates/standin/src/emulator/links.rs
+++ b/crates/standin/src/emulator/links.rs
@@ -282,6 +282,7 @@
             self.events.after(ORDER_TIMEOUT_MS, reply);
         }
         if !is_reached {
+            self.refuse_poll(id, server, &call);
             return;
         }
         let delay_ms = if is_late {
@@ -305,6 +306,22 @@
             .after(delay_ms, Event::ServerArrival(Box::new(arrival)));
     }
 
+    /// Tells the owner of a poll at once that the server's address refuses it.
+    fn refuse_poll(&mut self, id: usize, server: usize, call: &ServerCall) {
+        let state = &self.servers[server];
+        if let ServerCall::Poll { server, poll, .. } = *call
+            && !state.is_up
+            && state.refuses
+        {
+            let timeout = Event::PollTimeout {
+                owner: id,
+                server,
+                poll,
+            };
+            self.events.after(2, timeout);
+        }
+    }
+
     pub(super) fn server_arrival(&mut self, arrival: ServerArrival) {
         let ServerArrival {
             server,
@@ -320,7 +337,7 @@
         // A connection ends with the process; only an order that the platform delays can meet a later incarnation.
         let is_connected = match &call {
             ServerCall::Start(request) => {
-                is_late || request.lease_end_ms.incarnation() == state.incarnation()
+                is_late || request.lease_end_ms.valid_in(state.incarnation()).is_some()
             }
             _ => true,
         };
--- a/crates/standin/src/emulator/mod.rs
+++ b/crates/standin/src/emulator/mod.rs
@@ -231,6 +231,7 @@
             cpu_millis: deployment.cpu_millis,
             memory_mb: 64_000,
             is_up: false,
+            refuses: false,
             is_lost: false,
             registered_ms: 0,
             cut_until_ms: 0,
--- a/crates/standin/src/emulator/orders.rs
+++ b/crates/standin/src/emulator/orders.rs
@@ -54,7 +54,9 @@
                 let refusal = match (connected, present) {
                     (Some(connected), None) if connected == expected => None,
                     (_, None) => Some(StartReply::Refused),
-                    (_, Some(present)) if present != expected => Some(StartReply::OtherIncarnation),
+                    (_, Some(present)) if request.lease_end_ms.valid_in(present).is_none() => {
+                        Some(StartReply::OtherIncarnation)
+                    }
                     _ => None,
                 };
                 if let Some(reply) = refusal {
--- a/crates/standin/src/emulator/server.rs
+++ b/crates/standin/src/emulator/server.rs
@@ -14,6 +14,8 @@
     pub memory_mb: u32,
     /// Whether it has power.
     pub is_up: bool,
+    /// Whether its address refuses calls while it is down; otherwise they get no answer.
+    pub refuses: bool,
     /// Whether it is lost for good.
     pub is_lost: bool,
     /// When it last renewed its registration.
--- a/crates/standin/src/emulator/server_events.rs
+++ b/crates/standin/src/emulator/server_events.rs
@@ -233,6 +233,20 @@
             .after(delay_ms, Event::Heartbeat { server, life });
     }
 
+    /// Ends the process of a server for a while; its connections are reset.
+    pub(super) fn restart_server(&mut self, server: usize, away_ms: u64) {
+        for waiting in std::mem::take(&mut self.servers[server].waiting_polls) {
+            let timeout = Event::PollTimeout {
+                owner: waiting.owner,
+                server: waiting.server,
+                poll: waiting.poll,
+            };
+            self.events.after(1, timeout);
+        }
+        self.crash_server(server, away_ms);
+        self.servers[server].refuses = true;
+    }
+
     /// Takes the power of a server for a while.
     pub(super) fn crash_server(&mut self, server: usize, away_ms: u64) {
         if !self.servers[server].is_up {
@@ -241,6 +255,7 @@
         self.note(|| format!("server {server} loses power for {away_ms} ms"));
         let state = &mut self.servers[server];
         state.is_up = false;
+        state.refuses = false;
         state.runs.clear();
         state.waiting_polls.clear();
         self.checks.server_died(server);
