Model moves of jobs in the emulator

Cause: the emulator knew nothing of src/daemon/rehoming.rs, so jobs whose home had lost all servers waited for ever in it, and cancellations were written without the condition on the home.

Change: owners take moves from the shard in passes, read the home, and write the move on condition of the home, the absence of a cancellation and the term; without an answer the home is read again. No records are written during an attempt. Jobs in an inbox carry their progress.

--- a/crates/standin/src/emulator/caller.rs
+++ b/crates/standin/src/emulator/caller.rs
@@ -109,11 +109,13 @@
             self.cancel_again(id, domain);
             return;
         };
-        let Some(home) = self.store.home(id) else {
+        let Some((home, home_revision)) = self.read_home_at(host, id) else {
             return;
         };
-        let mut transaction =
-            Transaction::default().put(inbox_key(home, "cancel", id), Value::Cancellation);
+        // The owner of the home shard may move the job meanwhile.
+        let mut transaction = Transaction::default()
+            .expect(home_key(id), home_revision)
+            .put(inbox_key(home, "cancel", id), Value::Cancellation);
         let progress = self.store.progress(home, id).unwrap_or_default();
         for delegate in &progress.delegate_domains {
             if let Ok(delegate) = delegate.parse() {
@@ -142,7 +144,7 @@
         self.wake_owners();
     }
 
-    /// Asks for the state of a job, by the owner of its home shard or else by the store.
+    /// Asks for the state of a job, in the home shard that the host remembers or else in that of the store.
     pub(super) fn ask(&mut self, id: JobId) {
         let now = self.now_ms();
         self.events.after(ASK_INTERVAL_MS, Event::Ask { id });
@@ -150,9 +152,33 @@
         let Some(host) = self.answering_host(domain) else {
             return;
         };
-        let Some(home) = self.store.home(id).filter(|_| self.reaches_store(host)) else {
+        if !self.reaches_store(host) {
+            return;
+        }
+        let remembered = self.hosts[host].homes.get(&id).copied();
+        let status = remembered.and_then(|home| self.status_at(host, home, id));
+        if status.is_some() {
+            self.checks.shown(id, status, now);
+            return;
+        }
+        // A home that does not know the job may have been left by it.
+        let Some((home, _)) = self.read_home_at(host, id) else {
             return;
         };
+        let status = self.status_at(host, home, id);
+        self.checks.shown(id, status, now);
+    }
+
+    /// Home of a job by the store, with the revision of its record; the host remembers it.
+    fn read_home_at(&mut self, host: usize, id: JobId) -> Option<(usize, u64)> {
+        let home = self.store.home(id)?;
+        let revision = self.store.read(&home_key(id))?.revision;
+        self.hosts[host].homes.insert(id, home);
+        Some((home, revision))
+    }
+
+    /// State of a job in a home shard, by its owner or else by the store.
+    fn status_at(&self, host: usize, home: usize, id: JobId) -> Option<JobStatus> {
         let is_own = |owner: &&super::Owner| owner.host == host && owner.domain == home;
         let own = self.owners.iter().flatten().find(is_own);
         let announced = self.domains[home].announcement.owner;
@@ -161,8 +187,7 @@
         let told = own
             .and_then(|owner| owner.shard.job_status(id))
             .or_else(|| announced.and_then(|owner| owner.shard.job_status(id)));
-        let status = told.or_else(|| self.stored_status(home, id));
-        self.checks.shown(id, status, now);
+        told.or_else(|| self.stored_status(home, id))
     }
 
     fn stored_status(&self, home: usize, id: JobId) -> Option<JobStatus> {
--- a/crates/standin/src/emulator/host.rs
+++ b/crates/standin/src/emulator/host.rs
@@ -4,6 +4,7 @@
 
 use primrosestack_fleet::claim::Vacancy;
 use primrosestack_fleet::handover::{Handover, PastTerms};
+use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::store_health::StoreHealth;
 use smol_str::SmolStr;
 
@@ -44,6 +45,8 @@
     past_terms: BTreeMap<usize, PastTerms>,
     /// Highest term of a successor that asked for a shard's handover.
     successors: BTreeMap<usize, u64>,
+    /// Homes of jobs that it remembers.
+    pub homes: BTreeMap<JobId, usize>,
 }
 
 /// Announcement of a shard's owner, and of the vacancy after its end.
@@ -75,6 +78,7 @@
             taking: Vec::new(),
             past_terms: BTreeMap::new(),
             successors: BTreeMap::new(),
+            homes: BTreeMap::new(),
         }
     }
 
--- a/crates/standin/src/emulator/links.rs
+++ b/crates/standin/src/emulator/links.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::server::WaitingPoll;
-use super::store::{Item, Transaction, term_key};
+use super::store::{Item, Transaction, home_key, inbox_key, term_key};
 use super::{Event, World};
 
 const STORE_TIMEOUT_MS: u64 = 1_200;
@@ -20,6 +20,8 @@
     Records { owner: usize, batch: Batch },
     CheckTerm { owner: usize },
     Announce { owner: usize },
+    ReadHome { owner: usize, job: JobId },
+    Move { owner: usize, job: JobId },
     Take { domain: usize },
     Accept { spec: Box<JobSpec> },
     Cancel { id: JobId, domain: usize },
@@ -28,9 +30,19 @@
 /// Answer of the store.
 #[derive(Clone, Debug)]
 pub(super) enum StoreAnswer {
-    Committed { revision: u64, sent_ms: u64 },
-    Read { item: Option<Item>, sent_ms: u64 },
-    Conflict { item: Option<Item> },
+    Committed {
+        revision: u64,
+        sent_ms: u64,
+    },
+    Read {
+        item: Option<Item>,
+        sent_ms: u64,
+    },
+    /// The term, and whether the job of a move was cancelled.
+    Conflict {
+        item: Option<Item>,
+        is_cancelled: bool,
+    },
     NoAnswer,
 }
 
@@ -40,7 +52,7 @@
     pub host: usize,
     pub life: u32,
     pub call: StoreCall,
-    /// Without one, the term that the call is about is read.
+    /// Without one, the term or the home that the call is about is read.
     pub transaction: Option<Transaction>,
     pub sent_ms: u64,
     pub is_answered: bool,
@@ -195,7 +207,9 @@
         let domain = match &call {
             StoreCall::Records { owner, .. }
             | StoreCall::CheckTerm { owner }
-            | StoreCall::Announce { owner } => {
+            | StoreCall::Announce { owner }
+            | StoreCall::ReadHome { owner, .. }
+            | StoreCall::Move { owner, .. } => {
                 self.owners[*owner].as_ref().map(|owner| owner.domain)
             }
             StoreCall::Take { domain } => Some(*domain),
@@ -205,12 +219,19 @@
             |world: &Self| domain.and_then(|domain| world.store.read(&term_key(domain)).cloned());
         let answer = match &transaction {
             None => StoreAnswer::Read {
-                item: term(self),
+                item: match call {
+                    StoreCall::ReadHome { job, .. } => self.store.read(&home_key(job)).cloned(),
+                    _ => term(self),
+                },
                 sent_ms,
             },
             Some(transaction) => match self.store.commit(transaction) {
                 Ok(revision) => StoreAnswer::Committed { revision, sent_ms },
-                Err(_) => StoreAnswer::Conflict { item: term(self) },
+                Err(_) => StoreAnswer::Conflict {
+                    item: term(self),
+                    is_cancelled: matches!((&call, domain), (StoreCall::Move { job, .. }, Some(domain))
+                        if self.store.read(&inbox_key(domain, "cancel", *job)).is_some()),
+                },
             },
         };
         if is_answered {
@@ -251,7 +272,9 @@
         match call {
             StoreCall::Records { owner, .. }
             | StoreCall::CheckTerm { owner }
-            | StoreCall::Announce { owner } => self.owner_answered(owner, call, answer),
+            | StoreCall::Announce { owner }
+            | StoreCall::Move { owner, .. } => self.owner_answered(owner, call, answer),
+            StoreCall::ReadHome { owner, .. } => self.home_read(owner, answer),
             StoreCall::Take { domain } => self.taken(host, domain, answer),
             StoreCall::Accept { spec } => self.accepted(*spec, answer),
             StoreCall::Cancel { id, domain } => self.cancelled(id, domain, answer),
--- a/crates/standin/src/emulator/mod.rs
+++ b/crates/standin/src/emulator/mod.rs
@@ -5,8 +5,8 @@
 //!
 //! Of the daemon's shell, the emulator models: taking, confirming, announcing and releasing a shard; polls and their
 //! timing; orders and their answers; batches of records with the condition on the term; the inbox and the registrations;
-//! the delegation of tasks; handovers; acceptance, states and cancellation for callers. Numbers of an incarnation
-//! ([`OfIncarnation`](primrosestack_fleet::incarnation::OfIncarnation)) reach only that incarnation, as on the
+//! the delegation of tasks; moves of jobs to other shards; handovers; acceptance, states and cancellation for callers,
+//! with the homes of jobs that a host remembers. Numbers of an incarnation ([`OfIncarnation`](primrosestack_fleet::incarnation::OfIncarnation)) reach only that incarnation, as on the
 //! connections of `platform/`.
 //!
 //! Simplified: watches read the history at most 100 ms later, a host has its number as its address, an owner is announced
@@ -24,6 +24,7 @@
 mod links;
 mod orders;
 mod owner;
+mod rehoming;
 mod schedule;
 mod server;
 mod server_events;
@@ -83,6 +84,9 @@
     RecordsDue {
         owner: usize,
     },
+    MovesDue {
+        owner: usize,
+    },
     NextPoll {
         owner: usize,
         server: ServerKey,
@@ -333,6 +337,7 @@
             Event::HostTick { host, .. } | Event::StoreReply { host, .. } => Some(*host),
             Event::OwnerTick { owner }
             | Event::RecordsDue { owner }
+            | Event::MovesDue { owner }
             | Event::NextPoll { owner, .. }
             | Event::PollTimeout { owner, .. }
             | Event::AskPredecessor { owner, .. }
@@ -353,6 +358,7 @@
             Event::HostTick { host, life } => self.host_tick(host, life),
             Event::OwnerTick { owner } => self.owner_tick(owner),
             Event::RecordsDue { owner } => self.write_records(owner),
+            Event::MovesDue { owner } => self.moves_due(owner),
             Event::NextPoll {
                 owner,
                 server,
--- a/crates/standin/src/emulator/owner.rs
+++ b/crates/standin/src/emulator/owner.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeMap;
 
+use primrosestack_fleet::intake::Load;
 use primrosestack_fleet::ledger::Batch;
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{ServerSet, Term, TermOwner, longest_authority_ms};
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::links::{StoreAnswer, StoreCall};
 use super::orders::PollState;
+use super::rehoming::{Attempt, Moves, PASS_INTERVAL_MS};
 use super::store::{
     self, Change, Item, Transaction, Value, inbox_key, inbox_prefix, progress_key, term_key,
 };
@@ -44,6 +46,7 @@
     pub must_announce: bool,
     pub last_plan_ms: u64,
     pub polls: BTreeMap<ServerKey, PollState>,
+    pub moves: Moves,
 }
 
 impl Owner {
@@ -51,6 +54,11 @@
         self.confirmed_ms + BOUNDS.authority_ms()
     }
 
+    /// Whether a call that depends on the revision of the term is under way.
+    pub fn is_calling(&self) -> bool {
+        self.is_calling
+    }
+
     fn confirm(&mut self, sent_ms: u64) {
         self.confirmed_ms = self.confirmed_ms.max(sent_ms);
         self.shard.confirm_term(sent_ms);
@@ -104,6 +112,7 @@
             must_announce: false,
             last_plan_ms: 0,
             polls: BTreeMap::new(),
+            moves: Moves::default(),
         }));
         self.note(|| format!("host {host} owns shard {domain} in term {}", term.number));
         self.announced(domain, id);
@@ -120,6 +129,8 @@
             );
         }
         self.events.at(now, Event::OwnerTick { owner: id });
+        self.events
+            .after(PASS_INTERVAL_MS, Event::MovesDue { owner: id });
     }
 
     pub(super) fn owner_tick(&mut self, id: usize) {
@@ -185,8 +196,7 @@
         let Some(owner) = &mut self.owners[id] else {
             return;
         };
-        let (host, domain) = (owner.host, owner.domain);
-        let own = &mut self.domains[domain];
+        let own = &mut self.domains[owner.domain];
         if own
             .load
             .as_ref()
@@ -194,7 +204,23 @@
         {
             own.load = Some((now, owner.shard.load_summary(now)));
         }
+        let mut others = self.other_loads(id);
+        let Some(owner) = &mut self.owners[id] else {
+            return;
+        };
+        if owner.shard.delegate_tasks(&mut others, now) {
+            self.set_loads(others);
+        }
+    }
+
+    /// Loads that the owners of other shards told.
+    pub(super) fn other_loads(&self, id: usize) -> Vec<(SmolStr, Load)> {
+        let now = self.now_ms();
         let mut others = Vec::new();
+        let Some(owner) = &self.owners[id] else {
+            return others;
+        };
+        let (host, domain) = (owner.host, owner.domain);
         for (other, state) in self.domains.iter().enumerate() {
             let Some((told_ms, load)) = &state.load else {
                 continue;
@@ -204,12 +230,11 @@
                 others.push((format_smolstr!("{other}"), load.clone()));
             }
         }
-        let Some(owner) = &mut self.owners[id] else {
-            return;
-        };
-        if !owner.shard.delegate_tasks(&mut others, now) {
-            return;
-        }
+        others
+    }
+
+    /// Replaces the loads of other shards after tasks or jobs were sent to them.
+    pub(super) fn set_loads(&mut self, others: Vec<(SmolStr, Load)>) {
         for (name, load) in others {
             let Ok(other) = name.parse::<usize>() else {
                 continue;
@@ -279,6 +304,10 @@
         let Some(owner) = &mut self.owners[id] else {
             return;
         };
+        if owner.moves.is_attempting() {
+            self.write_move(id);
+            return;
+        }
         let Some(due_ms) = owner.shard.batch_due_ms(now) else {
             return;
         };
@@ -375,7 +404,7 @@
         transaction.put(key, Value::Term(term))
     }
 
-    fn commit_in_term(&mut self, id: usize, transaction: &Transaction, call: StoreCall) {
+    pub(super) fn commit_in_term(&mut self, id: usize, transaction: &Transaction, call: StoreCall) {
         let transaction = self.in_term(id, transaction);
         let Some(owner) = &mut self.owners[id] else {
             return;
@@ -406,9 +435,17 @@
                 owner.confirm(*sent_ms);
             }
             // An earlier transaction without an answer was committed.
-            StoreAnswer::Conflict { item } if is_current(item) => {
-                owner.term_revision = item.as_ref().map_or(0, |item| item.revision);
+            StoreAnswer::Conflict { item, is_cancelled } if is_current(item) => {
+                let revision = item.as_ref().map_or(0, |item| item.revision);
+                let is_outdated = revision != owner.term_revision;
+                owner.term_revision = revision;
                 match call {
+                    StoreCall::Move { .. } if is_outdated => self.rewrite_move(id),
+                    StoreCall::Move { .. } if *is_cancelled => {
+                        self.move_tried(id, Attempt::Refused);
+                    }
+                    // If it is the home that has changed, the next attempt reads it.
+                    StoreCall::Move { .. } => self.move_tried(id, Attempt::Unknown),
                     StoreCall::Records { batch, .. } => {
                         let transaction = self.records(id, &batch);
                         let call = StoreCall::Records { owner: id, batch };
@@ -423,9 +460,13 @@
                 return;
             }
             StoreAnswer::NoAnswer => {
-                if let StoreCall::Records { batch, .. } = call {
-                    owner.records_retry_ms = now + RECORDS_RETRY_MS;
-                    owner.shard.batch_failed(batch);
+                match call {
+                    StoreCall::Records { batch, .. } => {
+                        owner.records_retry_ms = now + RECORDS_RETRY_MS;
+                        owner.shard.batch_failed(batch);
+                    }
+                    StoreCall::Move { .. } => self.move_tried(id, Attempt::Unknown),
+                    _ => {}
                 }
                 self.write_records(id);
                 return;
@@ -436,6 +477,10 @@
                 owner.shard.batch_written(&batch);
                 self.poll_recorded(id);
             }
+            StoreCall::Move { .. } => {
+                let revision = owner.term_revision;
+                self.move_tried(id, Attempt::Moved(revision));
+            }
             StoreCall::Announce { .. } => {
                 owner.must_announce = false;
                 let domain = owner.domain;
--- a/crates/standin/src/emulator/store.rs
+++ b/crates/standin/src/emulator/store.rs
@@ -199,6 +199,7 @@
                 job.spec = entry.spec.or(job.spec.take());
                 job.created_revision = job.created_revision.max(entry.created_revision);
             }
+            job.progress = entry.progress.or(job.progress.take());
             job.cancelled |= entry.cancelled;
             job.delegates_failed |= entry.delegates_failed;
             job.transfers.extend(entry.transfers);
@@ -226,7 +227,9 @@
     };
     let order = match &*item.value {
         Value::Job(spec) => {
-            stored.spec = Some(spec.clone());
+            let mut spec = spec.clone();
+            stored.progress = spec.recorded.take();
+            stored.spec = Some(spec);
             0
         }
         Value::DelegatedJob(spec) => {
--- a/crates/standin/tests/emulator_replays.rs
+++ b/crates/standin/tests/emulator_replays.rs
@@ -134,3 +134,28 @@
     }
     rest(world, 40_000);
 }
+
+/// Guards against short tasks that wait for ever when all servers of their home failure domain are lost (review/3).
+#[test]
+fn short_tasks_run_elsewhere_when_all_servers_of_their_home_are_lost() {
+    let deployment = Deployment {
+        domains: 3,
+        hosts_per_domain: 3,
+        servers_per_domain: 2,
+        cpu_millis: 64_000,
+    };
+    let mut world = World::open(1, deployment);
+    let near_data = StepSpec {
+        cpu_millis: 4_600,
+        data_rack: "r-0".into(),
+        ..step(4, 3_000)
+    };
+    for nth in 1..=3 {
+        world.submit_at(3_300 + nth * 200, 1, job(nth, vec![near_data.clone()]));
+    }
+    for server in 0..2 {
+        world.fault_at(5_000, Fault::LoseServer { server });
+    }
+    world.run_to_rest(45_000);
+    assert_eq!(world.violation(), None);
+}
--- a/examples/fleet_faults.rs
+++ b/examples/fleet_faults.rs
@@ -11,7 +11,12 @@
 use std::time::Instant;
 
 use bpaf::Bpaf;
-use primrosestack_standin::emulator::{Plan, Violation};
+use primrosestack_standin::emulator::{Fault, Plan, Violation};
+
+/// Times at which a failure domain loses its servers, spread over the seeds.
+const LOSS_FIRST_MS: u64 = 2_000;
+const LOSS_STRIDE_MS: u64 = 7_919;
+const LOSS_SPAN_MS: u64 = 20_000;
 
 /// Options of the fault test.
 #[derive(Clone, Debug, Bpaf)]
@@ -30,6 +35,24 @@
     /// Run all seeds and list those that fail, instead of ending at the first.
     #[bpaf(switch)]
     all: bool,
+    /// Add the loss of all servers of one failure domain, so that its jobs have to move.
+    #[bpaf(switch)]
+    lose_domain: bool,
+}
+
+impl Options {
+    fn plan(&self, seed: u64) -> Plan {
+        let mut plan = Plan::draw(seed, self.faults);
+        if self.lose_domain {
+            let count = plan.deployment.servers_per_domain;
+            let domain = usize::try_from(seed).unwrap_or(0) % plan.deployment.domains;
+            let at_ms = LOSS_FIRST_MS + seed * LOSS_STRIDE_MS % LOSS_SPAN_MS;
+            for server in domain * count..(domain + 1) * count {
+                plan.faults.push((at_ms, Fault::LoseServer { server }));
+            }
+        }
+        plan
+    }
 }
 
 fn main() -> ExitCode {
@@ -75,7 +98,7 @@
         if seed >= end {
             return (failed, starts);
         }
-        let plan = Plan::draw(seed, options.faults);
+        let plan = options.plan(seed);
         let (violation, count) = attempt(&plan);
         starts += count;
         if let Some(violation) = violation {
@@ -105,7 +128,7 @@
 
 /// Leaves out every fault that the violation does not need, and prints what is left.
 fn explain(seed: u64, first: &Violation, options: &Options) {
-    let mut plan = Plan::draw(seed, options.faults);
+    let mut plan = options.plan(seed);
     let mut index = 0;
     while index < plan.faults.len() {
         let mut shorter = plan.clone();
