--- a/crates/standin/src/emulator/caller.rs
+++ b/crates/standin/src/emulator/caller.rs
@@ -134,6 +134,9 @@
     pub(super) fn cancelled(&mut self, id: JobId, domain: usize, answer: &StoreAnswer) {
         let now = self.now_ms();
         if !matches!(answer, StoreAnswer::Committed { .. }) {
+            if matches!(answer, StoreAnswer::Conflict { .. }) {
+                self.note(|| format!("job {id} has moved before its cancellation"));
+            }
             self.cancel_again(id, domain);
             return;
         }
