Check whether a start may still be sent right before it is written

What users see: a start reaches a server later than the drain time allows (DRAIN), or after its owner gave the shard up. Cause: the time by which a start has to be sent, and whether the owner still holds the shard, were checked before the connection was opened and the incarnation was asked for, which may take as long as the whole call (600 ms).

Change: the client asks again once the incarnation is known, and keeps the connection if it is too late.

Test: a_start_is_not_sent_if_it_is_too_late_once_the_incarnation_is_known.

--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -45,10 +45,12 @@
                 };
                 spawn_for_shard(self, "start", async move {
                     // The shard may have been given up, or the process paused, since the decision.
-                    let reply = if owned.closed.get() || request.is_outdated(now_ms()) {
-                        StartReply::Late
+                    let may_send = || !owned.closed.get() && !request.is_outdated(now_ms());
+                    let reply = if may_send() {
+                        let servers = &owned.node.servers;
+                        servers.start(&target, &request, may_send).await
                     } else {
-                        owned.node.servers.start(&target, &request).await
+                        StartReply::Late
                     };
                     if reply == StartReply::Fenced {
                         owned.verify_term().await;
