Saturate the lease within a remaining time

The debug build of a_server_that_has_left_is_not_recorded panics: it plans with an authority without end, and the product overflows.

--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -62,8 +62,8 @@
     /// Longest lease on a server's clock that is sure to expire within `remaining_ms` on the local clock.
     #[must_use]
     pub fn lease_within_ms(remaining_ms: u64) -> u64 {
-        remaining_ms.saturating_sub(CLOCK_SLACK_MS) * CLOCK_DRIFT_DENOMINATOR
-            / CLOCK_DRIFT_NUMERATOR
+        let certain_ms = remaining_ms.saturating_sub(CLOCK_SLACK_MS);
+        certain_ms.saturating_mul(CLOCK_DRIFT_DENOMINATOR) / CLOCK_DRIFT_NUMERATOR
     }
 
     /// Time after a change of owner until every lease granted by earlier owners has expired. `authority_ms` is the
