Number the runs of delegated tasks above those of the shards before

What the emulator saw: a run number is used twice. Run numbers of a term are based on that shard's own term, and a task that arrives from another shard may have a higher number than the bases of several terms here. The next owner takes the larger of the two, as the owner before it did, and uses the numbers of that owner's unrecorded starts again. Servers refuse such a start, or take it for the run before.

Change: the number with which a task arrives raises the job's run base, which is recorded with the job; the base of the term counts from there.

--- a/crates/fleet/src/occurrences.rs
+++ b/crates/fleet/src/occurrences.rs
@@ -77,7 +77,11 @@
             ready_since_ms: now_ms,
             remote,
             unresolved: may_have_started && !settled,
-            last_run: if may_have_started { base } else { job.run_base },
+            last_run: match (may_have_started, remote) {
+                (true, _) => base,
+                (false, true) => 0,
+                (false, false) => job.run_base,
+            },
             ..Task::default()
         };
         let mut occurrence = Occurrence::default();
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -73,7 +73,7 @@
     /// Whether any task is known to have begun.
     #[prost(bool, tag = "5")]
     pub started: bool,
-    /// Number above which the runs of this shard are numbered: the highest that earlier home shards used.
+    /// Number above which the runs of this shard are numbered: the highest that other shards used before.
     #[prost(uint32, tag = "6")]
     pub run_base: u32,
 }
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -94,7 +94,7 @@
     pub outbound_transfers: Vec<(SmolStr, Transfer)>,
     /// Keys of the transfers that delegated tasks to this shard.
     pub transfer_keys: Vec<SmolStr>,
-    /// Number above which its runs are numbered; 0 if it has not moved.
+    /// Number above which its runs are numbered, since other shards used it; 0 if the job has been in no other.
     pub run_base: u32,
     /// Whether it is being moved to another shard.
     pub moving: bool,
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -138,12 +138,16 @@
             // Run numbers used by this shard itself are higher; an equal one means the task has not been delegated
             // again since.
             task.remote = false;
-            task.last_run = record.last_run.max(run_number_base);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             // The home shard delegates a task only after this wait.
             task.restore_suspicion(record, None);
             task.unresolved = predates_term && !settled && run_number_base > 0;
             self.enqueue_if_ready(task_ref, now_ms);
+            // Numbers of another shard may be above the bases of several terms of this one.
+            let job = &mut self.jobs[key];
+            job.run_base = job.run_base.max(record.last_run);
+            let last_run = run_number_base.saturating_add(job.run_base);
+            self.task_mut(task_ref).last_run = last_run;
         }
     }
 }
