Compute the limit of crashes only for tasks near it

The limit looks at all runs of all servers of the shard. It was computed for each suspect of each crash: by estimate nearly a second when a hundred servers of a large shard crash at once. Tasks below the least limit need none.

Measured: crates/fleet/tests/crash_rate.rs and crashes.rs pass as before; the time was not measured.

--- a/crates/fleet/src/crash_rate.rs
+++ b/crates/fleet/src/crash_rate.rs
@@ -12,7 +12,7 @@
 use crate::shard::{ServerKey, Shard};
 
 /// Crashes as their only suspect after which a task is given up if no server is lost otherwise.
-const SOLE_SUSPECT_CRASHES_MIN: u32 = 2;
+pub(crate) const SOLE_SUSPECT_CRASHES_MIN: u32 = 2;
 
 /// Crashes after which a task is given up at any rate of other losses; one start less than the service contract allows.
 const SOLE_SUSPECT_CRASHES_MAX: u32 = 4;
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -10,6 +10,7 @@
 
 use smol_str::SmolStr;
 
+use crate::crash_rate::SOLE_SUSPECT_CRASHES_MIN;
 use crate::record::Phase;
 use crate::server::Server;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef, to_u32};
@@ -284,6 +285,9 @@
         let task = self.task(task_ref);
         let crashes = to_u32(task.crashed_runs.len());
         let sole_crashes = task.sole_crashes;
+        if crashes < CRASHES_MAX && sole_crashes < SOLE_SUSPECT_CRASHES_MIN {
+            return;
+        }
         let (limit, losses) = self.sole_suspect_crashes_limit(now_ms);
         let is_due = crashes >= limit.max(CRASHES_MAX) || sole_crashes >= limit;
         if !is_due || self.task(task_ref).done || !self.jobs[task_ref.job].is_live() {
