Carry the wait of a long-running task along when it is delegated

Cause: the limits on its wait, 1.5 to 3 s, began anew with each delegation, which happens after 1.2 s. A task that went from one failure domain to the next never reached them. Shards reported room on servers that take no task for the moment because of a suspect or a trial, so another domain always seemed to have some, and the one with the most was chosen each time.

Change: a transfer tells how long the task has waited; the wait before a delegation is counted apart, since the task entered this shard's queue. Such servers are left out of the reported room. A delegate passes a task on to the other shards in turn.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -217,6 +217,7 @@
         }
         task.queued = true;
         task.ready_since_ms = now_ms;
+        task.queued_ms = now_ms;
         self.ready.push(task_ref);
     }
 
--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -154,29 +154,39 @@
 
     /// Takes one server for a task from the reported capacity of other shards, of which the one with the most servers that
     /// fit. Returns its failure domain. Several owners see the same reports: which server is taken depends on the task, so
-    /// that they rarely count on the same one.
+    /// that they rarely count on the same one. A delegate that found no use for the room here passes the task on to each
+    /// other shard in turn, since the same may hold for the one with the most servers.
     pub(crate) fn take_room(
         &self,
         task_ref: TaskRef,
         others: &mut [(SmolStr, Load)],
     ) -> Option<SmolStr> {
         let step = self.step_spec(task_ref);
-        let mut best: (usize, Vec<usize>) = (0, Vec::new());
+        let mut fitting_shards: Vec<(usize, Vec<usize>)> = Vec::new();
         for (index, (_, load)) in others.iter().enumerate() {
             let servers = load.free_capacity.iter().enumerate();
             let fitting = servers.filter(|(_, free)| {
                 free.cpu_millis >= step.cpu_millis && free.memory_mb >= step.memory_mb
             });
             let positions: Vec<usize> = fitting.map(|(position, _)| position).collect();
-            if positions.len() > best.1.len() {
-                best = (index, positions);
+            if !positions.is_empty() {
+                fitting_shards.push((index, positions));
             }
         }
-        let (index, positions) = best;
-        let id = self.jobs[task_ref.job].id.0;
+        let job = &self.jobs[task_ref.job];
+        let (index, positions) = if job.is_delegated {
+            let turn = self.task(task_ref).last_run as usize;
+            fitting_shards.get(turn.checked_rem(fitting_shards.len())?)?
+        } else {
+            fitting_shards
+                .iter()
+                .rev()
+                .max_by_key(|(_, positions)| positions.len())?
+        };
+        let id = job.id.0;
         let spread = usize::try_from(id % 997).unwrap_or_default() + task_ref.index as usize;
         let position = *positions.get(spread.checked_rem(positions.len())?)?;
-        let (domain, load) = &mut others[index];
+        let (domain, load) = &mut others[*index];
         load.free_capacity.remove(position);
         Some(domain.clone())
     }
--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -423,7 +423,9 @@
             self.enqueue_if_ready(task_ref, now_ms);
             let arrived_ms = self.jobs[task_ref.job].arrived_ms;
             if self.task(task_ref).queued && self.step_spec(task_ref).long_running {
-                self.task_mut(task_ref).ready_since_ms = arrived_ms;
+                let task = self.task_mut(task_ref);
+                task.ready_since_ms = arrived_ms;
+                task.queued_ms = arrived_ms;
             }
         }
     }
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -125,7 +125,7 @@
     #[must_use]
     pub fn load_summary(&self, now_ms: u64) -> Load {
         let mut load = Load::default();
-        for server in self.servers.values() {
+        for (key, server) in &self.servers {
             if !server.is_usable(now_ms) {
                 continue;
             }
@@ -133,13 +133,17 @@
             load.cpu_requested_millis += u64::from(server.cpu_used_millis);
             load.best_effort_millis += u64::from(Self::best_effort_capacity_millis(server));
             load.best_effort_requested_millis += u64::from(server.best_effort_used_millis);
+            load.labels
+                .extend(server.entry.labels.iter().map(ToString::to_string));
+            // Such a server takes no other task for now.
+            if server.suspected_run.is_some() || self.has_trial_run(key) {
+                continue;
+            }
             load.free_capacity.push(FreeCapacity {
                 cpu_millis: server.cpu_free_millis(),
                 memory_mb: server.memory_free_mb(),
                 gpus: server.entry.gpus.saturating_sub(server.gpus_used),
             });
-            load.labels
-                .extend(server.entry.labels.iter().map(ToString::to_string));
         }
         load.free_capacity
             .sort_by_key(|free| Reverse(free.cpu_millis));
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -91,6 +91,7 @@
             crashed_runs: task.crashed_runs.clone(),
             sole_crashes: task.sole_crashes,
             lapsed_runs: task.lapsed_runs.clone(),
+            waited_ms: 0,
             remote: task.remote,
             checkpoint: if task.done {
                 String::new()
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -140,7 +140,7 @@
 
     /// Whether a server on trial already has a run that will show whether it works again. Runs started before the
     /// suspension do not count, since long-running ones may never end, nor do throttled ones, which hardly progress.
-    fn has_trial_run(&self, key: ServerKey) -> bool {
+    pub(crate) fn has_trial_run(&self, key: ServerKey) -> bool {
         let server = &self.servers[key];
         let Some(since_ms) = server.suspension.trial_since_ms() else {
             return false;
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -54,6 +54,9 @@
     /// Run numbers whose server lapsed soon after their start and has not been heard of since.
     #[prost(uint32, repeated, tag = "11")]
     pub lapsed_runs: Vec<u32>,
+    /// Time for which the task has waited for a start, in milliseconds; only in transfers.
+    #[prost(uint64, tag = "12")]
+    pub waited_ms: u64,
 }
 
 /// Recorded progress of a job.
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -187,8 +187,11 @@
     pub checkpoint: SmolStr,
     /// Servers on which the task failed or made no progress.
     pub avoided_servers: Vec<ServerKey>,
-    /// When the task last entered the ready queue, or when its occurrence was opened.
+    /// Since when the task waits for a start, here and in the shards that delegated it; when its occurrence was opened if it
+    /// has not waited yet.
     pub ready_since_ms: u64,
+    /// When it last entered the ready queue of this shard.
+    pub queued_ms: u64,
 }
 
 impl Task {
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -68,11 +68,12 @@
             && task.queued
             && task.runs.is_empty()
             && !self.is_start_postponed(task_ref, now_ms)
-            && now_ms >= task.ready_since_ms + delegate_after_ms
+            && now_ms >= task.queued_ms + delegate_after_ms
     }
 
     fn delegate_to(&mut self, task_ref: TaskRef, domain: SmolStr, now_ms: u64) {
         let task = self.task_mut(task_ref);
+        let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
         task.remote = true;
         task.queued = false;
         task.moved = Move::None;
@@ -87,9 +88,9 @@
             crashed_runs: task.crashed_runs.clone(),
             sole_crashes: task.sole_crashes,
             lapsed_runs: task.lapsed_runs.clone(),
+            waited_ms,
             ..TaskRecord::default()
         };
-        let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
         self.ready.retain(|&other| other != task_ref);
         let job = &mut self.jobs[task_ref.job];
         let transfer = Transfer {
@@ -142,12 +143,15 @@
             // The home shard delegates a task only after this wait.
             task.restore_suspicion(record, None);
             task.unresolved = predates_term && !settled && run_number_base > 0;
-            self.enqueue_if_ready(task_ref, now_ms);
             // Numbers of another shard may be above the bases of several terms of this one.
             let job = &mut self.jobs[key];
             job.run_base = job.run_base.max(record.last_run);
             let last_run = run_number_base.saturating_add(job.run_base);
             self.task_mut(task_ref).last_run = last_run;
+            self.enqueue_if_ready(task_ref, now_ms);
+            // The waits that bound how long a task stands still go on, in whichever shard it is.
+            let ready_since_ms = now_ms.saturating_sub(record.waited_ms);
+            self.task_mut(task_ref).ready_since_ms = ready_since_ms;
         }
     }
 }
