--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -54,6 +54,9 @@
     /// Run numbers whose server lapsed soon after their start and has not been heard of since.
     #[prost(uint32, repeated, tag = "11")]
     pub lapsed_runs: Vec<u32>,
+    /// Time for which the task has waited for a start, in milliseconds; only in transfers.
+    #[prost(uint64, tag = "12")]
+    pub waited_ms: u64,
 }
 
 /// Recorded progress of a job.
@@ -73,7 +76,7 @@
     /// Whether any task is known to have begun.
     #[prost(bool, tag = "5")]
     pub started: bool,
-    /// Number above which the runs of this shard are numbered: the highest that earlier home shards used.
+    /// Number above which the runs of this shard are numbered: the highest that other shards used before.
     #[prost(uint32, tag = "6")]
     pub run_base: u32,
 }
