--- a/crates/standin/src/emulator/rehoming.rs
+++ b/crates/standin/src/emulator/rehoming.rs
@@ -3,9 +3,7 @@
 //! The home of the job is read, and changed on condition that it has not changed, that no cancellation was written for
 //! the old one, and that the term has not ended. No records are written during an attempt.
 
-use primrosestack_fleet::intake::Load;
 use primrosestack_fleet::rehome::JobMove;
-use smol_str::SmolStr;
 
 use super::links::{StoreAnswer, StoreCall};
 use super::store::{Transaction, Value, home_key, inbox_key, progress_key};
@@ -18,8 +16,6 @@
 /// Moves of one pass, one after the other.
 #[derive(Default)]
 pub(super) struct Moves {
-    /// Loads of the other shards.
-    others: Vec<(SmolStr, Load)>,
     count: usize,
     current: Option<Move>,
 }
@@ -71,7 +67,6 @@
 impl World {
     /// Begins a pass, or the next attempt of the move under way.
     pub(super) fn moves_due(&mut self, id: usize) {
-        let others = self.other_loads(id);
         let Some(owner) = &mut self.owners[id] else {
             return;
         };
@@ -79,7 +74,6 @@
             self.read_home(id);
             return;
         }
-        owner.moves.others = others;
         owner.moves.count = 0;
         self.next_move(id);
     }
@@ -87,12 +81,13 @@
     /// Takes the next job of a pass, or ends the pass.
     fn next_move(&mut self, id: usize) {
         let now = self.now_ms();
+        let mut others = self.other_loads(id);
         let Some(owner) = &mut self.owners[id] else {
             return;
         };
         let moves = &mut owner.moves;
         if moves.count < MOVES_PER_PASS_MAX
-            && let Some(job_move) = owner.shard.take_job_move(&mut moves.others, now)
+            && let Some(job_move) = owner.shard.take_job_move(&mut others, now)
         {
             moves.count += 1;
             let (job, to) = (job_move.id, job_move.failure_domain.clone());
@@ -101,14 +96,11 @@
                 stage: Stage::Pausing,
                 may_be_committed: false,
             });
+            self.set_loads(others);
             self.note(|| format!("owner {id}: job {job} is to move to shard {to}"));
             self.read_home(id);
             return;
         }
-        let others = std::mem::take(&mut moves.others);
-        if moves.count > 0 {
-            self.set_loads(others);
-        }
         self.events
             .after(PASS_INTERVAL_MS, Event::MovesDue { owner: id });
     }
@@ -206,7 +198,9 @@
             }
             Attempt::Failed if current.may_be_committed => false,
             Attempt::Refused | Attempt::Failed => {
-                owner.shard.job_kept(key);
+                owner.shard.job_kept(key, now);
+                // The pass ends.
+                owner.moves.count = MOVES_PER_PASS_MAX;
                 true
             }
             Attempt::Unknown => {
--- a/crates/standin/tests/emulator_replays.rs
+++ b/crates/standin/tests/emulator_replays.rs
@@ -2,7 +2,7 @@
 
 use primrosestack_fleet::prelude::*;
 use primrosestack_standin::emulator::{
-    Deployment, Fault, START_UNIX_MS, World, job, long_running_step, step,
+    Deployment, Fault, Plan, START_UNIX_MS, World, job, long_running_step, step,
 };
 use test_case::test_case;
 
@@ -159,3 +159,10 @@
     world.run_to_rest(45_000);
     assert_eq!(world.violation(), None);
 }
+
+/// Guards against a run number that the next owner of a delegated task uses again.
+#[test]
+fn the_next_owner_of_a_delegated_task_uses_higher_run_numbers() {
+    let world = Plan::draw(1_556, 6).run(false);
+    assert_eq!(world.violation(), None);
+}
