Carry on the wait for lapsed servers under the next owner

What callers see: a task under which several servers fell silent waits up to 120 s for news of them.

Change: the time of the last lapse is recorded with the task and handed over, as time of day; the next owner counts from it, or from now if the record does not tell or the clock of the other host is ahead. A job that has moved still does not wait again.

Test: a_wait_for_lapsed_servers_goes_on_under_the_next_owner failed before, after a handover and after the loss of the owner (no start 3 s after the wait was over), and passes. 279 tests of the fleet crate pass.

--- a/crates/fleet/src/crash_handover.rs
+++ b/crates/fleet/src/crash_handover.rs
@@ -56,6 +56,7 @@
                     crashed_runs: task.crashed_runs.clone(),
                     sole_crashes: task.sole_crashes,
                     lapsed_runs: task.lapsed_runs.clone(),
+                    last_lapse_unix_ms: task.last_lapse_unix_ms.unwrap_or(0),
                     ..TaskRecord::default()
                 };
                 suspected.push(SuspectedTask {
@@ -146,7 +147,8 @@
             is_news = true;
         }
         let lapsed = record.lapsed_runs.iter().map(|&run| (task_ref, run));
-        self.note_lapsed_runs(lapsed, now_ms);
+        let lapsed_unix_ms = self.lapse_unix_ms(record, now_ms);
+        self.note_lapsed_runs(lapsed, lapsed_unix_ms);
         if !is_news {
             return;
         }
@@ -174,7 +176,7 @@
         if suspects.is_empty() {
             return;
         }
-        self.note_lapsed_runs(suspects.iter().copied(), now_ms);
+        self.note_lapsed_runs(suspects.iter().copied(), self.unix_ms_at(now_ms));
         self.remember_server(LapsedServer {
             name: starts.server.as_str().into(),
             address: starts.address.as_str().into(),
@@ -193,7 +195,11 @@
     }
 
     /// Notes runs whose server has not been heard of since their start.
-    fn note_lapsed_runs(&mut self, runs: impl IntoIterator<Item = (TaskRef, u32)>, now_ms: u64) {
+    fn note_lapsed_runs(
+        &mut self,
+        runs: impl IntoIterator<Item = (TaskRef, u32)>,
+        lapsed_unix_ms: u64,
+    ) {
         for (task_ref, number) in runs {
             let task = self.task_mut(task_ref);
             let is_known = task.lapsed_runs.contains(&number)
@@ -203,7 +209,7 @@
                 continue;
             }
             task.lapsed_runs.push(number);
-            task.last_lapse_ms = Some(now_ms);
+            task.last_lapse_unix_ms = task.last_lapse_unix_ms.max(Some(lapsed_unix_ms));
         }
     }
 }
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::crash_rate::SOLE_SUSPECT_CRASHES_MIN;
-use crate::record::Phase;
+use crate::record::{Phase, TaskRecord};
 use crate::server::Server;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef, to_u32};
 use crate::task::{Run, Task};
@@ -122,11 +122,12 @@
             return;
         }
         let suspects = self.crash_suspects(server);
+        let lapsed_unix_ms = self.unix_ms_at(now_ms);
         for &(task_ref, number) in &suspects {
             let task = self.task_mut(task_ref);
             task.suspected = true;
             task.lapsed_runs.push(number);
-            task.last_lapse_ms = Some(now_ms);
+            task.last_lapse_unix_ms = Some(lapsed_unix_ms);
             self.mark_job_changed(task_ref.job, now_ms);
             if !self.awaits_lapsed_servers(task_ref, now_ms) {
                 continue;
@@ -146,8 +147,18 @@
     fn awaits_lapsed_servers(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let task = self.task(task_ref);
         let wait_ms = lapse_wait_ms(task);
-        task.last_lapse_ms
-            .is_some_and(|last_lapse_ms| now_ms < last_lapse_ms + wait_ms)
+        task.last_lapse_unix_ms
+            .is_some_and(|lapsed_unix_ms| self.unix_ms_at(now_ms) < lapsed_unix_ms + wait_ms)
+    }
+
+    /// Time of the last lapse in a record, in milliseconds since the Unix epoch; now if the record does not tell, or if the
+    /// clock of the host that wrote it is ahead.
+    pub(crate) fn lapse_unix_ms(&self, record: &TaskRecord, now_ms: u64) -> u64 {
+        let unix_ms = self.unix_ms_at(now_ms);
+        match record.last_lapse_unix_ms {
+            0 => unix_ms,
+            lapsed_unix_ms => lapsed_unix_ms.min(unix_ms),
+        }
     }
 
     /// Whether a task that may crash servers must not start at present: it waits for servers that lapsed, or for the
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -91,6 +91,7 @@
             crashed_runs: task.crashed_runs.clone(),
             sole_crashes: task.sole_crashes,
             lapsed_runs: task.lapsed_runs.clone(),
+            last_lapse_unix_ms: task.last_lapse_unix_ms.unwrap_or(0),
             waited_ms: 0,
             remote: task.remote,
             checkpoint: if task.done {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -57,6 +57,9 @@
     /// Time for which the task has waited for a start, in milliseconds; only in transfers.
     #[prost(uint64, tag = "12")]
     pub waited_ms: u64,
+    /// When the last of the lapsed servers lapsed, in milliseconds since the Unix epoch; 0 if unknown.
+    #[prost(uint64, tag = "13")]
+    pub last_lapse_unix_ms: u64,
 }
 
 /// Recorded progress of a job.
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -248,6 +248,8 @@
     pub(crate) interference: InterferenceModel,
     /// When the interference estimates were last recorded.
     pub(crate) interference_recorded_ms: u64,
+    /// Time of day at time 0 of the monotonic clock, in milliseconds since the Unix epoch.
+    pub(crate) clock_epoch_unix_ms: u64,
 }
 
 impl Shard {
@@ -301,9 +303,22 @@
             unexplained_losses: UnexplainedLosses::default(),
             interference,
             interference_recorded_ms: now_ms,
+            clock_epoch_unix_ms: 0,
         }
     }
 
+    /// Sets the time of day, on which times in records of earlier owners are based; before jobs are added.
+    #[must_use]
+    pub fn with_time_of_day(mut self, unix_ms: u64, now_ms: u64) -> Self {
+        self.clock_epoch_unix_ms = unix_ms.saturating_sub(now_ms);
+        self
+    }
+
+    /// Time of day in milliseconds since the Unix epoch. It runs with the monotonic clock, since the term began.
+    pub(crate) fn unix_ms_at(&self, now_ms: u64) -> u64 {
+        self.clock_epoch_unix_ms + now_ms
+    }
+
     /// Records that the store confirmed the term as of `as_of_ms`.
     pub fn confirm_term(&mut self, as_of_ms: u64) {
         self.term_confirmed_ms = self.term_confirmed_ms.max(as_of_ms);
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -177,9 +177,9 @@
     pub outlived_run: u32,
     /// Numbers of the runs whose server lapsed soon after their start and has not been heard of since.
     pub lapsed_runs: Vec<u32>,
-    /// When the last of these servers lapsed, or when this owner learned of it; `None` for a lapse in another shard, which
-    /// waited for its servers.
-    pub last_lapse_ms: Option<u64>,
+    /// When the last of these servers lapsed, or when an owner learned of it, in milliseconds since the Unix epoch; `None`
+    /// for a lapse in another shard, which waited for its servers.
+    pub last_lapse_unix_ms: Option<u64>,
     /// Version of the job that has to be recorded before the task starts again, so that the count of its crashes
     /// outlasts this owner.
     pub crash_version: u64,
@@ -209,13 +209,13 @@
         self.suspected || !self.lapsed_runs.is_empty()
     }
 
-    /// Restores what an earlier owner, or another shard, recorded of crashes. `last_lapse_ms` is the time from which the
+    /// Restores what an earlier owner, or another shard, recorded of crashes. `last_lapse_unix_ms` is the time from which the
     /// task waits for servers that lapsed; `None` if that wait is over.
-    pub fn restore_suspicion(&mut self, record: &TaskRecord, last_lapse_ms: Option<u64>) {
+    pub fn restore_suspicion(&mut self, record: &TaskRecord, last_lapse_unix_ms: Option<u64>) {
         self.crashed_runs.clone_from(&record.crashed_runs);
         self.sole_crashes = record.sole_crashes;
         self.lapsed_runs.clone_from(&record.lapsed_runs);
-        self.last_lapse_ms = last_lapse_ms;
+        self.last_lapse_unix_ms = last_lapse_unix_ms;
         self.suspected = !self.crashed_runs.is_empty();
     }
 
--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -17,6 +17,9 @@
 /// Start of the first incarnation of each server; each crash adds one.
 const FIRST_START_UNIX_MS: u64 = 10;
 
+/// Time for which a task with five crashes and lapses waits for the servers that lapsed.
+const LAPSED_SERVER_WAIT_MS: u64 = 120_000;
+
 /// Time from a crash until the server answers again.
 const RESTART_MS: u64 = 3_000;
 
@@ -218,6 +221,42 @@
     assert_eq!(progress.tasks[0].lapsed_runs.len(), 1);
 }
 
+/// Guards against the wait for lapsed servers beginning anew with each owner, which keeps a task waiting for ever if the
+/// owners change often enough.
+#[test_case(true; "after a handover")]
+#[test_case(false; "after the loss of the owner")]
+fn a_wait_for_lapsed_servers_goes_on_under_the_next_owner(is_handed_over: bool) {
+    let servers = Servers::open();
+    let (mut first, _) = open_started(&servers);
+    first.now_ms += 6_000;
+    first.tick();
+    let lapsed_ms = first.now_ms;
+    let mut progress = recorded(&mut first).expect("the lapse is recorded");
+    progress.tasks[0].crashed_runs = vec![1, 2, 3, 4];
+    let handover = first.handover();
+    let mut second = open_term(2, lapsed_ms + LAPSED_SERVER_WAIT_MS - 1_000, Some(progress));
+    if is_handed_over {
+        second.shard.apply_handover(&handover, second.now_ms);
+    }
+    let other = NAMES.map(|name| ServerEntry {
+        started_unix_ms: FIRST_START_UNIX_MS,
+        ..entry(&format!("{name}-new"))
+    });
+    second.shard.set_servers(other, second.now_ms);
+    for step in 0..40 {
+        second.now_ms += 100;
+        for name in NAMES {
+            second.report(&format!("{name}-new"), &[], &[]);
+        }
+        second.write_records();
+        second.plan();
+        second.tick();
+        let is_over = second.now_ms >= lapsed_ms + LAPSED_SERVER_WAIT_MS;
+        assert!(is_over || second.starts.is_empty(), "step {step}");
+    }
+    assert_eq!(second.starts.len(), 1, "the wait is over");
+}
+
 /// Guards against a successor without a handover restoring a suspicion that had ended.
 #[test]
 fn the_end_of_a_suspicion_is_recorded() {
--- a/crates/standin/src/emulator/owner.rs
+++ b/crates/standin/src/emulator/owner.rs
@@ -80,7 +80,8 @@
         let mut predecessors = term.owners.clone();
         predecessors.retain(|owner| owner.term < term.number);
         let authority_ms = longest_authority_ms(&predecessors);
-        let mut shard = Shard::open(BOUNDS, term.number, revision, &servers, authority_ms, now);
+        let mut shard = Shard::open(BOUNDS, term.number, revision, &servers, authority_ms, now)
+            .with_time_of_day(self.unix_ms(), now);
         for (id, stored) in self.store.stored_jobs(domain) {
             shard.add_job(id, stored, now);
         }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -133,7 +133,8 @@
             &recorded_servers,
             record::longest_authority_ms(&predecessors),
             committed_ms,
-        );
+        )
+        .with_time_of_day(unix_ms(), now);
         if let Some(configuration) = node.configuration.borrow().as_ref() {
             shard.set_queues(queues_of(configuration));
         }
