Let no task that avoids a server hold up the others of its step

What callers see: capacity stays idle while tasks of a step wait. When a plan found no server for a task, it passed over all later tasks of the step, since they need the same. A task that is suspected of crashes, or that failed on a server, has limits of its own; others of its step could start on the server that it must not use.

Change: only a task without limits of its own stands for its step. Each other one costs one pass over the servers a plan; there are few.

Test: a_task_that_avoids_a_server_does_not_hold_up_its_step failed before (no start, one expected) and passes. 279 tests of the fleet crate pass.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -98,7 +98,9 @@
                 Choice::Server(server) => self.start_on(task_ref, server, lease_ms, None, now_ms),
                 Choice::NoCapacity if self.start_throttled(task_ref, lease_ms, now_ms) => {}
                 Choice::NoCapacity => {
-                    blocked_steps.push(step_key);
+                    if !self.task(task_ref).has_own_limits() {
+                        blocked_steps.push(step_key);
+                    }
                     unplaced.push(task_ref);
                 }
             }
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -209,6 +209,12 @@
         self.suspected || !self.lapsed_runs.is_empty()
     }
 
+    /// Whether a server that cannot take the task may take others of its step.
+    #[must_use]
+    pub fn has_own_limits(&self) -> bool {
+        self.is_suspected() || !self.avoided_servers.is_empty()
+    }
+
     /// Restores what an earlier owner, or another shard, recorded of crashes. `last_lapse_unix_ms` is the time from which the
     /// task waits for servers that lapsed; `None` if that wait is over.
     pub fn restore_suspicion(&mut self, record: &TaskRecord, last_lapse_unix_ms: Option<u64>) {
--- a/crates/fleet/tests/waits.rs
+++ b/crates/fleet/tests/waits.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::{DELEGATION_WAIT_MS, Harness, best_effort_step, run_end, service_step, step, task_id};
-use primrosestack_fleet::action::StartReply;
+use primrosestack_fleet::action::{StartReply, StartRequest};
 use primrosestack_fleet::job::JobId;
 use primrosestack_fleet::report::EndKind;
+use primrosestack_fleet::shard::ServerKey;
 use smol_str::SmolStr;
 
 /// Guards against a long-running task that failed on the only server with free capacity waiting forever for another
@@ -40,6 +41,31 @@
     assert_eq!(harness.starts[0].0, server);
 }
 
+/// Guards against free capacity staying idle while tasks of a step wait for one of them that must not start there.
+#[test]
+fn a_task_that_avoids_a_server_does_not_hold_up_its_step() {
+    let mut harness = Harness::open(&["one", "two"]);
+    harness.submit(1, 0, vec![service_step(15, "a")]);
+    harness.plan();
+    harness.confirm_starts();
+    harness.submit(2, 0, vec![service_step(18, "a")]);
+    harness.plan();
+    let starts = harness.confirm_starts();
+    assert_eq!(starts.len(), 17);
+    let is_first = |(_, request): &&(ServerKey, StartRequest)| request.task.index == 0;
+    let (server, request) = starts.iter().find(is_first).expect("it was started");
+    let end = run_end(1, request.task, request.run, EndKind::Failed);
+    let name = harness.name(*server);
+    harness.report_end(&name, &end);
+    harness.plan();
+    let started: Vec<u32> = harness
+        .starts
+        .iter()
+        .map(|(_, request)| request.task.index)
+        .collect();
+    assert_eq!(started, [17]);
+}
+
 /// Guards against batch tasks being started before urgent ones.
 #[test]
 fn urgent_tasks_are_started_before_batch() {
