Tell by the home's revision whether a move without an answer took effect

What callers saw: a job whose move got no answer, and that the other shard sent back before the owner read the home again, went on with the progress from before the move, or disappeared until the next owner opened the shard. Tasks that were done or running elsewhere could start again.

Cause: the owner read itself as the home, took that for a move without effect and wrote the move again, over the progress of the returned job. The entry of the return was taken for news of the old copy, or ignored since the revision of a later write counted as that of the move.

A move without an answer is no longer written again. The home's revision on which it was conditional tells whether it took effect, and a transaction in the term that expects this revision keeps it from taking effect later. An entry that is newer than the copy of a moving job replaces the copy.

Before the change, both new tests of tests/rehoming.rs failed (the job moved a second time) and that of crates/fleet/tests/rehome.rs (no task of the returned job started).

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -24,6 +24,7 @@
         if !stored.is_delegated && self.has_moved(id, stored.created_revision) {
             return;
         }
+        self.forget_left_copy(id, &stored);
         let predates_term = stored.created_revision <= self.term_revision;
         if let Some(key) = self.find_job(id) {
             self.accept_transfers(key, &stored.transfers, predates_term, now_ms);
@@ -86,6 +87,7 @@
                 .progress
                 .as_ref()
                 .map_or(0, |progress| progress.run_base),
+            created_revision: stored.created_revision,
             moving: false,
             kept_until_ms: 0,
             run_count: 0,
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -8,7 +8,7 @@
 use crate::intake::Load;
 use crate::job::{JobId, JobSpec, StepSpec};
 use crate::ledger::progress_of;
-use crate::record::Progress;
+use crate::record::{Progress, StoredJob};
 use crate::server::{CONTACT_TIMEOUT_MS, Server};
 use crate::shard::{Job, JobKey, Shard, TaskRef, to_u32};
 
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct MovedJob {
     id: JobId,
-    /// Revision of the move.
+    /// Entries up to this revision were written before the move.
     revision: u64,
     moved_ms: u64,
 }
@@ -272,15 +272,33 @@
         job_move
     }
 
-    /// Forgets a job that has moved at a revision.
-    pub fn job_moved(&mut self, key: JobKey, revision: u64, now_ms: u64) {
-        let Some(job) = self.jobs.remove(key) else {
-            return;
-        };
+    /// Removes a copy of a job that has moved away.
+    fn remove_copy(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
         if let Ok(index) = self.job_index.binary_search_by_key(&job.id, |(id, _)| *id) {
             self.job_index.remove(index);
         }
         self.ready.retain(|task_ref| task_ref.job != key);
+        Some(job)
+    }
+
+    /// Removes the copy of a job that has moved away and, according to an entry that was written after the one of this
+    /// copy, has come back.
+    pub(crate) fn forget_left_copy(&mut self, id: JobId, stored: &StoredJob) {
+        let Some(key) = self.find_job(id) else { return };
+        let is_home_entry = stored.spec.is_some() && !stored.is_delegated;
+        let job = &self.jobs[key];
+        if is_home_entry && job.moving && stored.created_revision > job.created_revision {
+            self.remove_copy(key);
+        }
+    }
+
+    /// Forgets a job that has moved. Entries of the inbox up to a revision were written before that.
+    pub fn job_moved(&mut self, key: JobKey, revision: u64, now_ms: u64) {
+        // Without a copy, the job has come back already.
+        let Some(job) = self.remove_copy(key) else {
+            return;
+        };
         let moved = MovedJob {
             id: job.id,
             revision,
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -96,6 +96,8 @@
     pub transfer_keys: Vec<SmolStr>,
     /// Number above which its runs are numbered, since other shards used it; 0 if the job has been in no other.
     pub run_base: u32,
+    /// Revision of the entry of the inbox that this copy of the job was read from.
+    pub created_revision: u64,
     /// Whether it is being moved to another shard.
     pub moving: bool,
     /// Until when it is not moved, since an attempt had no effect.
--- a/crates/fleet/tests/rehome.rs
+++ b/crates/fleet/tests/rehome.rs
@@ -304,6 +304,32 @@
     );
 }
 
+/// Guards against a done task that starts again since the entry of its job's return is taken for news of the old copy,
+/// which still stands still.
+#[test]
+fn a_job_that_comes_back_while_its_move_is_unanswered_is_as_the_other_home_left_it() {
+    let (mut source, job_move) = moving_job(vec![step(3)]);
+    let mut returned = arrival(&job_move, 400);
+    let progress = returned.progress.as_mut().expect("carried");
+    for task in &mut progress.tasks {
+        task.done = task.index < 2;
+        task.last_run = 9;
+    }
+    progress.run_base = 9;
+    source.shard.add_job(job_move.id, returned, source.now_ms);
+    source.shard.job_moved(job_move.key, 399, source.now_ms);
+    source
+        .shard
+        .set_server(common::entry("three"), source.now_ms);
+    source.claim("three");
+    source.write_records();
+    source.plan();
+    let starts = source.confirm_starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.task, task_id(job_move.id, 0, 2));
+    assert!(starts[0].1.run > 9);
+}
+
 /// Guards against an attempt count that begins anew in the new home.
 #[test]
 fn failed_attempts_count_over_both_homes() {
--- a/src/daemon/rehoming.rs
+++ b/src/daemon/rehoming.rs
@@ -2,14 +2,17 @@
 //!
 //! A move changes the job's home on condition that it has not changed, that no cancellation was written for the old one, and
 //! that the owner's term has not ended. Cancellations are conditional on the home, so one of the two fails.
+//!
+//! The outcome of an attempt without an answer is told by the revision of the home: it has changed if the job has moved, even
+//! if the job has come back since. If it has not, another transaction of the term keeps the attempt from taking effect later.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use primrosestack_fleet::prelude::JobSpec;
+use primrosestack_fleet::prelude::{JobId, JobSpec};
 use primrosestack_fleet::record::Home;
 use primrosestack_fleet::rehome::JobMove;
-use primrosestack_platform::store::{StoreFailure, Transaction};
+use primrosestack_platform::store::{Item, StoreFailure, Transaction};
 use prost::Message;
 
 use crate::daemon::clock::now_ms;
@@ -23,19 +26,17 @@
 /// Bounds the writes and the room of others that are used by the loads of one report.
 const MOVES_PER_PASS_MAX: usize = 16;
 
-/// Delay before an attempt is repeated whose outcome is not known.
+/// Delay before the outcome of an attempt is asked for again.
 const RETRY_DELAY_MS: u64 = 150;
 
 /// Outcome of an attempt to move a job.
 enum Attempt {
-    /// The job has moved at this revision.
+    /// The job has moved. Entries of its old home up to this revision were written before that.
     Moved(u64),
-    /// The attempt had no effect, and the job must stay.
-    Refused,
-    /// The attempt had no effect.
-    Failed,
-    /// The attempt may have taken effect, or may still do so.
-    Unknown,
+    /// The attempt had no effect and will have none.
+    Kept,
+    /// The attempt to change the home, which was written at this revision, may have taken effect or may still do so.
+    Unknown(u64),
 }
 
 /// Moves jobs as long as the shard is open.
@@ -65,12 +66,15 @@
     Some(job_move)
 }
 
-/// Repeats the move of a job until its outcome is known or the term has ended. Returns whether it has moved.
+/// Tries to move a job, and waits until the outcome is known or the term has ended. Returns whether it has moved.
 pub async fn move_job(owned: &Rc<OwnedShard>, job_move: &JobMove) -> bool {
-    let mut may_be_committed = false;
+    let mut tried_revision = None;
     while !owned.closed.get() && !owned.panicked.get() {
         let guard = owned.records_lock.lock().await;
-        let attempt = try_move(owned, job_move).await;
+        let attempt = match tried_revision {
+            None => try_move(owned, job_move).await,
+            Some(home_revision) => settle_move(owned, job_move.id, home_revision).await,
+        };
         match attempt {
             Attempt::Moved(revision) => {
                 owned
@@ -86,13 +90,12 @@
                     .write();
                 return true;
             }
-            Attempt::Failed if may_be_committed => {}
-            Attempt::Refused | Attempt::Failed => {
+            Attempt::Kept => {
                 owned.shard.borrow_mut().job_kept(job_move.key, now_ms());
                 owned.records_due.notify_one();
                 return false;
             }
-            Attempt::Unknown => may_be_committed = true,
+            Attempt::Unknown(home_revision) => tried_revision = Some(home_revision),
         }
         drop(guard);
         tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
@@ -105,15 +108,16 @@
     let own = &owned.failure_domain;
     let result = owned.node.store.read(&keys::home(id)).await;
     owned.node.record_store_call("read_home", &result);
-    let Ok(item) = result else {
-        return Attempt::Failed;
+    // The failure was logged.
+    let Ok(Some(item)) = result else {
+        return Attempt::Kept;
     };
-    let home_revision = item.as_ref().map_or(0, |item| item.revision);
-    let Some(home) = item.as_ref().and_then(decode_or_log::<Home>) else {
-        return Attempt::Refused;
+    let Some(home) = decode_or_log::<Home>(&item) else {
+        return Attempt::Kept;
     };
+    let home_revision = item.revision;
     if home.failure_domain != own.as_str() {
-        // An earlier attempt took effect.
+        // The copy of the job was read from an outdated entry.
         return Attempt::Moved(home_revision);
     }
     let transaction = transaction_of(own, job_move, home_revision);
@@ -125,26 +129,46 @@
                 .with("shard", own)
                 .with_reason(&failure)
                 .write();
+            let is_cancelled = |items: &[Item]| {
+                let key = keys::cancellation(own, id);
+                let mut items = items.iter();
+                items.any(|item| item.key == key && item.revision > 0)
+            };
             match failure {
-                StoreFailure::Unavailable { .. } => Attempt::Failed,
-                StoreFailure::Conflict { items } => {
-                    // If it is the home that has changed, the next attempt reads it.
-                    let key = keys::cancellation(own, id);
-                    let is_cancelled = items
-                        .iter()
-                        .any(|item| item.key == key && item.revision > 0);
-                    if is_cancelled {
-                        Attempt::Refused
-                    } else {
-                        Attempt::Unknown
-                    }
-                }
-                _ => Attempt::Unknown,
+                StoreFailure::Unavailable { .. } => Attempt::Kept,
+                StoreFailure::Conflict { items } if is_cancelled(&items) => Attempt::Kept,
+                _ => Attempt::Unknown(home_revision),
             }
         }
     }
 }
 
+/// Finds out whether an attempt took effect that was conditional on `home_revision`, and has it fail if not.
+async fn settle_move(owned: &Rc<OwnedShard>, id: JobId, home_revision: u64) -> Attempt {
+    let result = owned.node.store.read(&keys::home(id)).await;
+    owned.node.record_store_call("read_home", &result);
+    let Ok(item) = result else {
+        return Attempt::Unknown(home_revision);
+    };
+    let revision = item.map_or(0, |item| item.revision);
+    if revision != home_revision {
+        // If the job has come back since, its entry was written with the home.
+        return Attempt::Moved(home_revision.max(revision.saturating_sub(1)));
+    }
+    let settling = Transaction::default().expect_revision(keys::home(id), home_revision);
+    match owned.write_in_term("settle_move", &settling).await {
+        Ok(_) => Attempt::Kept,
+        Err(failure) => {
+            Line::info("move_not_settled")
+                .with("job", id)
+                .with("shard", &owned.failure_domain)
+                .with_reason(failure)
+                .write();
+            Attempt::Unknown(home_revision)
+        }
+    }
+}
+
 /// Transaction that moves a job from its home, which was written at `home_revision`.
 fn transaction_of(own: &str, job_move: &JobMove, home_revision: u64) -> Transaction {
     let id = job_move.id;
--- a/tests/rehoming.rs
+++ b/tests/rehoming.rs
@@ -17,7 +17,7 @@
 use primrosestack::daemon::{entry, keys, rehoming};
 use primrosestack_fleet::intake::{FreeCapacity, Load};
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{Home, Progress, StoredJob, Term};
+use primrosestack_fleet::record::{Home, Progress, StoredJob, TaskRecord, Term};
 use primrosestack_fleet::rehome::JobMove;
 use prost::Message;
 use serde_json::{Value, json};
@@ -153,6 +153,13 @@
     }
 }
 
+/// A job with two tasks.
+fn two_tasks() -> JobSpec {
+    let mut spec = spec();
+    spec.steps[0].tasks = 2;
+    spec
+}
+
 fn home_in(failure_domain: &str) -> Vec<u8> {
     let home = Home {
         failure_domain: failure_domain.to_owned(),
@@ -168,6 +175,11 @@
 
 /// Opens a shard without servers that has accepted a job.
 async fn setup() -> Setup {
+    setup_with(spec()).await
+}
+
+/// Opens a shard without servers that has accepted the job.
+async fn setup_with(job: JobSpec) -> Setup {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     let contents = Rc::new(RefCell::new(Contents::default()));
@@ -180,7 +192,7 @@
         contents.revision = daemon_fake::LEADERSHIP.start_revision - 1;
         contents.put(&keys::term("poa"), term.encode_to_vec());
         contents.put(&keys::home(JOB), home_in("poa"));
-        contents.put(&keys::job("poa", JOB), spec().encode_to_vec());
+        contents.put(&keys::job("poa", JOB), job.encode_to_vec());
     }
     tokio::task::spawn_local(serve_store(listener, Rc::clone(&contents)));
     let (node, owned) = owned_shard_at(&address).await;
@@ -255,6 +267,85 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// A job that the new home has returned before the answer to its move, with its task done, and the revision of its return.
+async fn return_during_move(setup: &Setup) -> u64 {
+    while setup.contents.borrow().commits == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let done = TaskRecord {
+        done: true,
+        last_run: 5,
+        ..TaskRecord::default()
+    };
+    let progress = Progress {
+        started: true,
+        run_base: 5,
+        tasks: vec![done],
+        ..Progress::default()
+    };
+    let returned = JobSpec {
+        recorded: Some(progress.clone()),
+        ..two_tasks()
+    };
+    let mut contents = setup.contents.borrow_mut();
+    contents.items.remove(keys::job("cxs", JOB).as_str());
+    contents.items.remove(keys::progress("cxs", JOB).as_str());
+    contents.put(&keys::progress("poa", JOB), progress.encode_to_vec());
+    contents.put(&keys::job("poa", JOB), returned.encode_to_vec());
+    contents.put(&keys::home(JOB), home_in("poa"));
+    contents.revision
+}
+
+/// Moves the job without an answer while it comes back. `is_read_first` is whether the owner reads its return before it
+/// knows the outcome of its own move.
+async fn move_and_return(is_read_first: bool) {
+    let setup = setup_with(two_tasks()).await;
+    setup.contents.borrow_mut().answers_lost = 1;
+    let job_move = take_move(&setup.owned);
+    let read_return = |revision| {
+        let stored = StoredJob {
+            spec: Some(two_tasks()),
+            progress: decoded(&setup.contents.borrow(), &keys::progress("poa", JOB)),
+            created_revision: revision,
+            ..StoredJob::default()
+        };
+        setup.owned.receive_job(JOB, stored);
+    };
+    let come_back = async {
+        let revision = return_during_move(&setup).await;
+        if is_read_first {
+            read_return(revision);
+        }
+        revision
+    };
+    let moving = rehoming::move_job(&setup.owned, &job_move);
+    let (_, revision) = tokio::join!(moving, come_back);
+    if !is_read_first {
+        read_return(revision);
+    }
+    let contents = setup.contents.borrow();
+    let home: Home = decoded(&contents, &keys::home(JOB)).expect("a home");
+    assert_eq!(home.failure_domain, "poa", "it has not moved again");
+    let progress: Progress = decoded(&contents, &keys::progress("poa", JOB)).expect("progress");
+    assert!(progress.tasks[0].done);
+    let job_move = take_move(&setup.owned);
+    let tasks = &job_move.progress.tasks;
+    assert!(tasks[0].done, "the done task starts again: {tasks:?}");
+}
+
+/// Guards against a done task that starts again after its job came back from a move without an answer: the owner reads
+/// itself as the home and takes its own old copy for the job.
+#[tokio::test]
+async fn a_job_that_came_back_before_the_outcome_of_its_move_keeps_its_progress() {
+    LocalSet::new().run_until(move_and_return(false)).await;
+}
+
+/// Guards against the same when the owner has read the entry of the return before it knows the outcome.
+#[tokio::test]
+async fn a_job_whose_return_is_read_before_the_outcome_of_its_move_keeps_its_progress() {
+    LocalSet::new().run_until(move_and_return(true)).await;
+}
+
 /// Guards against a job that moves away from its cancellation, and whose tasks start in the new home.
 #[tokio::test]
 async fn a_job_with_a_cancellation_does_not_move() {
