Stop a run that appears while its job moves

What callers saw: a start that was carried out late on a server that came back during a move went on beside the run in the new home. After the move, the server kept a run of a job that the shard no longer has.

Cause: the owner adopted the run as if the job were still to run here, although the new home may already start the task.

A moving job adopts no run; the server is told to stop it, as for a job of another shard.

Before the change, the new test of crates/fleet/tests/rehome.rs failed: no stop was sent.

--- a/crates/fleet/src/listed_runs.rs
+++ b/crates/fleet/src/listed_runs.rs
@@ -134,7 +134,9 @@
         status: &RunStatus,
         now_ms: u64,
     ) -> bool {
-        let is_live = self.jobs[task_ref.job].is_live();
+        let job = &self.jobs[task_ref.job];
+        // A moving job may already have a run in its new home.
+        let is_live = job.is_live() && !job.moving;
         let is_speculative = self.step_spec(task_ref).speculative;
         let task = self.task(task_ref);
         if !is_live || task.done || task.remote || (!task.runs.is_empty() && !is_speculative) {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod moves;
+
 use primrosestack_fleet::action::{Action, StartReply, StartRequest};
 use primrosestack_fleet::bounds::Bounds;
 use primrosestack_fleet::handover::Handover;
--- a/crates/fleet/tests/rehome.rs
+++ b/crates/fleet/tests/rehome.rs
@@ -2,60 +2,14 @@
 
 mod common;
 
+use common::moves::{LOSS_MS, MOVE_WAIT_MS, arrival, lose, moving_job, other, tick_until_move};
 use common::{Harness, queue, run_end, service_step, step, task_id};
 use primrosestack_fleet::intake::Load;
 use primrosestack_fleet::job::{JobId, JobSpec, StepSpec};
 use primrosestack_fleet::record::{Phase, StoredJob};
-use primrosestack_fleet::rehome::JobMove;
 use primrosestack_fleet::report::{EndKind, ServerEntry};
-use smol_str::SmolStr;
 use test_case::test_case;
 
-/// Longer than the wait after which a job moves.
-const MOVE_WAIT_MS: u64 = 3_500;
-
-/// Until the lease of a lost server has ended and its registration is gone.
-const LOSS_MS: u64 = 6_000;
-
-fn other(names: &[&str]) -> (SmolStr, Load) {
-    (SmolStr::new("cxs"), Harness::open(names).load())
-}
-
-/// Ticks for a while and returns the first job that has to move.
-fn tick_until_move(
-    source: &mut Harness,
-    others: &[(SmolStr, Load)],
-    for_ms: u64,
-) -> Option<JobMove> {
-    let end_ms = source.now_ms + for_ms;
-    while source.now_ms < end_ms {
-        source.now_ms += 100;
-        source.tick();
-        source.plan();
-        let mut others = others.to_vec();
-        let taken = source.shard.take_job_move(&mut others, source.now_ms);
-        if taken.is_some() {
-            return taken;
-        }
-    }
-    None
-}
-
-fn lose(source: &mut Harness, name: &str) {
-    source.shard.unregister_server(name);
-}
-
-/// What the new home reads of a job that moved at a revision.
-fn arrival(job_move: &JobMove, created_revision: u64) -> StoredJob {
-    let mut spec = job_move.spec.clone();
-    StoredJob {
-        progress: spec.recorded.take(),
-        spec: Some(spec),
-        created_revision,
-        ..StoredJob::default()
-    }
-}
-
 fn gang_step(tasks: u32) -> StepSpec {
     StepSpec {
         gang: true,
@@ -195,25 +149,6 @@
     );
 }
 
-/// A job whose server was lost, and its move.
-fn moving_job(steps: Vec<StepSpec>) -> (Harness, JobMove) {
-    let mut source = Harness::open(&["one"]);
-    source.submit(7, 0, steps);
-    source.plan();
-    source.confirm_starts();
-    source.report_end(
-        "one",
-        &run_end(1, task_id(JobId(7), 0, 0), 1, EndKind::Done),
-    );
-    source.plan();
-    source.confirm_starts();
-    source.write_records();
-    lose(&mut source, "one");
-    let others = [other(&["two"])];
-    let job_move = tick_until_move(&mut source, &others, LOSS_MS + MOVE_WAIT_MS);
-    (source, job_move.expect("the job moves"))
-}
-
 /// Guards against a home that starts tasks of a job, or records it, while its move may be carried out.
 #[test]
 fn a_job_stands_still_while_it_moves() {
@@ -234,6 +169,25 @@
     assert!(batch.jobs.is_empty());
 }
 
+/// Guards against a run of a moving job that goes on beside one in the new home, or that its server keeps after the job
+/// is gone: a start that was carried out late is listed while the job moves.
+#[test]
+fn a_run_that_appears_while_its_job_moves_is_stopped() {
+    let (mut source, job_move) = moving_job(vec![step(2)]);
+    source
+        .shard
+        .set_server(common::entry("three"), source.now_ms);
+    let late = common::run_status(task_id(job_move.id, 0, 1), 1);
+    source.report("three", std::slice::from_ref(&late), &[]);
+    source.plan();
+    assert_eq!(source.stops.len(), 1, "the late run is stopped");
+    source.shard.job_moved(job_move.key, 300, source.now_ms);
+    source.now_ms += 1_000;
+    source.report("three", &[late], &[]);
+    source.report("three", &[], &[]);
+    source.plan();
+}
+
 /// Guards against a job that is not moved after all and never starts or ends again.
 #[test]
 fn a_job_that_is_kept_goes_on() {
