Move a job with its progress as of the transaction

What callers saw: a task whose end, failure or crash came after its job was taken to be moved counted as not done, not failed or not crashed in the new home and started again; a job that had ended here became live again there.

Cause: the progress was taken before the lock of the records was held and the home was read, and written as it was then.

The progress is taken again right before the transaction, under that lock; a job that has ended or has a run since stays.

Before the change, both new tests of tests/rehoming.rs failed (the end was not in the moved progress; the ended job moved).

--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -47,7 +47,7 @@
     pub key: JobKey,
     /// Failure domain that becomes the job's home.
     pub failure_domain: SmolStr,
-    /// Specification, with the progress for the new home.
+    /// Specification, with the progress for the new home, as of when the job was taken.
     pub spec: JobSpec,
     pub progress: Progress,
 }
@@ -135,6 +135,37 @@
     free.gpus -= step.gpus;
 }
 
+/// Move of a job with its present progress.
+fn move_of(key: JobKey, job: &Job, failure_domain: SmolStr) -> JobMove {
+    let last_runs = job.tasks(key).map(|(_, task)| task.last_run);
+    let run_base = last_runs.max().unwrap_or(0).max(job.run_base);
+    let progress = Progress {
+        run_base,
+        ..progress_of(key, job)
+    };
+    let spec = JobSpec {
+        recorded: Some(progress.clone()),
+        ..job.spec.clone()
+    };
+    JobMove {
+        id: job.id,
+        key,
+        failure_domain,
+        spec,
+        progress,
+    }
+}
+
+impl Job {
+    /// Whether the job has no run, here or at a delegate, and no unread transfers.
+    fn is_whole(&self) -> bool {
+        self.run_count == 0
+            && self.delegate_domains.is_empty()
+            && self.outbound_transfers.is_empty()
+            && self.transfer_keys.is_empty()
+    }
+}
+
 impl Shard {
     /// Finds the needs of waiting tasks that no set of servers here could meet, and since when.
     pub(crate) fn update_unserved(&mut self, now_ms: u64) {
@@ -222,17 +253,24 @@
         None
     }
 
-    /// Whether a waiting task makes its job move. The job has no run, here or at a delegate, and no unread transfers.
+    /// The same move with the present progress; `None` if the job has ended since, or must stay for another reason.
+    #[must_use]
+    pub fn current_move(&self, job_move: &JobMove) -> Option<JobMove> {
+        let job = self.jobs.get(job_move.key)?;
+        if !job.moving || !job.is_live() || !job.is_whole() {
+            return None;
+        }
+        let failure_domain = job_move.failure_domain.clone();
+        Some(move_of(job_move.key, job, failure_domain))
+    }
+
+    /// Whether a waiting task makes its job move.
     fn can_move(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(task_ref.job) else {
             return false;
         };
-        let is_whole = job.run_count == 0
-            && job.delegate_domains.is_empty()
-            && job.outbound_transfers.is_empty()
-            && job.transfer_keys.is_empty();
         let is_taken = job.moving || now_ms < job.kept_until_ms;
-        if !is_whole || !job.is_live() || job.is_delegated || is_taken || !self.settled {
+        if !job.is_whole() || !job.is_live() || job.is_delegated || is_taken || !self.settled {
             return false;
         }
         let need = Need::of(job, self.step_spec(task_ref));
@@ -248,22 +286,7 @@
         let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
         let job = &mut self.jobs[key];
         job.moving = true;
-        let last_runs = job.tasks(key).map(|(_, task)| task.last_run);
-        let run_base = last_runs.max().unwrap_or(0).max(job.run_base);
-        let progress = Progress {
-            run_base,
-            ..progress_of(key, job)
-        };
-        let job_move = JobMove {
-            id: job.id,
-            key,
-            failure_domain,
-            spec: JobSpec {
-                recorded: Some(progress.clone()),
-                ..job.spec.clone()
-            },
-            progress,
-        };
+        let job_move = move_of(key, job, failure_domain);
         let inputs = [
             ("waited_ms", waited_ms),
             ("waiting", self.ready.len() as u64),
--- a/crates/standin/src/emulator/owner.rs
+++ b/crates/standin/src/emulator/owner.rs
@@ -10,7 +10,7 @@
 
 use super::links::{StoreAnswer, StoreCall};
 use super::orders::PollState;
-use super::rehoming::{Attempt, Moves, PASS_INTERVAL_MS};
+use super::rehoming::{Moves, PASS_INTERVAL_MS};
 use super::store::{
     self, Change, Item, Transaction, Value, inbox_key, inbox_prefix, progress_key, term_key,
 };
@@ -441,11 +441,7 @@
                 owner.term_revision = revision;
                 match call {
                     StoreCall::Move { .. } if is_outdated => self.rewrite_move(id),
-                    StoreCall::Move { .. } if *is_cancelled => {
-                        self.move_tried(id, Attempt::Refused);
-                    }
-                    // If it is the home that has changed, the next attempt reads it.
-                    StoreCall::Move { .. } => self.move_tried(id, Attempt::Unknown),
+                    StoreCall::Move { .. } => self.move_not_written(id, *is_cancelled),
                     StoreCall::Records { batch, .. } => {
                         let transaction = self.records(id, &batch);
                         let call = StoreCall::Records { owner: id, batch };
@@ -465,7 +461,7 @@
                         owner.records_retry_ms = now + RECORDS_RETRY_MS;
                         owner.shard.batch_failed(batch);
                     }
-                    StoreCall::Move { .. } => self.move_tried(id, Attempt::Unknown),
+                    StoreCall::Move { .. } => self.move_not_written(id, false),
                     _ => {}
                 }
                 self.write_records(id);
@@ -479,7 +475,7 @@
             }
             StoreCall::Move { .. } => {
                 let revision = owner.term_revision;
-                self.move_tried(id, Attempt::Moved(revision));
+                self.move_written(id, revision);
             }
             StoreCall::Announce { .. } => {
                 owner.must_announce = false;
--- a/crates/standin/src/emulator/rehoming.rs
+++ b/crates/standin/src/emulator/rehoming.rs
@@ -1,7 +1,8 @@
 //! Moves of jobs to other shards, as the daemon makes them for an owner.
 //!
 //! The home of the job is read, and changed on condition that it has not changed, that no cancellation was written for
-//! the old one, and that the term has not ended. No records are written during an attempt.
+//! the old one, and that the term has not ended. No records are written during an attempt. The outcome of one without an
+//! answer is told by the home's revision; if this has not changed, a transaction of the term keeps it from taking effect.
 
 use primrosestack_fleet::rehome::JobMove;
 
@@ -24,8 +25,8 @@
 struct Move {
     taken: JobMove,
     stage: Stage,
-    /// Whether an earlier attempt may have taken effect.
-    may_be_committed: bool,
+    /// Revision of the home on which an attempt without an answer was conditional.
+    tried_revision: Option<u64>,
 }
 
 /// Stage of an attempt.
@@ -46,14 +47,14 @@
 /// Outcome of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Attempt {
-    /// The job has moved at this revision.
+    /// The job has moved. Entries of its old home up to this revision were written before that.
     Moved(u64),
-    /// The attempt had no effect, and the job must stay.
+    /// The job was cancelled, or must stay for another reason.
     Refused,
-    /// The attempt had no effect.
+    /// The attempt had no effect and will have none.
     Failed,
-    /// The attempt may have taken effect, or may still do so.
-    Unknown,
+    /// The attempt to change the home, which was written at this revision, may have taken effect or may still do so.
+    Unknown(u64),
 }
 
 impl Moves {
@@ -94,7 +95,7 @@
             moves.current = Some(Move {
                 taken: job_move,
                 stage: Stage::Pausing,
-                may_be_committed: false,
+                tried_revision: None,
             });
             self.set_loads(others);
             self.note(|| format!("owner {id}: job {job} is to move to shard {to}"));
@@ -130,17 +131,31 @@
         let Some(current) = &mut owner.moves.current else {
             return;
         };
+        let tried_revision = current.tried_revision;
         let StoreAnswer::Read { item, .. } = answer else {
-            self.move_tried(id, Attempt::Failed);
+            let attempt = tried_revision.map_or(Attempt::Failed, Attempt::Unknown);
+            self.move_tried(id, attempt);
             return;
         };
+        if let Some(home_revision) = tried_revision {
+            let revision = item.as_ref().map_or(0, |item| item.revision);
+            if revision == home_revision {
+                current.stage = Stage::Ready { home_revision };
+                self.write_move(id);
+            } else {
+                // If the job has come back since, its entry was written with the home.
+                let moved_revision = home_revision.max(revision.saturating_sub(1));
+                self.move_tried(id, Attempt::Moved(moved_revision));
+            }
+            return;
+        }
         let home = item.as_ref().map(|item| (&*item.value, item.revision));
         let Some((&Value::Home(home), home_revision)) = home else {
             self.move_tried(id, Attempt::Refused);
             return;
         };
         if home != domain {
-            // An earlier attempt took effect.
+            // The copy of the job was read from an outdated entry.
             self.move_tried(id, Attempt::Moved(home_revision));
             return;
         }
@@ -166,7 +181,14 @@
         }
         current.stage = Stage::Writing { home_revision };
         let job = current.taken.id;
-        let transaction = transaction_of(domain, &current.taken, home_revision);
+        let transaction = if current.tried_revision.is_some() {
+            Transaction::default().expect(home_key(job), home_revision)
+        } else if let Some(job_move) = owner.shard.current_move(&current.taken) {
+            transaction_of(domain, &job_move, home_revision)
+        } else {
+            self.move_tried(id, Attempt::Refused);
+            return;
+        };
         self.commit_in_term(id, &transaction, StoreCall::Move { owner: id, job });
     }
 
@@ -181,6 +203,36 @@
         self.write_move(id);
     }
 
+    /// Handles the answer to the transaction of an attempt, committed at a revision.
+    pub(super) fn move_written(&mut self, id: usize, revision: u64) {
+        let owner = self.owners[id].as_ref();
+        let current = owner.and_then(|owner| owner.moves.current.as_ref());
+        let is_settled = current.is_some_and(|current| current.tried_revision.is_some());
+        let attempt = if is_settled {
+            Attempt::Failed
+        } else {
+            Attempt::Moved(revision)
+        };
+        self.move_tried(id, attempt);
+    }
+
+    /// Handles a transaction of an attempt that had no answer, or whose conditions do not hold.
+    pub(super) fn move_not_written(&mut self, id: usize, is_cancelled: bool) {
+        let owner = self.owners[id].as_ref();
+        let Some(current) = owner.and_then(|owner| owner.moves.current.as_ref()) else {
+            return;
+        };
+        let Stage::Writing { home_revision } = current.stage else {
+            return;
+        };
+        let attempt = if is_cancelled && current.tried_revision.is_none() {
+            Attempt::Refused
+        } else {
+            Attempt::Unknown(home_revision)
+        };
+        self.move_tried(id, attempt);
+    }
+
     /// Handles the outcome of an attempt.
     pub(super) fn move_tried(&mut self, id: usize, attempt: Attempt) {
         let now = self.now_ms();
@@ -196,15 +248,14 @@
                 owner.shard.job_moved(key, revision, now);
                 true
             }
-            Attempt::Failed if current.may_be_committed => false,
             Attempt::Refused | Attempt::Failed => {
                 owner.shard.job_kept(key, now);
                 // The pass ends.
                 owner.moves.count = MOVES_PER_PASS_MAX;
                 true
             }
-            Attempt::Unknown => {
-                current.may_be_committed = true;
+            Attempt::Unknown(home_revision) => {
+                current.tried_revision = Some(home_revision);
                 false
             }
         };
--- a/src/daemon/rehoming.rs
+++ b/src/daemon/rehoming.rs
@@ -120,7 +120,17 @@
         // The copy of the job was read from an outdated entry.
         return Attempt::Moved(home_revision);
     }
-    let transaction = transaction_of(own, job_move, home_revision);
+    // The job may have ended or progressed since it was taken.
+    let current = owned.shard.borrow().current_move(job_move);
+    let Some(current) = current else {
+        Line::info("job_not_moved")
+            .with("job", id)
+            .with("shard", own)
+            .with("reason", "changed")
+            .write();
+        return Attempt::Kept;
+    };
+    let transaction = transaction_of(own, &current, home_revision);
     match owned.write_in_term("move_job", &transaction).await {
         Ok(revision) => Attempt::Moved(revision),
         Err(failure) => {
--- a/tests/rehoming.rs
+++ b/tests/rehoming.rs
@@ -1,14 +1,12 @@
 //! Moves of jobs between shards, and requests for jobs that have moved.
 
 mod daemon_fake;
+mod store_fake;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD as BASE64;
 use daemon_fake::owned_shard_at;
 use http_body_util::BodyExt;
 use primrosestack::daemon::clock::now_ms;
@@ -17,127 +15,16 @@
 use primrosestack::daemon::{entry, keys, rehoming};
 use primrosestack_fleet::intake::{FreeCapacity, Load};
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{Home, Progress, StoredJob, TaskRecord, Term};
+use primrosestack_fleet::record::{Home, Phase, Progress, StoredJob, TaskRecord, Term};
 use primrosestack_fleet::rehome::JobMove;
 use prost::Message;
-use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use store_fake::{Contents, serve_store};
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
 const JOB: JobId = JobId(7);
 
-/// Items of the store with the revisions of their last change, by key.
-#[derive(Default)]
-struct Contents {
-    revision: u64,
-    items: BTreeMap<String, (Vec<u8>, u64)>,
-    /// Number of transactions that are carried out without an answer.
-    answers_lost: u32,
-    /// Number of transactions that were carried out.
-    commits: u32,
-}
-
-impl Contents {
-    fn put(&mut self, key: &str, value: Vec<u8>) {
-        self.revision += 1;
-        self.items.insert(key.to_owned(), (value, self.revision));
-    }
-
-    fn item(&self, key: &str) -> Value {
-        let (value, revision) = self.items.get(key).cloned().unwrap_or_default();
-        let value = BASE64.encode(value);
-        json!({"key": key, "value": value, "revision": revision, "created": revision})
-    }
-
-    fn commit(&mut self, body: &Value) -> (u16, Value) {
-        // Of the rows of a transaction, only its conditions have a revision.
-        let lists = body.as_object().expect("a transaction").values();
-        let rows = lists.filter_map(Value::as_array).flatten();
-        let conditions: Vec<&Value> = rows.filter(|row| row["revision"].is_u64()).collect();
-        let keys = conditions
-            .iter()
-            .map(|row| row["key"].as_str().expect("a key"));
-        let current: Vec<Value> = keys.map(|key| self.item(key)).collect();
-        let mut pairs = conditions.iter().zip(&current);
-        if pairs.any(|(row, item)| row["revision"] != item["revision"]) {
-            return (412, json!({"items": current}));
-        }
-        self.revision += 1;
-        self.commits += 1;
-        for row in body["put"].as_array().expect("puts") {
-            let value = BASE64.decode(row["value"].as_str().expect("a value"));
-            let key = row["key"].as_str().expect("a key").to_owned();
-            self.items
-                .insert(key, (value.expect("base64"), self.revision));
-        }
-        for key in body["remove"].as_array().expect("removals") {
-            self.items.remove(key.as_str().expect("a key"));
-        }
-        (200, json!({"revision": self.revision}))
-    }
-
-    /// Status and body of the answer to a request; `None` for none.
-    fn answer(&mut self, head: &str, body: &[u8]) -> Option<(u16, Value)> {
-        if head.starts_with("POST") {
-            let body = serde_json::from_slice(body).expect("a transaction");
-            let answer = self.commit(&body);
-            if self.answers_lost > 0 {
-                self.answers_lost -= 1;
-                return None;
-            }
-            return Some(answer);
-        }
-        let path = head.split(' ').nth(1).expect("a path").replace("%2F", "/");
-        if let Some((_, prefix)) = path.split_once("prefix=") {
-            let prefix = prefix.split('&').next().expect("a prefix");
-            let keys = self.items.keys().filter(|key| key.starts_with(prefix));
-            let items: Vec<Value> = keys.map(|key| self.item(key)).collect();
-            return Some((200, json!({"items": items, "at": self.revision})));
-        }
-        let key = path.split_once("key=").expect("a key").1;
-        let is_there = self.items.contains_key(key);
-        Some((if is_there { 200 } else { 404 }, self.item(key)))
-    }
-}
-
-async fn read_request(stream: &mut TcpStream) -> (String, Vec<u8>) {
-    let mut bytes = Vec::new();
-    loop {
-        let mut part = [0; 4_096];
-        let read = stream.read(&mut part).await.expect("a request");
-        bytes.extend_from_slice(&part[..read]);
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let lower = head.to_lowercase();
-        let length = lower.split("content-length: ").nth(1);
-        let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
-        if body.len() >= length.unwrap_or(0) {
-            return (head.to_owned(), body.as_bytes().to_vec());
-        }
-    }
-}
-
-async fn serve_store(listener: TcpListener, contents: Rc<RefCell<Contents>>) {
-    loop {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let (head, body) = read_request(&mut stream).await;
-        let answer = contents.borrow_mut().answer(&head, &body);
-        let Some((status, body)) = answer else {
-            continue;
-        };
-        let body = body.to_string();
-        let length = body.len();
-        let reply = format!(
-            "HTTP/1.1 {status} status\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
-        );
-        stream.write_all(reply.as_bytes()).await.expect("sent");
-    }
-}
-
 fn spec() -> JobSpec {
     let step = StepSpec {
         tasks: 1,
@@ -346,6 +233,79 @@
     LocalSet::new().run_until(move_and_return(true)).await;
 }
 
+/// The end of the first task, told by its server after the job was taken to be moved.
+fn tell_late_end(owned: &OwnedShard) {
+    let task = TaskId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let end = RunEnd {
+        number: 1,
+        task,
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: "".into(),
+    };
+    let entry = ServerEntry {
+        name: "late".into(),
+        started_unix_ms: 1,
+        service: "".into(),
+        address: "127.0.0.1:1".into(),
+        failure_domain: "poa".into(),
+        draining: false,
+        leaves_in_ms: None,
+        cpu_millis: 0,
+        memory_mb: 0,
+        gpus: 0,
+        labels: Vec::new(),
+    };
+    let now = now_ms();
+    let report = Report {
+        sent_ms: now,
+        started_unix_ms: 1,
+        ended: vec![end],
+        ..Report::default()
+    };
+    let mut shard = owned.shard.borrow_mut();
+    shard.set_server(entry, now);
+    let key = shard.server_keys()[0];
+    shard.apply_report(key, &report, now);
+}
+
+/// Guards against a done task that starts again in the new home, since its end came after the job was taken to be moved.
+#[tokio::test]
+async fn a_move_carries_the_progress_as_of_its_transaction() {
+    let run = async {
+        let setup = setup_with(two_tasks()).await;
+        let job_move = take_move(&setup.owned);
+        tell_late_end(&setup.owned);
+        rehoming::move_job(&setup.owned, &job_move).await;
+        let contents = setup.contents.borrow();
+        let progress: Progress = decoded(&contents, &keys::progress("cxs", JOB)).expect("moved");
+        assert!(progress.tasks.iter().any(|task| task.done));
+        let moved: JobSpec = decoded(&contents, &keys::job("cxs", JOB)).expect("moved");
+        assert_eq!(moved.recorded, Some(progress));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against an ended job that becomes live again in another home.
+#[tokio::test]
+async fn a_job_that_ends_before_its_move_is_written_stays() {
+    let run = async {
+        let setup = setup().await;
+        let job_move = take_move(&setup.owned);
+        tell_late_end(&setup.owned);
+        rehoming::move_job(&setup.owned, &job_move).await;
+        assert_eq!(setup.contents.borrow().commits, 0);
+        let batch = setup.owned.shard.borrow_mut().take_batch(now_ms());
+        assert_eq!(batch.jobs[0].progress.phase(), Phase::Completed);
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against a job that moves away from its cancellation, and whose tasks start in the new home.
 #[tokio::test]
 async fn a_job_with_a_cancellation_does_not_move() {
