--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -8,7 +8,7 @@
 use crate::intake::Load;
 use crate::job::{JobId, JobSpec, StepSpec};
 use crate::ledger::progress_of;
-use crate::record::Progress;
+use crate::record::{Progress, StoredJob};
 use crate::server::{CONTACT_TIMEOUT_MS, Server};
 use crate::shard::{Job, JobKey, Shard, TaskRef, to_u32};
 
@@ -47,7 +47,7 @@
     pub key: JobKey,
     /// Failure domain that becomes the job's home.
     pub failure_domain: SmolStr,
-    /// Specification, with the progress for the new home.
+    /// Specification, with the progress for the new home, as of when the job was taken.
     pub spec: JobSpec,
     pub progress: Progress,
 }
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct MovedJob {
     id: JobId,
-    /// Revision of the move.
+    /// Entries up to this revision were written before the move.
     revision: u64,
     moved_ms: u64,
 }
@@ -135,6 +135,37 @@
     free.gpus -= step.gpus;
 }
 
+/// Move of a job with its present progress.
+fn move_of(key: JobKey, job: &Job, failure_domain: SmolStr) -> JobMove {
+    let last_runs = job.tasks(key).map(|(_, task)| task.last_run);
+    let run_base = last_runs.max().unwrap_or(0).max(job.run_base);
+    let progress = Progress {
+        run_base,
+        ..progress_of(key, job)
+    };
+    let spec = JobSpec {
+        recorded: Some(progress.clone()),
+        ..job.spec.clone()
+    };
+    JobMove {
+        id: job.id,
+        key,
+        failure_domain,
+        spec,
+        progress,
+    }
+}
+
+impl Job {
+    /// Whether the job has no run, here or at a delegate, and no unread transfers.
+    fn is_whole(&self) -> bool {
+        self.run_count == 0
+            && self.delegate_domains.is_empty()
+            && self.outbound_transfers.is_empty()
+            && self.transfer_keys.is_empty()
+    }
+}
+
 impl Shard {
     /// Finds the needs of waiting tasks that no set of servers here could meet, and since when.
     pub(crate) fn update_unserved(&mut self, now_ms: u64) {
@@ -222,17 +253,24 @@
         None
     }
 
-    /// Whether a waiting task makes its job move. The job has no run, here or at a delegate, and no unread transfers.
+    /// The same move with the present progress; `None` if the job has ended since, or must stay for another reason.
+    #[must_use]
+    pub fn current_move(&self, job_move: &JobMove) -> Option<JobMove> {
+        let job = self.jobs.get(job_move.key)?;
+        if !job.moving || !job.is_live() || !job.is_whole() {
+            return None;
+        }
+        let failure_domain = job_move.failure_domain.clone();
+        Some(move_of(job_move.key, job, failure_domain))
+    }
+
+    /// Whether a waiting task makes its job move.
     fn can_move(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(task_ref.job) else {
             return false;
         };
-        let is_whole = job.run_count == 0
-            && job.delegate_domains.is_empty()
-            && job.outbound_transfers.is_empty()
-            && job.transfer_keys.is_empty();
         let is_taken = job.moving || now_ms < job.kept_until_ms;
-        if !is_whole || !job.is_live() || job.is_delegated || is_taken || !self.settled {
+        if !job.is_whole() || !job.is_live() || job.is_delegated || is_taken || !self.settled {
             return false;
         }
         let need = Need::of(job, self.step_spec(task_ref));
@@ -248,22 +286,7 @@
         let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
         let job = &mut self.jobs[key];
         job.moving = true;
-        let last_runs = job.tasks(key).map(|(_, task)| task.last_run);
-        let run_base = last_runs.max().unwrap_or(0).max(job.run_base);
-        let progress = Progress {
-            run_base,
-            ..progress_of(key, job)
-        };
-        let job_move = JobMove {
-            id: job.id,
-            key,
-            failure_domain,
-            spec: JobSpec {
-                recorded: Some(progress.clone()),
-                ..job.spec.clone()
-            },
-            progress,
-        };
+        let job_move = move_of(key, job, failure_domain);
         let inputs = [
             ("waited_ms", waited_ms),
             ("waiting", self.ready.len() as u64),
@@ -272,15 +295,33 @@
         job_move
     }
 
-    /// Forgets a job that has moved at a revision.
-    pub fn job_moved(&mut self, key: JobKey, revision: u64, now_ms: u64) {
-        let Some(job) = self.jobs.remove(key) else {
-            return;
-        };
+    /// Removes a copy of a job that has moved away.
+    fn remove_copy(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
         if let Ok(index) = self.job_index.binary_search_by_key(&job.id, |(id, _)| *id) {
             self.job_index.remove(index);
         }
         self.ready.retain(|task_ref| task_ref.job != key);
+        Some(job)
+    }
+
+    /// Removes the copy of a job that has moved away and, according to an entry that was written after the one of this
+    /// copy, has come back.
+    pub(crate) fn forget_left_copy(&mut self, id: JobId, stored: &StoredJob) {
+        let Some(key) = self.find_job(id) else { return };
+        let is_home_entry = stored.spec.is_some() && !stored.is_delegated;
+        let job = &self.jobs[key];
+        if is_home_entry && job.moving && stored.created_revision > job.created_revision {
+            self.remove_copy(key);
+        }
+    }
+
+    /// Forgets a job that has moved. Entries of the inbox up to a revision were written before that.
+    pub fn job_moved(&mut self, key: JobKey, revision: u64, now_ms: u64) {
+        // Without a copy, the job has come back already.
+        let Some(job) = self.remove_copy(key) else {
+            return;
+        };
         let moved = MovedJob {
             id: job.id,
             revision,
