Stop abandoned starts in the next life of their server

Cause: a stop, or the end of the lease in the start, keeps a start out of one life of its server. The owner then forgot the start, and the next life has heard of neither.

Fix: the owner remembers starts without an answer that it gave up, until 12 s after they were sent, 1,024 at most, also when their server is dropped. When the server is registered or answers in a later life, the owner sends it a stop for each, and again each second until that life confirms it.

Not covered: a start that the next life carries out before the stop arrives, since holding each task back for 12 s after an unanswered start would delay all of them; and starts that an earlier owner gave up, which its successor does not know.

--- /dev/null
+++ b/crates/fleet/src/abandoned_starts.rs
@@ -0,0 +1,133 @@
+//! Starts that got no answer and were given up, although the next life of their server may still carry them out.
+//!
+//! A stop, or the end of the lease in the start, keeps such a start out of one life of its server. The next one, under the
+//! same name, knows of neither, so it gets a stop of its own as soon as it is heard of.
+
+use smol_str::SmolStr;
+
+use crate::action::Action;
+use crate::job::TaskId;
+use crate::runs::STOP_RETRY_MS;
+use crate::shard::{ServerKey, Shard};
+use crate::task::Run;
+
+/// Maximum number of remembered starts; those that can be carried out for the shortest time are forgotten first.
+const ABANDONED_STARTS_MAX: usize = 1_024;
+
+#[derive(Clone, Debug)]
+pub(crate) struct AbandonedStart {
+    /// Name of the server that it was sent to.
+    server: SmolStr,
+    task: TaskId,
+    run: u32,
+    /// Start of the newest incarnation that refuses it, in milliseconds since the Unix epoch.
+    refused_by_unix_ms: u64,
+    /// From when it can no longer be carried out.
+    void_ms: u64,
+    /// Start of the incarnation that the last stop was sent to, in milliseconds since the Unix epoch; 0 for none.
+    stopped_unix_ms: u64,
+    /// When that stop was sent.
+    stop_sent_ms: u64,
+}
+
+impl Shard {
+    /// Remembers the start of an abandoned run if it got no answer. The server's present life refuses it.
+    pub(crate) fn remember_abandoned_start(
+        &mut self,
+        server: ServerKey,
+        task: TaskId,
+        run: &Run,
+        now_ms: u64,
+    ) {
+        let void_ms = run.void_ms();
+        if run.is_confirmed() || now_ms >= void_ms {
+            return;
+        }
+        self.abandoned_starts.retain(|start| now_ms < start.void_ms);
+        if self.abandoned_starts.len() >= ABANDONED_STARTS_MAX {
+            let starts = self.abandoned_starts.iter().enumerate();
+            if let Some((first, _)) = starts.min_by_key(|(_, start)| start.void_ms) {
+                self.abandoned_starts.remove(first);
+                self.log_decision("abandoned_start_forgotten", None, Some(server), []);
+            }
+        }
+        let state = &self.servers[server];
+        let name = state.entry.name.clone();
+        let start = AbandonedStart {
+            server: name,
+            task,
+            run: run.number,
+            refused_by_unix_ms: state.started_unix_ms,
+            void_ms,
+            stopped_unix_ms: 0,
+            stop_sent_ms: 0,
+        };
+        let starts = &mut self.abandoned_starts;
+        let index = starts.partition_point(|other| other.server <= start.server);
+        starts.insert(index, start);
+    }
+
+    /// Stops the abandoned starts that the present life of a server may carry out, until it confirms these stops.
+    pub(crate) fn stop_abandoned_starts(&mut self, server: ServerKey, now_ms: u64) {
+        if self.abandoned_starts.is_empty() {
+            return;
+        }
+        let state = &self.servers[server];
+        let name = state.entry.name.clone();
+        let present_unix_ms = state.started_unix_ms.max(state.entry.started_unix_ms);
+        let begin = self
+            .abandoned_starts
+            .partition_point(|start| start.server < name);
+        let mut stops = Vec::new();
+        for start in &mut self.abandoned_starts[begin..] {
+            if start.server != name {
+                break;
+            }
+            let is_pending = start.stopped_unix_ms == present_unix_ms
+                && now_ms < start.stop_sent_ms + STOP_RETRY_MS;
+            let is_refused = start.refused_by_unix_ms >= present_unix_ms;
+            if is_refused || is_pending || now_ms >= start.void_ms {
+                continue;
+            }
+            start.stopped_unix_ms = present_unix_ms;
+            start.stop_sent_ms = now_ms;
+            stops.push((start.task, start.run));
+        }
+        for (task, run) in stops {
+            let task_ref = self.find_task(task);
+            // A run that was adopted is wanted.
+            let is_known = task_ref
+                .is_some_and(|task_ref| self.task(task_ref).run_position(server, run).is_some());
+            if is_known {
+                continue;
+            }
+            let inputs = [("run", u64::from(run))];
+            self.log_decision("abandoned_start_stopped", task_ref, Some(server), inputs);
+            self.actions.push(Action::Stop { server, task, run });
+        }
+    }
+
+    /// Notes that a server confirmed the stop of an abandoned start.
+    pub(crate) fn note_abandoned_start_stopped(
+        &mut self,
+        server: ServerKey,
+        task: TaskId,
+        run: u32,
+    ) {
+        let Some(state) = self.servers.get(server) else {
+            return;
+        };
+        let name = &state.entry.name;
+        let begin = self
+            .abandoned_starts
+            .partition_point(|start| start.server < *name);
+        for start in &mut self.abandoned_starts[begin..] {
+            if start.server != *name {
+                break;
+            }
+            if start.task == task && start.run == run {
+                start.refused_by_unix_ms = start.refused_by_unix_ms.max(start.stopped_unix_ms);
+            }
+        }
+    }
+}
--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -92,6 +92,7 @@
                 continue;
             }
             self.check_runs(server, now_ms);
+            self.stop_abandoned_starts(server, now_ms);
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! it takes events with a monotonic time and returns actions, without reading clocks, doing I/O or drawing random
 //! numbers.
 
+mod abandoned_starts;
 pub mod action;
 mod arrival;
 pub mod bounds;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -67,6 +67,7 @@
         if begins_draining {
             self.forget_remembered(key, now_ms);
         }
+        self.stop_abandoned_starts(key, now_ms);
         key
     }
 
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -68,6 +68,7 @@
         }
         self.update_unwanted_runs(server, report);
         self.abandon_unlisted_runs(server, report, poll_sent_ms, now_ms);
+        self.stop_abandoned_starts(server, now_ms);
         self.throttle_best_effort(server, now_ms);
         let jobs = &self.jobs;
         let is_recorded = |job, version| {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -273,6 +273,7 @@
         run: u32,
         now_ms: u64,
     ) {
+        self.note_abandoned_start_stopped(server, task, run);
         let Some(task_ref) = self.find_task(task) else {
             return;
         };
@@ -287,6 +288,10 @@
 
     /// Abandons a run that its server refused to start.
     fn abandon_start(&mut self, task_ref: TaskRef, server: ServerKey, number: u32, now_ms: u64) {
+        let task = self.task_mut(task_ref);
+        if let Some(position) = task.run_position(server, number) {
+            task.runs[position].start_answered_ms = Some(now_ms);
+        }
         let reason = AbandonReason::NotStartedOrStopped;
         self.abandon_run(task_ref, server, number, reason, now_ms);
     }
@@ -303,6 +308,7 @@
         let Some(run) = self.remove_run(task_ref, server, number) else {
             return;
         };
+        self.remember_abandoned_start(server, self.task_id(task_ref), &run, now_ms);
         if reason == AbandonReason::NotStartedOrStopped && run.listed_ms.is_none() {
             self.log_decision(
                 "start_void",
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -5,6 +5,7 @@
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
 
+use crate::abandoned_starts::AbandonedStart;
 use crate::action::{Action, Decision};
 use crate::bounds::Bounds;
 use crate::crash_rate::UnexplainedLosses;
@@ -244,6 +245,8 @@
     pub(crate) moved_jobs: Vec<MovedJob>,
     /// Servers that lapsed and left the registrations with runs that may have crashed them, oldest first.
     pub(crate) lapsed_servers: Vec<LapsedServer>,
+    /// Starts without an answer that were given up, sorted by server.
+    pub(crate) abandoned_starts: Vec<AbandonedStart>,
     pub(crate) unexplained_losses: UnexplainedLosses,
     pub(crate) interference: InterferenceModel,
     /// When the interference estimates were last recorded.
@@ -298,6 +301,7 @@
             unserved_as_of_ms: 0,
             moved_jobs: Vec::new(),
             lapsed_servers: Vec::new(),
+            abandoned_starts: Vec::new(),
             unexplained_losses: UnexplainedLosses::default(),
             interference,
             interference_recorded_ms: now_ms,
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -110,6 +110,18 @@
         matches!(self.state, RunState::Stopping { .. })
     }
 
+    /// Whether the server is known to have answered the start request or to have run the task.
+    #[must_use]
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.listed_ms.is_some() || self.start_answered_ms.is_some()
+    }
+
+    /// From when no incarnation of the server can carry out the start request.
+    #[must_use]
+    pub(crate) fn void_ms(&self) -> u64 {
+        self.start_sent_ms + CALL_DELAY_MAX_MS
+    }
+
     /// Whether the start request may be carried out by an incarnation of the server after the one that last answered at
     /// `last_contact_ms`.
     #[must_use]
@@ -122,7 +134,7 @@
 
     /// Drops what was known from an earlier incarnation of the server: the next one has heard of no stop.
     pub(crate) fn enter_incarnation(&mut self) {
-        self.start_expired_ms = self.start_sent_ms + CALL_DELAY_MAX_MS;
+        self.start_expired_ms = self.void_ms();
         self.cut_off_ms = None;
         if self.is_stopping() {
             self.state = RunState::Unconfirmed;
--- a/crates/fleet/tests/late_orders.rs
+++ b/crates/fleet/tests/late_orders.rs
@@ -196,3 +196,93 @@
     }
     assert_eq!(gaps, [[("after", 5), ("before", 8)]]);
 }
+
+/// A task whose unanswered start was stopped, and which has been started again.
+fn stopped_start(harness: &mut Harness) -> (ServerKey, StartRequest, &'static str) {
+    let (server, request, other) = start_without_answer(harness);
+    let name = harness.name(server);
+    harness.now_ms += 500;
+    harness.report(&name, &[], &[]);
+    assert_eq!(harness.stops, [(server, request.task, request.run)]);
+    harness.confirm_stops();
+    harness.now_ms += 500;
+    harness.report(&name, &[], &[]);
+    harness.report(other, &[], &[]);
+    harness.plan();
+    assert_eq!(harness.confirm_starts().len(), 1, "the task starts again");
+    (server, request, other)
+}
+
+/// Guards against a task running twice because a start that got no answer was stopped in one life of its server, and the
+/// next one, which has not heard of the stop, carries it out.
+#[test]
+fn a_stopped_start_is_stopped_in_the_next_life_of_its_server() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, _) = stopped_start(&mut harness);
+    let stop = (server, request.task, request.run);
+    for life_unix_ms in [SECOND_LIFE_UNIX_MS, THIRD_LIFE_UNIX_MS] {
+        harness.now_ms += 500;
+        report_of_life(&mut harness, server, life_unix_ms, &[]);
+        assert!(harness.stops.contains(&stop), "life {life_unix_ms}");
+        harness.stops.clear();
+        harness.now_ms += 1_200;
+        report_of_life(&mut harness, server, life_unix_ms, &[]);
+        assert!(harness.stops.contains(&stop), "it was not confirmed");
+        harness.confirm_stops();
+        harness.now_ms += 1_200;
+        report_of_life(&mut harness, server, life_unix_ms, &[]);
+        assert!(!harness.stops.contains(&stop), "it was confirmed");
+    }
+}
+
+/// Guards against the registration of a new life, which may precede its first report by a second, leaving time for an old
+/// start.
+#[test]
+fn a_stopped_start_is_stopped_at_the_registration_of_the_next_life() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, _) = stopped_start(&mut harness);
+    let restarted = ServerEntry {
+        started_unix_ms: SECOND_LIFE_UNIX_MS,
+        ..entry(&harness.name(server))
+    };
+    harness.now_ms += 500;
+    harness.shard.set_server(restarted, harness.now_ms);
+    harness.tick();
+    let stop = (server, request.task, request.run);
+    assert!(harness.stops.contains(&stop));
+}
+
+/// Guards against an old start being forgotten with its server, whose registration expired before the next life began.
+#[test]
+fn a_stopped_start_is_stopped_when_its_server_is_registered_again() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, other) = start_without_answer(&mut harness);
+    let name = harness.name(server);
+    harness.shard.unregister_server(&name);
+    while harness.shard.find_server(&name).is_some() {
+        harness.now_ms += 500;
+        harness.report(other, &[], &[]);
+        harness.tick();
+    }
+    let age_ms = harness.now_ms - common::START_MS;
+    assert!(age_ms < 10_000, "dropped after {age_ms} ms");
+    let restarted = ServerEntry {
+        started_unix_ms: SECOND_LIFE_UNIX_MS,
+        ..entry(&name)
+    };
+    let server = harness.shard.set_server(restarted, harness.now_ms);
+    harness.tick();
+    let stop = (server, request.task, request.run);
+    assert!(harness.stops.contains(&stop));
+}
+
+/// Guards against stops without end: 12 s after a start was sent it is no longer carried out.
+#[test]
+fn an_old_start_is_forgotten_once_it_can_no_longer_be_carried_out() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, request, _) = stopped_start(&mut harness);
+    harness.now_ms += 12_000;
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    let stop = (server, request.task, request.run);
+    assert!(!harness.stops.contains(&stop));
+}
--- a/crates/standin/tests/emulator.rs
+++ b/crates/standin/tests/emulator.rs
@@ -2,8 +2,8 @@
 
 use primrosestack_standin::emulator::Plan;
 
-/// Seeds of the short set; `cargo run --release --example fleet_faults` runs more. The open findings are in
-/// `emulator_open.rs`.
+/// Seeds of the short set; `cargo run --release --example fleet_faults` runs more. Seeds of findings are in
+/// `emulator_replays.rs`.
 const SEEDS: u64 = 120;
 
 /// Largest number of faults of a day.
--- a/crates/standin/tests/emulator_replays.rs
+++ b/crates/standin/tests/emulator_replays.rs
@@ -166,3 +166,10 @@
     let world = Plan::draw(1_556, 6).run(false);
     assert_eq!(world.violation(), None);
 }
+
+/// Guards against a start that a server carries out late, after it was stopped in an earlier life of the server.
+#[test]
+fn a_stopped_start_is_not_carried_out_by_the_next_life_of_its_server() {
+    let world = Plan::draw(132, 6).run(false);
+    assert_eq!(world.violation(), None);
+}
