Take the check of successors' claims back

A change of owner that waits for a read of the store costs callers more than was planned. Whether the check is the cause was not shown.

--- a/src/daemon/election.rs
+++ b/src/daemon/election.rs
@@ -269,12 +269,9 @@
         sent_ms,
     )
     .await?;
-    // Claims that were answered while the shard was not open yet may be false; others may arrive during the check.
-    while node.take_successor_term(failure_domain) > term {
-        owned.verify_term().await;
-        if owned.closed.get() {
-            return Ok(());
-        }
+    if node.successor_term(failure_domain) > term {
+        owned.step_down("successor_asked");
+        return Ok(());
     }
     owner::spawn(&owned);
     for predecessor in previous_term.owners {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,7 +12,6 @@
 pub mod journal;
 pub mod keys;
 pub mod line_limit;
-mod load_polls;
 mod lookup;
 pub mod node;
 pub mod odd_entries;
@@ -83,7 +82,7 @@
             entry::serve_probes(Rc::clone(&node), probe_listener),
         );
         services.spawn("peers", peers::serve(Rc::clone(&node), peer_listener));
-        services.spawn("load_polls", load_polls::poll_loads(Rc::clone(&node)));
+        services.spawn("load_polls", peers::poll_loads(Rc::clone(&node)));
         services.spawn("operator", operator::follow(Rc::clone(&node)));
         services.spawn("owners", election::follow(Rc::clone(&node)));
         services.spawn("election", election::run(Rc::clone(&node)));
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    /// Steps down in favour of a successor with a later term, which the caller has checked. Returns the handover of `handover_term` if this process
+    /// Steps down in favour of a successor with a later term. Returns the handover of `handover_term` if this process
     /// owned the shard in that term.
     pub fn yield_shard(
         &self,
@@ -201,8 +201,7 @@
         saved.find(handover_term).cloned()
     }
 
-    /// Highest term of a successor that requested a handover; this host must not act in an earlier term unless the store
-    /// confirms it.
+    /// Highest term of a successor that requested a handover; this host must not act in an earlier term.
     #[must_use]
     pub fn successor_term(&self, failure_domain: &str) -> u64 {
         let successors = self.successors.borrow();
@@ -212,16 +211,6 @@
         found.map_or(0, |(_, term)| *term)
     }
 
-    /// Returns [`Self::successor_term`] and forgets it.
-    #[must_use]
-    pub fn take_successor_term(&self, failure_domain: &str) -> u64 {
-        let term = self.successor_term(failure_domain);
-        self.successors
-            .borrow_mut()
-            .retain(|(domain, _)| domain != failure_domain);
-        term
-    }
-
     /// Records the CPU of the last owner of a shard, in millicores.
     pub fn record_last_owner_cpu(&self, failure_domain: &str, cpu_millis: u32) {
         let mut owners = self.owner_views.borrow_mut();
--- a/src/daemon/succession.rs
+++ b/src/daemon/succession.rs
@@ -13,9 +13,6 @@
 
 const HANDOVER_RETRY_DELAY_MS: u64 = 250;
 
-/// Leaves time for the reply: the successor waits for 350 ms, and asks again if it is refused.
-const CLAIM_CHECK_TIMEOUT_MS: u64 = 200;
-
 impl OwnedShard {
     /// Owners that the next one may have to ask: once this one has settled, only itself.
     pub(super) fn unsettled_owners(&self) -> Vec<TermOwner> {
@@ -27,29 +24,6 @@
         owners.clone()
     }
 
-    /// Whether this owner should believe that the term of a successor has begun. The successor wrote its term before it
-    /// asked, so the store confirms it with one read. While the store is unavailable, the successor's word counts: the
-    /// owner cannot act for long without the store anyway, and a successor without an answer waits for all leases.
-    pub(super) async fn is_succession_plausible(self: &Rc<Self>, successor_term: u64) -> bool {
-        if self.closed.get() || successor_term <= self.leadership.term {
-            return true;
-        }
-        if self.node.is_store_unavailable() {
-            return true;
-        }
-        let owned = Rc::clone(self);
-        // Goes on after the time limit, so that an answer of a slow store counts when the successor asks again.
-        let check = tokio::task::spawn_local(async move { owned.check_term().await });
-        let limit = Duration::from_millis(CLAIM_CHECK_TIMEOUT_MS);
-        if let Ok(Err(error)) = tokio::time::timeout(limit, check).await {
-            Line::error("claim_not_checked")
-                .with("shard", &self.failure_domain)
-                .with_reason(error)
-                .write();
-        }
-        self.closed.get()
-    }
-
     /// Requests the handover of an earlier owner until it answers or the shard is settled. All tasks that earlier owners
     /// did not have in flight can then start at once.
     pub(super) async fn request_handover(
@@ -67,7 +41,7 @@
             let own_address = self.node.settings.peer_address;
             let is_self = predecessor.address == own_address.to_string();
             let result = if is_self {
-                Ok(peers::handle_request(&self.node, &request, own_address).await)
+                Ok(peers::handle_request(&self.node, &request, own_address))
             } else {
                 self.node.peers.call(&predecessor.address, &request).await
             };
