Examine servers for a bounded number of tasks with own limits

Cause: found in review of: a task counted as one with limits of its own for ever once it had failed on a server, although it avoids that server for 1.5 s only, and each such task costs a pass over all servers in each plan. Change: only while it avoids servers or is suspected, and 32 times a plan at most; after that its step is passed over as before.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -8,7 +8,7 @@
 
 /// Time for which a task avoids servers on which it failed; if another server gets free capacity at all, it does so
 /// within a few polls.
-const AVOID_FAILED_SERVER_MS: u64 = 1_500;
+pub(crate) const AVOID_FAILED_SERVER_MS: u64 = 1_500;
 
 /// Rate for a forced start on a server without headroom: barely noticeable to service tasks, and enough to keep the
 /// task going.
@@ -114,9 +114,7 @@
             return false;
         }
         let task = self.task(task_ref);
-        if task.avoided_servers.contains(&key)
-            && now_ms < task.ready_since_ms + AVOID_FAILED_SERVER_MS
-        {
+        if task.avoids_servers(now_ms) && task.avoided_servers.contains(&key) {
             return false;
         }
         if !self.has_ticket(task_ref, key, now_ms) {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -12,6 +12,9 @@
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef};
 use crate::task::Move;
 
+/// Tasks with limits of their own that a plan passes over without their step; for each, all servers are examined.
+const OWN_LIMITS_TRIED_MAX: usize = 32;
+
 /// Minimum lease with which a task is started.
 const START_LEASE_MIN_MS: u64 = 1_000;
 
@@ -70,6 +73,7 @@
         let ready = mem::take(&mut self.ready);
         let mut unplaced = Vec::with_capacity(ready.len());
         let mut blocked_steps: Vec<(JobKey, u32, u32)> = Vec::new();
+        let mut own_limits_tried = 0;
         for task_ref in ready {
             let step_key = (task_ref.job, task_ref.occurrence, task_ref.step);
             if !self.is_startable(task_ref) {
@@ -98,7 +102,10 @@
                 Choice::Server(server) => self.start_on(task_ref, server, lease_ms, None, now_ms),
                 Choice::NoCapacity if self.start_throttled(task_ref, lease_ms, now_ms) => {}
                 Choice::NoCapacity => {
-                    if !self.task(task_ref).has_own_limits() {
+                    let has_own_limits = self.task(task_ref).has_own_limits(now_ms);
+                    if has_own_limits && own_limits_tried < OWN_LIMITS_TRIED_MAX {
+                        own_limits_tried += 1;
+                    } else {
                         blocked_steps.push(step_key);
                     }
                     unplaced.push(task_ref);
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::place::AVOID_FAILED_SERVER_MS;
 use crate::record::TaskRecord;
 use crate::shard::ServerKey;
 
@@ -223,8 +224,14 @@
 
     /// Whether a server that cannot take the task may take others of its step.
     #[must_use]
-    pub fn has_own_limits(&self) -> bool {
-        self.is_suspected() || !self.avoided_servers.is_empty()
+    pub fn has_own_limits(&self, now_ms: u64) -> bool {
+        self.is_suspected() || self.avoids_servers(now_ms)
+    }
+
+    /// Whether the task does not return to the servers on which it failed or made no progress.
+    #[must_use]
+    pub fn avoids_servers(&self, now_ms: u64) -> bool {
+        !self.avoided_servers.is_empty() && now_ms < self.ready_since_ms + AVOID_FAILED_SERVER_MS
     }
 
     /// Restores what an earlier owner, or another shard, recorded of crashes. `last_lapse_unix_ms` is the time from which the
