Carry the time of a lapse along when a task is delegated or moves

What callers see: a long-running task under which servers fell silent, and that was delegated or moved, waited up to 120 s anew with each owner of its new shard. Cause, found in review of: transfers and moves dropped the time of the lapse, its record said nothing, and nothing was taken for now. A lapse that a predecessor told in a handover was counted from now as well, as the restored task without lapses had got a time. Change: the time travels with the task; without lapses there is none.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -108,7 +108,6 @@
             self.jobs[key].due_occurrences = 1;
         }
         if let Some(progress) = stored.progress {
-            // A job that has just moved here waited for lapsed servers in its earlier home.
             self.restore(key, &progress, predates_term, now_ms);
         }
         if predates_term {
@@ -134,9 +133,8 @@
         }
     }
 
-    /// Restores progress that an earlier owner recorded; `waits_for_lapsed` tells whether its tasks go on waiting for servers
-    /// that lapsed.
-    fn restore(&mut self, key: JobKey, progress: &Progress, waits_for_lapsed: bool, now_ms: u64) {
+    /// Restores progress that was recorded by an earlier owner, or in the shard that the job comes from.
+    fn restore(&mut self, key: JobKey, progress: &Progress, predates_term: bool, now_ms: u64) {
         let occurrences = progress
             .tasks
             .iter()
@@ -144,14 +142,14 @@
             .max()
             .unwrap_or(0);
         self.open_occurrences(key, occurrences, now_ms);
-        let lapse_times_unix_ms: Vec<u64> = progress
+        let lapse_times_unix_ms: Vec<Option<u64>> = progress
             .tasks
             .iter()
-            .map(|record| self.lapse_unix_ms(record, now_ms))
+            .map(|record| self.waiting_since_unix_ms(record, predates_term, now_ms))
             .collect();
         let job = &mut self.jobs[key];
         job.delegate_domains = progress.delegate_domains.iter().map(SmolStr::new).collect();
-        for (record, lapse_unix_ms) in progress.tasks.iter().zip(lapse_times_unix_ms) {
+        for (record, lapsed_unix_ms) in progress.tasks.iter().zip(lapse_times_unix_ms) {
             let Some(occurrence) = job.occurrences.get_mut(record.occurrence as usize) else {
                 continue;
             };
@@ -163,7 +161,7 @@
             };
             task.last_run = record.last_run;
             task.failed_runs.clone_from(&record.failed_runs);
-            task.restore_suspicion(record, waits_for_lapsed.then_some(lapse_unix_ms));
+            task.restore_suspicion(record, lapsed_unix_ms);
             task.checkpoint = SmolStr::new(&record.checkpoint);
             task.remote = record.remote;
             if record.done && !task.done {
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -151,6 +151,19 @@
             .is_some_and(|lapsed_unix_ms| self.unix_ms_at(now_ms) < lapsed_unix_ms + wait_ms)
     }
 
+    /// Time from which a task waits for lapsed servers according to a record; `None` if there are none, or if the record of
+    /// another shard does not tell, since tasks wait before they leave.
+    pub(crate) fn waiting_since_unix_ms(
+        &self,
+        record: &TaskRecord,
+        is_of_this_shard: bool,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let is_known = record.last_lapse_unix_ms > 0;
+        let has_lapsed = !record.lapsed_runs.is_empty();
+        (has_lapsed && (is_known || is_of_this_shard)).then(|| self.lapse_unix_ms(record, now_ms))
+    }
+
     /// Time of the last lapse in a record, in milliseconds since the Unix epoch; now if the record does not tell, or if the
     /// clock of the host that wrote it is ahead.
     pub(crate) fn lapse_unix_ms(&self, record: &TaskRecord, now_ms: u64) -> u64 {
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -191,7 +191,7 @@
     /// Numbers of the runs whose server lapsed soon after their start and has not been heard of since.
     pub lapsed_runs: Vec<u32>,
     /// When the last of these servers lapsed, or when an owner learned of it, in milliseconds since the Unix epoch; `None`
-    /// for a lapse in another shard, which waited for its servers.
+    /// if the task need not wait for them.
     pub last_lapse_unix_ms: Option<u64>,
     /// Version of the job that has to be recorded before the task starts again, so that the count of its crashes
     /// outlasts this owner.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -88,6 +88,7 @@
             crashed_runs: task.crashed_runs.clone(),
             sole_crashes: task.sole_crashes,
             lapsed_runs: task.lapsed_runs.clone(),
+            last_lapse_unix_ms: task.last_lapse_unix_ms.unwrap_or(0),
             waited_ms,
             ..TaskRecord::default()
         };
@@ -132,6 +133,7 @@
             }
             let settled = self.settled;
             let run_number_base = self.run_number_base();
+            let last_lapse_unix_ms = self.waiting_since_unix_ms(record, false, now_ms);
             let task = self.task_mut(task_ref);
             if !task.remote || record.last_run < task.last_run {
                 continue;
@@ -141,7 +143,7 @@
             task.remote = false;
             task.checkpoint = SmolStr::new(&record.checkpoint);
             // The home shard delegates a task only after this wait.
-            task.restore_suspicion(record, None);
+            task.restore_suspicion(record, last_lapse_unix_ms);
             task.unresolved = predates_term && !settled && run_number_base > 0;
             // Numbers of another shard may be above the bases of several terms of this one.
             let job = &mut self.jobs[key];
--- a/crates/fleet/tests/crash_handover.rs
+++ b/crates/fleet/tests/crash_handover.rs
@@ -232,8 +232,12 @@
     first.tick();
     let lapsed_ms = first.now_ms;
     let mut progress = recorded(&mut first).expect("the lapse is recorded");
-    progress.tasks[0].crashed_runs = vec![1, 2, 3, 4];
+    progress.tasks[0].crashed_runs = vec![2, 3, 4, 5];
     let handover = first.handover();
+    if is_handed_over {
+        progress.tasks[0].lapsed_runs.clear();
+        progress.tasks[0].last_lapse_unix_ms = 0;
+    }
     let mut second = open_term(2, lapsed_ms + LAPSED_SERVER_WAIT_MS - 1_000, Some(progress));
     if is_handed_over {
         second.shard.apply_handover(&handover, second.now_ms);
@@ -243,7 +247,7 @@
         ..entry(&format!("{name}-new"))
     });
     second.shard.set_servers(other, second.now_ms);
-    for step in 0..40 {
+    for step in 0..200 {
         second.now_ms += 100;
         for name in NAMES {
             second.report(&format!("{name}-new"), &[], &[]);
