Keep a job whose late run is still ending from moving or starting

What callers see: a task runs twice. A run that was carried out late is listed while its job is about to move; since it is stopped without being tracked, so the job moved, or started the task again, while the run was still ending. Found in review. Change: a job with such a run does not begin its move, and after a move without effect none of its tasks starts until the stop and a report had time. Besides, a task that waits for news of lapsed servers no longer stands for the other tasks of its step when a move is chosen, and a missing home is logged.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -89,6 +89,8 @@
                 .map_or(0, |progress| progress.run_base),
             created_revision: stored.created_revision,
             moving: false,
+            has_stray_run: false,
+            held_until_ms: 0,
             kept_until_ms: 0,
             run_count: 0,
             arrived_ms: now_ms,
--- a/crates/fleet/src/listed_runs.rs
+++ b/crates/fleet/src/listed_runs.rs
@@ -134,9 +134,13 @@
         status: &RunStatus,
         now_ms: u64,
     ) -> bool {
-        let job = &self.jobs[task_ref.job];
+        let job = &mut self.jobs[task_ref.job];
         // A moving job may already have a run in its new home.
-        let is_live = job.is_live() && !job.moving;
+        if job.moving {
+            job.has_stray_run = true;
+            return false;
+        }
+        let is_live = job.is_live();
         let is_speculative = self.step_spec(task_ref).speculative;
         let task = self.task(task_ref);
         if !is_live || task.done || task.remote || (!task.runs.is_empty() && !is_speculative) {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -79,8 +79,8 @@
             if !self.is_startable(task_ref) {
                 continue;
             }
-            let is_held =
-                self.jobs[task_ref.job].moving || self.is_start_postponed(task_ref, now_ms);
+            let is_held = self.jobs[task_ref.job].stands_still(now_ms)
+                || self.is_start_postponed(task_ref, now_ms);
             if blocked_steps.contains(&step_key) || is_held {
                 unplaced.push(task_ref);
                 continue;
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -3,6 +3,8 @@
 //! A job moves as a whole, with its progress, in one transaction on condition of the owner's term, and only while no run
 //! of it may exist. Until the outcome of the transaction is known, no task of the job starts and nothing of it is recorded.
 
+use std::mem;
+
 use smol_str::SmolStr;
 
 use crate::intake::Load;
@@ -22,6 +24,9 @@
 /// Delay before a move without effect is tried again; other jobs move meanwhile.
 const MOVE_RETRY_MS: u64 = 1_000;
 
+/// Time for a report of a server that has a run of a job that was to be moved; polls wait for 1.3 s at most.
+const STRAY_RUN_REPORT_MS: u64 = 2_000;
+
 /// Maximum number of different needs that count as unserved at a time.
 const NEEDS_MAX: usize = 1_024;
 
@@ -157,6 +162,11 @@
 }
 
 impl Job {
+    /// Whether none of its tasks may start at present.
+    pub(crate) fn stands_still(&self, now_ms: u64) -> bool {
+        self.moving || now_ms < self.held_until_ms
+    }
+
     /// Whether the job has no run, here or at a delegate, and no unread transfers.
     fn is_whole(&self) -> bool {
         self.run_count == 0
@@ -231,8 +241,12 @@
             let is_same_step = previous.is_some_and(|previous| {
                 (previous.job, previous.step) == (task_ref.job, task_ref.step)
             });
+            // A task that waits for its servers does not stand for the others of its step.
+            if is_same_step || !self.is_waiting(task_ref, now_ms) {
+                continue;
+            }
             previous = Some(task_ref);
-            if is_same_step || !self.can_move(task_ref, now_ms) {
+            if !self.can_move(task_ref, now_ms) {
                 continue;
             }
             let job = &self.jobs[task_ref.job];
@@ -257,7 +271,7 @@
     #[must_use]
     pub fn current_move(&self, job_move: &JobMove) -> Option<JobMove> {
         let job = self.jobs.get(job_move.key)?;
-        if !job.moving || !job.is_live() || !job.is_whole() {
+        if !job.moving || !job.is_live() || !job.is_whole() || job.has_stray_run {
             return None;
         }
         let failure_domain = job_move.failure_domain.clone();
@@ -277,8 +291,12 @@
         let found = self
             .unserved
             .binary_search_by(|(known, _)| known.cmp(&need));
-        let is_unserved = found.is_ok_and(|index| now_ms >= self.unserved[index].1 + MOVE_AFTER_MS);
-        is_unserved && !self.is_start_postponed(task_ref, now_ms)
+        found.is_ok_and(|index| now_ms >= self.unserved[index].1 + MOVE_AFTER_MS)
+    }
+
+    /// Whether a task in the ready queue could start if there were a server.
+    fn is_waiting(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+        self.jobs.contains_key(task_ref.job) && !self.is_start_postponed(task_ref, now_ms)
     }
 
     fn begin_move(&mut self, task_ref: TaskRef, failure_domain: SmolStr, now_ms: u64) -> JobMove {
@@ -338,11 +356,15 @@
 
     /// Resumes a job that has not moved.
     pub fn job_kept(&mut self, key: JobKey, now_ms: u64) {
+        let stop_ms = self.bounds.stop_ms;
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         job.moving = false;
         job.kept_until_ms = now_ms + MOVE_RETRY_MS;
+        if mem::take(&mut job.has_stray_run) {
+            job.held_until_ms = now_ms + stop_ms + STRAY_RUN_REPORT_MS;
+        }
         self.changed.push(key);
     }
 
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -101,6 +101,10 @@
     pub created_revision: u64,
     /// Whether it is being moved to another shard.
     pub moving: bool,
+    /// Whether a server has listed a run of it since it is being moved.
+    pub has_stray_run: bool,
+    /// Until when none of its tasks starts, since such a run may still be ending.
+    pub held_until_ms: u64,
     /// Until when it is not moved, since an attempt had no effect.
     pub kept_until_ms: u64,
     /// Number of runs that may exist.
--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -52,7 +52,7 @@
     /// From when the run can no longer begin, since the lease that its start request carried has ended. Polls sent later
     /// list the run if it exists.
     pub start_expired_ms: u64,
-    /// When the server confirmed the start request; `None` if it has not.
+    /// When the server answered the start request; `None` if it has not.
     pub start_answered_ms: Option<u64>,
     /// When a report last listed the run.
     pub listed_ms: Option<u64>,
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -63,7 +63,7 @@
             Move::Reserved | Move::Unreserved => DELEGATE_MOVED_AFTER_MS,
         };
         job.is_live()
-            && !job.moving
+            && !job.stands_still(now_ms)
             && self.step_spec(task_ref).can_be_delegated()
             && task.queued
             && task.runs.is_empty()
--- a/src/daemon/rehoming.rs
+++ b/src/daemon/rehoming.rs
@@ -108,8 +108,12 @@
     let own = &owned.failure_domain;
     let result = owned.node.store.read(&keys::home(id)).await;
     owned.node.record_store_call("read_home", &result);
-    // The failure was logged.
-    let Ok(Some(item)) = result else {
+    // A failure is logged with the call.
+    let Ok(item) = result else {
+        return Attempt::Kept;
+    };
+    let Some(item) = item else {
+        log_kept(id, own, "no_home");
         return Attempt::Kept;
     };
     let Some(home) = decode_or_log::<Home>(&item) else {
@@ -123,11 +127,7 @@
     // The job may have ended or progressed since it was taken.
     let current = owned.shard.borrow().current_move(job_move);
     let Some(current) = current else {
-        Line::info("job_not_moved")
-            .with("job", id)
-            .with("shard", own)
-            .with("reason", "changed")
-            .write();
+        log_kept(id, own, "changed");
         return Attempt::Kept;
     };
     let transaction = transaction_of(own, &current, home_revision);
@@ -153,6 +153,14 @@
     }
 }
 
+fn log_kept(id: JobId, own: &str, reason: &str) {
+    Line::info("job_not_moved")
+        .with("job", id)
+        .with("shard", own)
+        .with("reason", reason)
+        .write();
+}
+
 /// Finds out whether an attempt took effect that was conditional on `home_revision`, and has it fail if not.
 async fn settle_move(owned: &Rc<OwnedShard>, id: JobId, home_revision: u64) -> Attempt {
     let result = owned.node.store.read(&keys::home(id)).await;
