--- a/crates/fleet/src/task.rs
+++ b/crates/fleet/src/task.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::place::AVOID_FAILED_SERVER_MS;
 use crate::record::TaskRecord;
 use crate::shard::ServerKey;
 
@@ -51,7 +52,7 @@
     /// From when the run can no longer begin, since the lease that its start request carried has ended. Polls sent later
     /// list the run if it exists.
     pub start_expired_ms: u64,
-    /// When the server confirmed the start request; `None` if it has not.
+    /// When the server answered the start request; `None` if it has not.
     pub start_answered_ms: Option<u64>,
     /// When a report last listed the run.
     pub listed_ms: Option<u64>,
@@ -190,7 +191,7 @@
     /// Numbers of the runs whose server lapsed soon after their start and has not been heard of since.
     pub lapsed_runs: Vec<u32>,
     /// When the last of these servers lapsed, or when an owner learned of it, in milliseconds since the Unix epoch; `None`
-    /// for a lapse in another shard, which waited for its servers.
+    /// if the task need not wait for them.
     pub last_lapse_unix_ms: Option<u64>,
     /// Version of the job that has to be recorded before the task starts again, so that the count of its crashes
     /// outlasts this owner.
@@ -223,8 +224,14 @@
 
     /// Whether a server that cannot take the task may take others of its step.
     #[must_use]
-    pub fn has_own_limits(&self) -> bool {
-        self.is_suspected() || !self.avoided_servers.is_empty()
+    pub fn has_own_limits(&self, now_ms: u64) -> bool {
+        self.is_suspected() || self.avoids_servers(now_ms)
+    }
+
+    /// Whether the task does not return to the servers on which it failed or made no progress.
+    #[must_use]
+    pub fn avoids_servers(&self, now_ms: u64) -> bool {
+        !self.avoided_servers.is_empty() && now_ms < self.ready_since_ms + AVOID_FAILED_SERVER_MS
     }
 
     /// Restores what an earlier owner, or another shard, recorded of crashes. `last_lapse_unix_ms` is the time from which the
