Separate owners and have servers leave in the emulator

Cause: a shard that counts leases as ended in a term that the store has not confirmed broke no check. All cuts concerned all links of a host, server or failure domain, so no owner without the store lost a server that its successor reached. Draining servers were not modelled.

Change: the fault SplitOwner takes the store, the other hosts and some servers from an owner, and the rest of the servers from the other hosts. DrainServer has a server announce that it leaves, and leave; the check "drain" finds starts by a sender in touch later than the drain time after the announcement.

--- a/crates/standin/src/emulator/check.rs
+++ b/crates/standin/src/emulator/check.rs
@@ -5,6 +5,8 @@
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::shard::JobStatus;
 
+use super::BOUNDS;
+
 /// Time after the acknowledgement of a cancellation from which no task of the job may start.
 const CANCEL_MS: u64 = 3_000;
 
@@ -62,6 +64,8 @@
     pub is_late: bool,
     /// Whether the sender has been in touch with the store for a while.
     pub in_touch: bool,
+    /// Time since the server announced that it is draining, if sender and server have been in touch for a while.
+    pub drained_ms: Option<u64>,
 }
 
 /// History of all tasks and jobs.
@@ -123,6 +127,13 @@
                 format!("{task} run {run} starts {late_ms} ms after its job was cancelled");
             self.fail(at_ms, "cancelled", detail);
         }
+        if let Some(drained_ms) = start.drained_ms
+            && drained_ms > BOUNDS.drain_ms
+            && !start.is_late
+        {
+            let detail = format!("{task} run {run} starts {drained_ms} ms after the announcement");
+            self.fail(at_ms, "drain", detail);
+        }
         for after in waits_for {
             if !is_recurring && self.done_tasks(task.job, after) < counts[after as usize] as usize {
                 let detail = format!("{task} starts before step {after} is done");
--- a/crates/standin/src/emulator/fault.rs
+++ b/crates/standin/src/emulator/fault.rs
@@ -37,6 +37,17 @@
     LostAnswers { server: usize, for_ms: u64 },
     /// A failure domain is cut off from the store and from the others.
     CutDomain { domain: usize, for_ms: u64 },
+    /// The host that is announced as the owner of a shard loses the store, the other hosts and all servers but those whose
+    /// bits are set in `kept`; the other hosts lose these.
+    SplitOwner {
+        domain: usize,
+        kept: u64,
+        for_ms: u64,
+    },
+    /// A server announces that it leaves, and does so for good after this time.
+    DrainServer { server: usize, leaves_in_ms: u64 },
+    /// Departure of an incarnation of a server.
+    LeaveServer { server: usize, life: u64 },
     /// The store is down.
     StoreDown { for_ms: u64 },
     /// The store is slow.
@@ -97,6 +108,16 @@
             Fault::CutDomain { domain, for_ms } => {
                 self.domains[domain].cut_until_ms = now + for_ms;
             }
+            Fault::SplitOwner {
+                domain,
+                kept,
+                for_ms,
+            } => self.split_owner(domain, kept, now + for_ms),
+            Fault::DrainServer {
+                server,
+                leaves_in_ms,
+            } => self.drain_server(server, leaves_in_ms),
+            Fault::LeaveServer { server, life } => self.leave(server, life),
             Fault::StoreDown { for_ms } => self.store_faults.down = now + for_ms,
             Fault::StoreSlow { for_ms } => self.store_faults.slow = now + for_ms,
             Fault::StoreLostAnswers { for_ms } => self.store_faults.lossy = now + for_ms,
--- a/crates/standin/src/emulator/host.rs
+++ b/crates/standin/src/emulator/host.rs
@@ -23,6 +23,16 @@
 /// Time without a gap after which a host counts as in touch with the store.
 const IN_TOUCH_AFTER_MS: u64 = 3_000;
 
+/// Links that a host has lost.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LostLinks {
+    pub until_ms: u64,
+    /// Servers, as the bits of their indices.
+    pub servers: u64,
+    /// Whether those to the other hosts are lost.
+    pub hosts: bool,
+}
+
 /// An entry host.
 #[derive(Debug)]
 pub(super) struct Host {
@@ -35,6 +45,7 @@
     pub cut_until_ms: u64,
     pub store_cut_until_ms: u64,
     pub frozen_until_ms: u64,
+    pub lost_links: LostLinks,
     /// Last time at which it did not reach the store.
     gap_ms: u64,
     pub health: StoreHealth,
@@ -72,6 +83,7 @@
             cut_until_ms: 0,
             store_cut_until_ms: 0,
             frozen_until_ms: 0,
+            lost_links: LostLinks::default(),
             gap_ms: 0,
             health: StoreHealth::default(),
             retry_ms: 0,
@@ -103,6 +115,7 @@
             up_since_ms: now,
             cut_until_ms: state.cut_until_ms,
             store_cut_until_ms: state.store_cut_until_ms,
+            lost_links: state.lost_links,
             health,
             ..Host::open(state.domain)
         };
--- a/crates/standin/src/emulator/links.rs
+++ b/crates/standin/src/emulator/links.rs
@@ -132,7 +132,9 @@
 
     pub(super) fn reaches_host(&self, host: usize, other: usize) -> bool {
         let is_thawed = self.now_ms() >= self.hosts[other].frozen_until_ms;
-        let is_linked = self.is_linked(self.hosts[host].domain, self.hosts[other].domain);
+        let is_linked = self.is_linked(self.hosts[host].domain, self.hosts[other].domain)
+            && !self.lost_links(host).hosts
+            && !self.lost_links(other).hosts;
         host == other
             || (is_linked && is_thawed && self.is_host_linked(host) && self.is_host_linked(other))
     }
@@ -143,6 +145,7 @@
             && self.now_ms() >= state.cut_until_ms
             && self.is_host_linked(host)
             && self.is_linked(self.hosts[host].domain, state.domain)
+            && self.lost_links(host).servers & (1 << server) == 0
     }
 
     pub(super) fn owner_reaches(&self, id: usize, server: usize) -> bool {
--- a/crates/standin/src/emulator/mod.rs
+++ b/crates/standin/src/emulator/mod.rs
@@ -6,19 +6,25 @@
 //! Of the daemon's shell, the emulator models: taking, confirming, announcing and releasing a shard; polls and their
 //! timing; orders and their answers; batches of records with the condition on the term; the inbox and the registrations;
 //! the delegation of tasks; moves of jobs to other shards; handovers; acceptance, states and cancellation for callers,
-//! with the homes of jobs that a host remembers. Numbers of an incarnation ([`OfIncarnation`](primrosestack_fleet::incarnation::OfIncarnation)) reach only that incarnation, as on the
-//! connections of `platform/`.
+//! with the homes of jobs that a host remembers; servers that drain and leave. Numbers of an incarnation
+//! ([`OfIncarnation`](primrosestack_fleet::incarnation::OfIncarnation)) reach only that incarnation, as on the connections of
+//! `platform/`.
+//!
+//! Of separations, [`Plan::with_separations`] draws owners that lose the store, the other hosts and some servers, which a
+//! successor reaches, while it loses those that they keep. Other cuts concern all links of a host, server or domain.
 //!
 //! Simplified: watches read the history at most 100 ms later, a host has its number as its address, an owner is announced
 //! when it opens its shard, and the loads of other shards are at most 300 ms old.
 //!
 //! Not modelled: sockets and message formats, pages of lists, compaction, rates, stale reads, several queues,
-//! configuration, draining servers, gangs, tickets, copies, tail latencies and best-effort tasks, checkpoints, clocks of
-//! hosts that jump, processor time, candidates that are better placed, and a store that turns only some calls away.
+//! configuration, gangs, tickets, copies, tail latencies and best-effort tasks, checkpoints, clocks of
+//! hosts that jump, processor time, candidates that are better placed, servers that drain and come back, and a store that
+//! turns only some calls away.
 
 mod caller;
 mod check;
 mod clock;
+mod departure;
 mod fault;
 mod host;
 mod links;
@@ -241,6 +247,8 @@
             cut_until_ms: 0,
             late_until_ms: 0,
             lossy_until_ms: 0,
+            leaves_ms: None,
+            announced_ms: None,
             started_unix_ms: 0,
             booted_ms: 0,
             clock_permille: self.random.random_range(980..=1_000),
--- a/crates/standin/src/emulator/schedule.rs
+++ b/crates/standin/src/emulator/schedule.rs
@@ -13,6 +13,9 @@
 /// Longest duration of a fault.
 const FAULT_MAX_MS: u64 = 7_000;
 
+/// Separates the draws of separations from those of the rest of a plan.
+const SEPARATIONS_STREAM: u64 = 0x7365_7061;
+
 /// Time for which everything can come to rest after the last fault; a task may wait 30 s for servers that lapsed.
 const REST_MS: u64 = 45_000;
 
@@ -110,6 +113,41 @@
         }
     }
 
+    /// Adds owners that are separated and servers that leave, drawn apart so that [`Plan::draw`] keeps its meaning.
+    #[must_use]
+    pub fn with_separations(mut self) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ SEPARATIONS_STREAM);
+        let Deployment {
+            domains,
+            servers_per_domain,
+            ..
+        } = self.deployment;
+        for _ in 0..random.random_range(1..=2) {
+            let fault = Fault::SplitOwner {
+                domain: random.random_range(0..domains),
+                kept: random.random_range(0..1 << (domains * servers_per_domain)),
+                for_ms: random.random_range(3_000..FAULT_MAX_MS),
+            };
+            self.faults
+                .push((random.random_range(2_000..BUSY_MS), fault));
+        }
+        // At most one in each failure domain, so that the others have room.
+        for domain in 0..domains {
+            let server = domain * servers_per_domain + random.random_range(0..servers_per_domain);
+            let leaves_in_ms = random.random_range(3_000..15_000);
+            let at_ms = random.random_range(2_000..BUSY_MS);
+            if random.random_bool(0.5) {
+                let fault = Fault::DrainServer {
+                    server,
+                    leaves_in_ms,
+                };
+                self.faults.push((at_ms, fault));
+            }
+        }
+        self.faults.sort_by_key(|&(at_ms, _)| at_ms);
+        self
+    }
+
     /// Runs the plan until everything should have come to rest.
     #[must_use]
     pub fn run(&self, has_trace: bool) -> World {
--- a/crates/standin/src/emulator/server.rs
+++ b/crates/standin/src/emulator/server.rs
@@ -26,6 +26,10 @@
     pub late_until_ms: u64,
     /// Until when some of its answers are lost.
     pub lossy_until_ms: u64,
+    /// When it leaves, once it is draining.
+    pub leaves_ms: Option<u64>,
+    /// When its registration first told that.
+    pub announced_ms: Option<u64>,
     /// Start of the incarnation, in milliseconds since the Unix epoch; also its number for timers.
     pub started_unix_ms: u64,
     pub booted_ms: u64,
@@ -72,6 +76,8 @@
     pub fn boot(&mut self, started_unix_ms: u64, now_ms: u64) {
         self.is_up = true;
         self.started_unix_ms = started_unix_ms;
+        self.leaves_ms = None;
+        self.announced_ms = None;
         self.booted_ms = now_ms;
         self.lease_end_ms = 0;
         self.token = 0;
@@ -190,15 +196,15 @@
 
     /// Registration that the server writes of itself.
     #[must_use]
-    pub fn entry(&self) -> ServerEntry {
+    pub fn entry(&self, now_ms: u64) -> ServerEntry {
         ServerEntry {
             name: self.name.clone(),
             started_unix_ms: self.started_unix_ms,
             service: "sheets".into(),
             address: self.name.clone(),
             failure_domain: SmolStr::new(self.domain.to_string()),
-            draining: false,
-            leaves_in_ms: None,
+            draining: self.leaves_ms.is_some(),
+            leaves_in_ms: self.leaves_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
             cpu_millis: self.cpu_millis,
             memory_mb: self.memory_mb,
             gpus: 0,
--- a/crates/standin/src/emulator/server_events.rs
+++ b/crates/standin/src/emulator/server_events.rs
@@ -73,6 +73,7 @@
         });
         let life = state.started_unix_ms;
         let in_touch = self.in_touch(host);
+        let drained_ms = self.drained_ms(server, host);
         self.checks.started(Start {
             at_ms: now,
             task,
@@ -80,6 +81,7 @@
             server,
             is_late,
             in_touch,
+            drained_ms,
         });
         self.note(|| format!("server {server} starts {task} run {run} (late: {is_late})"));
         if request.command == CRASHING_COMMAND {
@@ -185,16 +187,25 @@
     }
 
     pub(super) fn heartbeat(&mut self, server: usize) {
+        self.register(server);
+        let life = self.servers[server].started_unix_ms;
+        let event = Event::Heartbeat { server, life };
+        self.events.after(BOUNDS.heartbeat_ms, event);
+    }
+
+    pub(super) fn register(&mut self, server: usize) {
         let state = &self.servers[server];
-        let life = state.started_unix_ms;
         if self.registers(server) {
             let key = registration_key(state.domain, &state.name);
-            let value = Value::Registration(state.entry());
+            let now = self.now_ms();
+            let value = Value::Registration(state.entry(now));
             self.commit_unconditionally(&Transaction::default().put(key, value));
-            self.servers[server].registered_ms = self.events.now_ms();
+            let state = &mut self.servers[server];
+            state.registered_ms = now;
+            if state.leaves_ms.is_some() {
+                state.announced_ms.get_or_insert(now);
+            }
         }
-        let event = Event::Heartbeat { server, life };
-        self.events.after(BOUNDS.heartbeat_ms, event);
     }
 
     /// Commits a transaction without a condition, which cannot fail.
--- a/examples/fleet_faults.rs
+++ b/examples/fleet_faults.rs
@@ -38,6 +38,9 @@
     /// Add the loss of all servers of one failure domain, so that its jobs have to move.
     #[bpaf(switch)]
     lose_domain: bool,
+    /// Add owners that are separated from the store and from some servers, and servers that leave.
+    #[bpaf(switch)]
+    separations: bool,
 }
 
 impl Options {
@@ -51,6 +54,9 @@
                 plan.faults.push((at_ms, Fault::LoseServer { server }));
             }
         }
+        if self.separations {
+            plan = plan.with_separations();
+        }
         plan
     }
 }
