--- a/crates/standin/tests/emulator.rs
+++ b/crates/standin/tests/emulator.rs
@@ -1,4 +1,4 @@
-//! The decisions that ship, in the emulator: a calm day, the same day twice, and seeded faults.
+//! The decisions that ship, in the emulator: calm days, seeded faults, and separated owners and leaving servers.
 
 use primrosestack_standin::emulator::Plan;
 
@@ -35,3 +35,13 @@
         assert_eq!(world.violation(), None, "seed {seed}");
     }
 }
+
+/// Guards against second runs under owners that lost the store and some servers but not all, and against starts on servers
+/// that drain or losses with those that leave.
+#[test]
+fn days_with_separations_and_departures_break_no_rule() {
+    for seed in 1..=SEEDS {
+        let plan = Plan::draw(seed, FAULTS_MAX).with_separations();
+        assert_eq!(plan.run(false).violation(), None, "seed {seed}");
+    }
+}
