--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -236,6 +236,17 @@
     let after = job("aa00000000000003", vec![in_poa(step(1, 7_000, 30_000))]);
     let job = job(ID, vec![in_poa(step(1, 1_000, 8_000))]);
     let task = job.task(0, 0);
+    // Further orders meanwhile, so that the one without an answer is a small share of all.
+    let others = Job {
+        id: "aa00000000000004".into(),
+        ..self::job(
+            "",
+            vec![Step {
+                rack: "r-pel",
+                ..step(60, 100, 200)
+            }],
+        )
+    };
     site.submit(host, &before.path(), &before.body())?;
     site.wait("the first filler", 5, |site| {
         site.worker_of(&before.task(0, 0)).is_some()
@@ -249,6 +260,7 @@
     site.submit(host, &job.path(), &job.body())?;
     pause(100);
     site.submit(host, &after.path(), &after.body())?;
+    site.submit(host, &others.path(), &others.body())?;
     site.wait("a start of the task", 8, |site| {
         site.worker_of(&task).is_some()
     })?;
