Log why a waiting task stays in its failure domain

Change: `task_arrived` for each transferred task, and `task_stays` for a step that has waited long enough to move, at most once in 10 s for a job and eight lines for an examination.

--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -27,6 +27,10 @@
 /// Time for a report of a server that has a run of a job that was to be moved; polls wait for 1.3 s at most.
 const STRAY_RUN_REPORT_MS: u64 = 2_000;
 
+/// Interval at which a job that waits in its home is logged, and the maximum number of such lines for each examination.
+const STAY_LOG_INTERVAL_MS: u64 = 10_000;
+const STAY_LINES_MAX: usize = 8;
+
 /// Maximum number of different needs that count as unserved at a time.
 const NEEDS_MAX: usize = 1_024;
 
@@ -213,6 +217,43 @@
             unserved.insert(index, (need, since_ms));
         }
         self.unserved = unserved;
+        self.log_stays(now_ms);
+    }
+
+    /// Logs steps that have waited long enough to leave this shard, with what decides whether they may.
+    fn log_stays(&mut self, now_ms: u64) {
+        let mut lines = Vec::new();
+        for &task_ref in &self.ready {
+            if lines.len() >= STAY_LINES_MAX {
+                break;
+            }
+            let Some(job) = self.jobs.get_mut(task_ref.job) else {
+                continue;
+            };
+            let step = &job.occurrences[task_ref.occurrence as usize].steps[task_ref.step as usize];
+            let ready_since_ms = step.tasks[task_ref.index as usize].ready_since_ms;
+            let waited_ms = now_ms.saturating_sub(ready_since_ms);
+            if waited_ms < MOVE_AFTER_MS || now_ms < job.stay_logged_ms + STAY_LOG_INTERVAL_MS {
+                continue;
+            }
+            job.stay_logged_ms = now_ms;
+            let need = Need::of(job, &job.spec.steps[task_ref.step as usize]);
+            let unserved = self
+                .unserved
+                .binary_search_by(|(known, _)| known.cmp(&need));
+            lines.push((
+                task_ref,
+                [
+                    ("waited_ms", waited_ms),
+                    ("runs", u64::from(job.run_count)),
+                    ("delegates", job.delegate_domains.len() as u64),
+                    ("unserved", u64::from(unserved.is_ok())),
+                ],
+            ));
+        }
+        for (task_ref, inputs) in lines {
+            self.log_decision("task_stays", Some(task_ref), None, inputs);
+        }
     }
 
     fn could_meet(&self, need: &Need, now_ms: u64) -> bool {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -107,6 +107,8 @@
     pub held_until_ms: u64,
     /// Until when it is not moved, since an attempt had no effect.
     pub kept_until_ms: u64,
+    /// When the wait of one of its tasks was last logged.
+    pub stay_logged_ms: u64,
     /// Number of runs that may exist.
     pub run_count: u32,
     /// When the job was added to the shard.
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -154,6 +154,16 @@
             // The waits that bound how long a task stands still go on, in whichever shard it is.
             let ready_since_ms = now_ms.saturating_sub(record.waited_ms);
             self.task_mut(task_ref).ready_since_ms = ready_since_ms;
+            let is_queued = self.task(task_ref).queued;
+            self.log_decision(
+                "task_arrived",
+                Some(task_ref),
+                None,
+                [
+                    ("waited_ms", record.waited_ms),
+                    ("queued", u64::from(is_queued)),
+                ],
+            );
         }
     }
 }
