Start delegated tasks of later steps

Cause: the shard that a task is delegated to has the tasks of the earlier steps as run elsewhere, not as done, so it never opened the step of the task. Neither this shard nor the home queued it. Change: a shard opens all steps of a job whose home is another one. The home delegates only tasks of open steps and counts the dependencies alone.

--- a/crates/fleet/src/occurrences.rs
+++ b/crates/fleet/src/occurrences.rs
@@ -112,10 +112,12 @@
         self.find_task(id)
     }
 
-    /// Opens steps of due occurrences whose predecessors are done, and queues their tasks.
+    /// Opens steps of due occurrences whose predecessors are done, and queues their tasks. A home shard delegates only tasks
+    /// of open steps, and the others count as not done at the delegate.
     pub(crate) fn open_steps(&mut self, key: JobKey, now_ms: u64) {
         let job = &mut self.jobs[key];
         let due_occurrences = job.due_occurrences as usize;
+        let is_delegated = job.is_delegated;
         let mut opened = Vec::new();
         for (occurrence_index, occurrence) in
             job.occurrences[..due_occurrences].iter_mut().enumerate()
@@ -124,11 +126,10 @@
                 if occurrence.steps[step_index].open {
                     continue;
                 }
-                if spec
-                    .after
-                    .iter()
-                    .any(|&after| occurrence.steps[after as usize].remaining > 0)
-                {
+                let mut earlier = spec.after.iter();
+                let is_blocked =
+                    earlier.any(|&after| occurrence.steps[after as usize].remaining > 0);
+                if is_blocked && !is_delegated {
                     continue;
                 }
                 occurrence.steps[step_index].open = true;
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -2,10 +2,13 @@
 
 mod common;
 
-use common::{DELEGATION_WAIT_MS, Harness, queue, run_status, service_step, task_id};
-use primrosestack_fleet::job::{JobId, JobSpec};
+use common::{
+    DELEGATION_WAIT_MS, Harness, queue, run_end, run_status, service_step, step, task_id,
+};
+use primrosestack_fleet::job::{JobId, JobSpec, StepSpec};
 use primrosestack_fleet::ledger::JobRecord;
 use primrosestack_fleet::record::{Phase, StoredJob, Transfer};
+use primrosestack_fleet::report::EndKind;
 use smol_str::{SmolStr, format_smolstr};
 use test_case::test_case;
 
@@ -15,6 +18,12 @@
     let job = source.submit(7, 0, vec![service_step(17, "a")]);
     source.plan();
     assert_eq!(source.confirm_starts().len(), 16, "the server has 16 cores");
+    let record = delegate_waiting(&mut source);
+    (source, job, record)
+}
+
+/// Delegates the tasks that wait in a full failure domain, and returns the record of the transfers.
+fn delegate_waiting(source: &mut Harness) -> JobRecord {
     source.write_records();
     source.now_ms += DELEGATION_WAIT_MS;
     let mut others = vec![(SmolStr::new("cxs"), Harness::open(&["two"]).load())];
@@ -22,7 +31,7 @@
     let batch = source.shard.take_batch(source.now_ms);
     let record = batch.jobs[0].clone();
     source.shard.batch_written(&batch);
-    (source, job, record)
+    record
 }
 
 fn delegated_job(record: &JobRecord, created_revision: u64) -> StoredJob {
@@ -73,6 +82,31 @@
     assert_eq!(target.starts.len(), starts);
 }
 
+/// Guards against a delegated task that never starts, since the other shard takes the steps before its own for unfinished.
+#[test]
+fn a_delegated_task_does_not_wait_for_earlier_steps_again() {
+    let mut source = Harness::open(&["one"]);
+    let last = StepSpec {
+        after: vec![0],
+        ..service_step(17, "a")
+    };
+    let job = source.submit(7, 0, vec![step(1), last]);
+    source.plan();
+    source.confirm_starts();
+    source.report_end("one", &run_end(1, task_id(job, 0, 0), 1, EndKind::Done));
+    source.plan();
+    assert_eq!(source.confirm_starts().len(), 16, "the server has 16 cores");
+    let record = delegate_waiting(&mut source);
+    let mut target = Harness::open(&["two"]);
+    target
+        .shard
+        .add_job(job, delegated_job(&record, 200), target.now_ms);
+    target.plan();
+    let starts = target.confirm_starts();
+    assert_eq!(starts.len(), 1, "only the delegated task is started");
+    assert_eq!(starts[0].1.task, task_id(job, 1, 16));
+}
+
 /// Guards against both shards starting a delegated task.
 #[test]
 fn the_home_shard_does_not_start_delegated_tasks() {
