Keep the wait of a task whose job its new shard did not know

Callers of jobs with long-running tasks waited longer than intended when a task went over several failure domains. Cause: a job that a shard learns of by a transfer had its steps opened after the transfer was applied; queueing the task then set its wait back to 0, and the waits for a reserved server and for precedence began anew. Change: steps are opened before transfers are applied.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -116,8 +116,8 @@
         if predates_term {
             self.mark_unresolved(key);
         }
-        self.accept_transfers(key, &stored.transfers, predates_term, now_ms);
         self.open_steps(key, now_ms);
+        self.accept_transfers(key, &stored.transfers, predates_term, now_ms);
         self.end_from_outside(key, stored.cancelled, stored.delegates_failed, now_ms);
     }
 
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -107,6 +107,22 @@
     assert_eq!(starts[0].1.task, task_id(job, 1, 16));
 }
 
+/// Guards against the wait of a task beginning anew when its first transfer arrives: after some more it gets a server first.
+#[test]
+fn the_wait_of_a_task_goes_on_in_a_shard_that_learns_of_its_job() {
+    let (_, job, record) = delegated_task();
+    let mut target = Harness::open(&["two"]);
+    target.submit(8, 0, vec![step(16)]);
+    target.plan();
+    target.confirm_starts();
+    target
+        .shard
+        .add_job(job, delegated_job(&record, 200), target.now_ms);
+    let onward = delegate_waiting(&mut target);
+    let waited_ms = onward.transfers[0].1.tasks[0].waited_ms;
+    assert_eq!(waited_ms, 2 * DELEGATION_WAIT_MS);
+}
+
 /// Guards against both shards starting a delegated task.
 #[test]
 fn the_home_shard_does_not_start_delegated_tasks() {
