Move jobs out of a failure domain that stays full

Cause: a job left its home only if empty servers there could not run a waiting step. Long-running tasks, which may never end, took the room of the step. Change: a job without runs also moves once a step has waited for room for 3 s, if another shard reports room and its CPU covers what its tasks request.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 
 use crate::interference::InterferenceEstimate;
-use crate::job::JobSpec;
+use crate::job::{JobSpec, StepSpec};
 use crate::shard::Shard;
 
 /// Load difference from which a job is homed in another failure domain: about the size of one job in a failure domain
@@ -67,6 +67,32 @@
         }
     }
 
+    /// Adds tasks of a step that were sent to the shard after the report.
+    pub(crate) fn request(&mut self, step: &StepSpec, tasks: u32) {
+        let millis = u64::from(tasks) * u64::from(step.cpu_millis);
+        if step.best_effort {
+            self.best_effort_requested_millis += millis;
+        } else {
+            self.cpu_requested_millis += millis;
+        }
+    }
+
+    /// Whether the shard has more CPU than running and waiting tasks request.
+    pub(crate) fn has_spare(&self) -> bool {
+        self.cpu_requested_millis < self.cpu_millis
+            || self.best_effort_requested_millis < self.best_effort_millis
+    }
+
+    /// Whether the shard has the CPU for some tasks of a step besides what running and waiting tasks request.
+    pub(crate) fn covers(&self, step: &StepSpec, tasks: u32) -> bool {
+        let millis = u64::from(tasks) * u64::from(step.cpu_millis);
+        if step.best_effort {
+            self.best_effort_requested_millis + millis <= self.best_effort_millis
+        } else {
+            self.cpu_requested_millis + millis <= self.cpu_millis
+        }
+    }
+
     /// Permille of the capacity that would be requested including the job; `None` without usable servers.
     fn permille_with(&self, job: &JobSpec) -> Option<u64> {
         let (is_best_effort, requested_millis) = demand(job);
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -1,4 +1,5 @@
-//! Move of a job to the shard of another failure domain, if no server of its home could ever run its waiting tasks.
+//! Move of a job to the shard of another failure domain, if no server of its home could ever run its waiting tasks, or if
+//! its home has been full for a while and another shard has capacity to spare.
 //!
 //! A job moves as a whole, with its progress, in one transaction on condition of the owner's term, and only while no run
 //! of it may exist. Until the outcome of the transaction is known, no task of the job starts and nothing of it is recorded.
@@ -14,8 +15,8 @@
 use crate::server::{CONTACT_TIMEOUT_MS, Server};
 use crate::shard::{Job, JobKey, Shard, TaskRef, to_u32};
 
-/// Time without a server for its tasks after which a job moves; servers that restart, and those that a new owner has to
-/// claim, are back within it.
+/// Time without a server for its tasks, or without room on one, after which a job moves. Servers that restart, and those that
+/// a new owner has to claim, are back within it, and most short tasks end.
 const MOVE_AFTER_MS: u64 = 3_000;
 
 /// Interval at which all waiting steps are examined; there may be thousands.
@@ -132,6 +133,15 @@
     }
 }
 
+/// Why a job moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MoveReason {
+    /// No set of servers of its home could run a waiting step.
+    Unserved,
+    /// Its home has had no room for a waiting step.
+    Full,
+}
+
 /// Subtracts a task from the free capacity that another shard reports.
 fn take_free(load: &mut Load, step: &StepSpec) {
     let cpu_millis = if step.best_effort { 0 } else { step.cpu_millis };
@@ -274,7 +284,8 @@
         others: &mut [(SmolStr, Load)],
         now_ms: u64,
     ) -> Option<JobMove> {
-        if self.unserved.is_empty() {
+        let is_any_spare = others.iter().any(|(_, load)| load.has_spare());
+        if self.unserved.is_empty() && !is_any_spare {
             return None;
         }
         let mut previous: Option<TaskRef> = None;
@@ -287,23 +298,28 @@
                 continue;
             }
             previous = Some(task_ref);
-            if !self.can_move(task_ref, now_ms) {
+            let Some(reason) = self.move_reason(task_ref, now_ms) else {
                 continue;
-            }
+            };
             let job = &self.jobs[task_ref.job];
             let step = self.step_spec(task_ref);
             let need = Need::of(job, step);
-            let counts = others.iter().map(|(_, load)| need.count_free(load));
-            let best = counts.enumerate().max_by_key(|&(_, count)| count);
-            let Some((index, _)) = best.filter(|&(_, count)| count >= need.tasks) else {
-                continue;
-            };
+            let mut best: Option<(usize, u32)> = None;
+            for (index, (_, load)) in others.iter().enumerate() {
+                let count = need.count_free(load);
+                let is_open = reason == MoveReason::Unserved || load.covers(step, need.tasks);
+                if is_open && count >= need.tasks && best.is_none_or(|(_, most)| count >= most) {
+                    best = Some((index, count));
+                }
+            }
+            let Some((index, _)) = best else { continue };
             let (failure_domain, load) = &mut others[index];
             for _ in 0..step.tasks {
                 take_free(load, step);
             }
+            load.request(step, step.tasks);
             let failure_domain = failure_domain.clone();
-            return Some(self.begin_move(task_ref, failure_domain, now_ms));
+            return Some(self.begin_move(task_ref, reason, failure_domain, now_ms));
         }
         None
     }
@@ -319,20 +335,35 @@
         Some(move_of(job_move.key, job, failure_domain))
     }
 
-    /// Whether a waiting task makes its job move.
-    fn can_move(&self, task_ref: TaskRef, now_ms: u64) -> bool {
-        let Some(job) = self.jobs.get(task_ref.job) else {
-            return false;
-        };
-        let is_taken = job.moving || now_ms < job.kept_until_ms;
+    /// Why a waiting task makes its job move; `None` if it does not.
+    fn move_reason(&self, task_ref: TaskRef, now_ms: u64) -> Option<MoveReason> {
+        let job = self.jobs.get(task_ref.job)?;
+        let is_taken = job.stands_still(now_ms) || now_ms < job.kept_until_ms;
         if !job.is_whole() || !job.is_live() || job.is_delegated || is_taken || !self.settled {
-            return false;
+            return None;
         }
         let need = Need::of(job, self.step_spec(task_ref));
         let found = self
             .unserved
             .binary_search_by(|(known, _)| known.cmp(&need));
-        found.is_ok_and(|index| now_ms >= self.unserved[index].1 + MOVE_AFTER_MS)
+        if let Ok(index) = found {
+            let is_due = now_ms >= self.unserved[index].1 + MOVE_AFTER_MS;
+            return is_due.then_some(MoveReason::Unserved);
+        }
+        self.waits_for_room(task_ref, now_ms)
+            .then_some(MoveReason::Full)
+    }
+
+    /// Whether a task has been ready for long, and plans found no room for it. Tasks that can be delegated leave by themselves.
+    fn waits_for_room(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+        let job = &self.jobs[task_ref.job];
+        let step = &job.occurrences[task_ref.occurrence as usize].steps[task_ref.step as usize];
+        let is_placeable = job.queue.advisor_decision_ms == 0 || now_ms < step.tickets_expire_ms;
+        let queued_ms = step.tasks[task_ref.index as usize].queued_ms;
+        is_placeable
+            && !self.registrations_outdated
+            && !self.step_spec(task_ref).can_be_delegated()
+            && now_ms >= queued_ms + MOVE_AFTER_MS
     }
 
     /// Whether a task in the ready queue could start if there were a server.
@@ -340,7 +371,13 @@
         self.jobs.contains_key(task_ref.job) && !self.is_start_postponed(task_ref, now_ms)
     }
 
-    fn begin_move(&mut self, task_ref: TaskRef, failure_domain: SmolStr, now_ms: u64) -> JobMove {
+    fn begin_move(
+        &mut self,
+        task_ref: TaskRef,
+        reason: MoveReason,
+        failure_domain: SmolStr,
+        now_ms: u64,
+    ) -> JobMove {
         let key = task_ref.job;
         let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
         let job = &mut self.jobs[key];
@@ -349,6 +386,7 @@
         let inputs = [
             ("waited_ms", waited_ms),
             ("waiting", self.ready.len() as u64),
+            ("unserved", u64::from(reason == MoveReason::Unserved)),
         ];
         self.log_decision("job_moves", Some(task_ref), None, inputs);
         job_move
