Delegate long-running tasks with a label or accelerators

Cause: a job moves only without runs, and its other tasks run for ever; a task with a label was never delegated alone, since loads told the labels of a failure domain and not those of the servers that have room. Change: loads tell the labels of each reported server; moves and delegation compare them by the same type (need.rs). Servers with a label, or accelerators, that none of the freest has are reported as well. Cost: a byte for each label of a reported server; at most 24 more servers in shards that have more than 24.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -161,13 +161,11 @@
         task_ref: TaskRef,
         others: &mut [(SmolStr, Load)],
     ) -> Option<SmolStr> {
-        let step = self.step_spec(task_ref);
+        let need = self.need_of(task_ref).with_idle_cpu();
         let mut fitting_shards: Vec<(usize, Vec<usize>)> = Vec::new();
         for (index, (_, load)) in others.iter().enumerate() {
             let servers = load.free_capacity.iter().enumerate();
-            let fitting = servers.filter(|(_, free)| {
-                free.cpu_millis >= step.cpu_millis && free.memory_mb >= step.memory_mb
-            });
+            let fitting = servers.filter(|(_, free)| need.count_in_free(load, free) > 0);
             let positions: Vec<usize> = fitting.map(|(position, _)| position).collect();
             if !positions.is_empty() {
                 fitting_shards.push((index, positions));
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -5,9 +5,12 @@
 
 use std::cmp::Reverse;
 
+use smol_str::SmolStr;
+
 use crate::interference::InterferenceEstimate;
 use crate::job::{JobSpec, StepSpec};
-use crate::shard::Shard;
+use crate::server::Server;
+use crate::shard::{Shard, to_u32};
 
 /// Load difference from which a job is homed in another failure domain: about the size of one job in a failure domain
 /// of 16 servers.
@@ -17,6 +20,9 @@
 /// servers drain at once, hundreds of tasks are delegated within seconds.
 const FREE_CAPACITIES_MAX: usize = 24;
 
+/// Number of further servers that are reported since they have a label, or accelerators, that none of the others has.
+const RARE_CAPACITIES_MAX: usize = 24;
+
 /// Load of a shard as reported by its owner. Waiting tasks count as if they were running.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Load {
@@ -38,13 +44,13 @@
     /// Interference estimates that the owner has learned, in replies to hosts that asked for them.
     #[prost(message, repeated, tag = "6")]
     pub interference: Vec<InterferenceEstimate>,
-    /// Free capacity of the servers with the most free CPU, in descending order.
+    /// Free capacity of the servers with the most free CPU, in descending order, and of some with further labels.
     #[prost(message, repeated, tag = "7")]
     pub free_capacity: Vec<FreeCapacity>,
 }
 
 /// Free capacity of one server.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct FreeCapacity {
     /// CPU in millicores.
     #[prost(uint32, tag = "1")]
@@ -54,9 +60,21 @@
     /// Accelerators.
     #[prost(uint32, tag = "3")]
     pub gpus: u32,
+    /// Labels of the server, as positions in [`Load::labels`].
+    #[prost(uint32, repeated, tag = "4")]
+    pub labels: Vec<u32>,
 }
 
 impl Load {
+    /// Whether a server of the report has a label.
+    pub(crate) fn has_label(&self, free: &FreeCapacity, label: &str) -> bool {
+        let mut labels = free.labels.iter();
+        labels.any(|&position| {
+            let own = self.labels.get(position as usize);
+            own.is_some_and(|own| own == label)
+        })
+    }
+
     /// Adds a job that was sent to the shard after the report.
     pub fn add(&mut self, job: &JobSpec) {
         let (is_best_effort, requested_millis) = demand(job);
@@ -147,10 +165,42 @@
     best_index
 }
 
+/// Servers whose free capacity is reported, of some with the most free CPU first. A label, or accelerators, may be rare.
+fn servers_to_report<'a>(servers: &[&'a Server]) -> Vec<&'a Server> {
+    let (freest, others) = servers.split_at(servers.len().min(FREE_CAPACITIES_MAX));
+    let mut reported = freest.to_vec();
+    let mut labels: Vec<&str> = Vec::new();
+    let mut has_gpus = false;
+    for server in freest {
+        labels.extend(server.entry.labels.iter().map(SmolStr::as_str));
+        has_gpus |= server.gpus_free() > 0;
+    }
+    labels.sort_unstable();
+    labels.dedup();
+    for server in others {
+        if reported.len() >= FREE_CAPACITIES_MAX + RARE_CAPACITIES_MAX {
+            break;
+        }
+        let mut is_rare = server.gpus_free() > 0 && !has_gpus;
+        has_gpus |= is_rare;
+        for label in &server.entry.labels {
+            if let Err(position) = labels.binary_search(&label.as_str()) {
+                labels.insert(position, label);
+                is_rare = true;
+            }
+        }
+        if is_rare {
+            reported.push(server);
+        }
+    }
+    reported
+}
+
 impl Shard {
     #[must_use]
     pub fn load_summary(&self, now_ms: u64) -> Load {
         let mut load = Load::default();
+        let mut servers: Vec<&Server> = Vec::new();
         for (key, server) in &self.servers {
             if !server.is_usable(now_ms) {
                 continue;
@@ -162,20 +212,26 @@
             load.labels
                 .extend(server.entry.labels.iter().map(ToString::to_string));
             // Such a server takes no other task for now.
-            if server.suspected_run.is_some() || self.has_trial_run(key) {
-                continue;
+            if server.suspected_run.is_none() && !self.has_trial_run(key) {
+                servers.push(server);
             }
-            load.free_capacity.push(FreeCapacity {
-                cpu_millis: server.cpu_free_millis(),
-                memory_mb: server.memory_free_mb(),
-                gpus: server.entry.gpus.saturating_sub(server.gpus_used),
-            });
         }
-        load.free_capacity
-            .sort_by_key(|free| Reverse(free.cpu_millis));
-        load.free_capacity.truncate(FREE_CAPACITIES_MAX);
         load.labels.sort();
         load.labels.dedup();
+        servers.sort_by_key(|server| Reverse(server.cpu_free_millis()));
+        for server in servers_to_report(&servers) {
+            let positions = server.entry.labels.iter().filter_map(|label| {
+                let found = load.labels.binary_search_by(|own| own.as_str().cmp(label));
+                found.ok().map(to_u32)
+            });
+            let free = FreeCapacity {
+                cpu_millis: server.cpu_free_millis(),
+                memory_mb: server.memory_free_mb(),
+                gpus: server.gpus_free(),
+                labels: positions.collect(),
+            };
+            load.free_capacity.push(free);
+        }
         for &task_ref in &self.ready {
             if !self.jobs.contains_key(task_ref.job) {
                 continue;
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -235,7 +235,7 @@
     /// Whether its tasks may run in another failure domain than that of their job.
     #[must_use]
     pub fn can_be_delegated(&self) -> bool {
-        self.long_running && !self.gang && self.label.is_empty() && self.gpus == 0
+        self.long_running && !self.gang
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ledger;
 mod listed_runs;
 pub mod load_views;
+mod need;
 mod occurrences;
 mod overdue;
 pub mod place;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -95,9 +95,7 @@
         if self.has_trial_run(key) || self.crash_would_be_ambiguous(task_ref, key, now_ms) {
             return false;
         }
-        if spec.memory_mb > server.memory_free_mb()
-            || spec.gpus > server.entry.gpus.saturating_sub(server.gpus_used)
-        {
+        if spec.memory_mb > server.memory_free_mb() || spec.gpus > server.gpus_free() {
             return false;
         }
         if spec.best_effort {
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -9,10 +9,10 @@
 use smol_str::SmolStr;
 
 use crate::intake::Load;
-use crate::job::{JobId, JobSpec, StepSpec};
+use crate::job::{JobId, JobSpec};
 use crate::ledger::progress_of;
+use crate::need::Need;
 use crate::record::{Progress, StoredJob};
-use crate::server::{CONTACT_TIMEOUT_MS, Server};
 use crate::shard::{Job, JobKey, Shard, TaskRef, to_u32};
 
 /// Time without a server for its tasks, or without room on one, after which a job moves. Servers that restart, and those that
@@ -35,21 +35,6 @@
 /// Maximum number of different needs that count as unserved at a time.
 const NEEDS_MAX: usize = 1_024;
 
-/// What a step needs of the servers of a failure domain.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Need {
-    service: SmolStr,
-    label: SmolStr,
-    cpu_millis: u32,
-    memory_mb: u32,
-    gpus: u32,
-    /// Tasks that have to fit at the same time: all members of a gang, else one.
-    tasks: u32,
-    /// Maximum number of them on one server; 0 for no limit.
-    max_per_server: u32,
-    best_effort: bool,
-}
-
 /// A job that is to be moved.
 #[derive(Clone, Debug)]
 pub struct JobMove {
@@ -71,68 +56,6 @@
     moved_ms: u64,
 }
 
-impl Need {
-    fn of(job: &Job, step: &StepSpec) -> Self {
-        Self {
-            service: SmolStr::new(&job.queue.service),
-            label: SmolStr::new(&step.label),
-            cpu_millis: step.cpu_millis,
-            memory_mb: step.memory_mb,
-            gpus: step.gpus,
-            tasks: if step.gang { step.tasks } else { 1 },
-            max_per_server: if step.gang { step.max_per_server } else { 0 },
-            best_effort: step.best_effort,
-        }
-    }
-
-    /// How many tasks fit into an amount of CPU, memory and accelerators.
-    fn count_in(&self, cpu_millis: u32, memory_mb: u32, gpus: u32) -> u32 {
-        let parts = [
-            cpu_millis.checked_div(self.cpu_millis),
-            memory_mb.checked_div(self.memory_mb),
-            gpus.checked_div(self.gpus),
-            (self.max_per_server > 0).then_some(self.max_per_server),
-        ];
-        let least = parts.into_iter().flatten().min();
-        least.unwrap_or(self.tasks).min(self.tasks)
-    }
-
-    /// How many tasks an empty server would take; none if it does not answer or is leaving.
-    fn count_on(&self, server: &Server, now_ms: u64) -> u32 {
-        let can_serve = server.is_placeable()
-            && now_ms < server.last_contact_ms + CONTACT_TIMEOUT_MS
-            && server.entry.service == self.service
-            && (self.label.is_empty() || server.has_label(&self.label));
-        if !can_serve {
-            return 0;
-        }
-        let entry = &server.entry;
-        self.count_in(entry.cpu_millis, entry.memory_mb, entry.gpus)
-    }
-
-    /// How many tasks fit into the free capacity that another shard reports.
-    fn count_free(&self, load: &Load) -> u32 {
-        let has_label = self.label.is_empty()
-            || load
-                .labels
-                .binary_search_by(|label| label.as_str().cmp(&self.label))
-                .is_ok();
-        if !has_label {
-            return 0;
-        }
-        let mut count: u32 = 0;
-        for free in &load.free_capacity {
-            let cpu_millis = if self.best_effort {
-                self.cpu_millis
-            } else {
-                free.cpu_millis
-            };
-            count = count.saturating_add(self.count_in(cpu_millis, free.memory_mb, free.gpus));
-        }
-        count
-    }
-}
-
 /// Why a job moves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MoveReason {
@@ -142,18 +65,6 @@
     Full,
 }
 
-/// Subtracts a task from the free capacity that another shard reports.
-fn take_free(load: &mut Load, step: &StepSpec) {
-    let cpu_millis = if step.best_effort { 0 } else { step.cpu_millis };
-    let fitting = load.free_capacity.iter_mut().find(|free| {
-        free.cpu_millis >= cpu_millis && free.memory_mb >= step.memory_mb && free.gpus >= step.gpus
-    });
-    let Some(free) = fitting else { return };
-    free.cpu_millis -= cpu_millis;
-    free.memory_mb -= step.memory_mb;
-    free.gpus -= step.gpus;
-}
-
 /// Move of a job with its present progress.
 fn move_of(key: JobKey, job: &Job, failure_domain: SmolStr) -> JobMove {
     let last_runs = job.tasks(key).map(|(_, task)| task.last_run);
@@ -204,13 +115,10 @@
                 (previous.job, previous.step) == (task_ref.job, task_ref.step)
             });
             previous = Some(task_ref);
-            let Some(job) = self.jobs.get(task_ref.job) else {
-                continue;
-            };
-            if is_same_step || !self.settled {
+            if is_same_step || !self.settled || !self.jobs.contains_key(task_ref.job) {
                 continue;
             }
-            let need = Need::of(job, self.step_spec(task_ref));
+            let need = self.need_of(task_ref);
             let Err(index) = unserved.binary_search_by(|(known, _)| known.cmp(&need)) else {
                 continue;
             };
@@ -247,7 +155,7 @@
                 continue;
             }
             job.stay_logged_ms = now_ms;
-            let need = Need::of(job, &job.spec.steps[task_ref.step as usize]);
+            let need = Need::of(&job.queue, &job.spec.steps[task_ref.step as usize]);
             let unserved = self
                 .unserved
                 .binary_search_by(|(known, _)| known.cmp(&need));
@@ -301,9 +209,8 @@
             let Some(reason) = self.move_reason(task_ref, now_ms) else {
                 continue;
             };
-            let job = &self.jobs[task_ref.job];
             let step = self.step_spec(task_ref);
-            let need = Need::of(job, step);
+            let need = self.need_of(task_ref);
             let mut best: Option<(usize, u32)> = None;
             for (index, (_, load)) in others.iter().enumerate() {
                 let count = need.count_free(load);
@@ -315,7 +222,7 @@
             let Some((index, _)) = best else { continue };
             let (failure_domain, load) = &mut others[index];
             for _ in 0..step.tasks {
-                take_free(load, step);
+                need.take_free(load);
             }
             load.request(step, step.tasks);
             let failure_domain = failure_domain.clone();
@@ -342,7 +249,7 @@
         if !job.is_whole() || !job.is_live() || job.is_delegated || is_taken || !self.settled {
             return None;
         }
-        let need = Need::of(job, self.step_spec(task_ref));
+        let need = self.need_of(task_ref);
         let found = self
             .unserved
             .binary_search_by(|(known, _)| known.cmp(&need));
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -167,6 +167,11 @@
         self.entry.memory_mb.saturating_sub(self.memory_used_mb)
     }
 
+    #[must_use]
+    pub fn gpus_free(&self) -> u32 {
+        self.entry.gpus.saturating_sub(self.gpus_used)
+    }
+
     /// Whether the server may be given tasks now.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64) -> bool {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -13,8 +13,9 @@
 use crate::handover::Predecessors;
 use crate::interference::InterferenceModel;
 use crate::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
+use crate::need::Need;
 use crate::record::{Phase, ServerSet, Transfer};
-use crate::rehome::{MovedJob, Need};
+use crate::rehome::MovedJob;
 use crate::server::Server;
 use crate::task::Task;
 
--- a/tests/rehoming.rs
+++ b/tests/rehoming.rs
@@ -95,7 +95,7 @@
     let free = FreeCapacity {
         cpu_millis: 4_000,
         memory_mb: 4_000,
-        gpus: 0,
+        ..FreeCapacity::default()
     };
     let load = Load {
         free_capacity: vec![free],
