Count only servers of a job's service in other failure domains

Cause: loads named no service. The job moved to the failure domain with the most room on servers of any service, waited there, and moved back. Change: loads tell the service of each reported server, and capacity, requests and labels by service. Moves, delegation and acceptance use them; a report without services counts for all, as before. Cost: some 20 bytes a report and service.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -5,12 +5,10 @@
 
 use std::cmp::Reverse;
 
-use smol_str::SmolStr;
-
 use crate::interference::InterferenceEstimate;
 use crate::job::{JobSpec, StepSpec};
 use crate::server::Server;
-use crate::shard::{Shard, to_u32};
+use crate::shard::{ServerKey, Shard, to_u32};
 
 /// Load difference from which a job is homed in another failure domain: about the size of one job in a failure domain
 /// of 16 servers.
@@ -47,6 +45,31 @@
     /// Free capacity of the servers with the most free CPU, in descending order, and of some with further labels.
     #[prost(message, repeated, tag = "7")]
     pub free_capacity: Vec<FreeCapacity>,
+    /// The same load by service, sorted by name; owners of earlier versions tell none.
+    #[prost(message, repeated, tag = "8")]
+    pub services: Vec<ServiceLoad>,
+}
+
+/// Load of the servers of one service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServiceLoad {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// CPU capacity of usable servers, in millicores.
+    #[prost(uint64, tag = "2")]
+    pub cpu_millis: u64,
+    /// CPU requested by tasks other than best-effort ones, in millicores.
+    #[prost(uint64, tag = "3")]
+    pub cpu_requested_millis: u64,
+    /// CPU capacity available to best-effort tasks, in millicores.
+    #[prost(uint64, tag = "4")]
+    pub best_effort_millis: u64,
+    /// CPU requested by best-effort tasks, in millicores.
+    #[prost(uint64, tag = "5")]
+    pub best_effort_requested_millis: u64,
+    /// Labels of the usable servers, as positions in [`Load::labels`], sorted.
+    #[prost(uint32, repeated, tag = "6")]
+    pub labels: Vec<u32>,
 }
 
 /// Free capacity of one server.
@@ -63,6 +86,9 @@
     /// Labels of the server, as positions in [`Load::labels`].
     #[prost(uint32, repeated, tag = "4")]
     pub labels: Vec<u32>,
+    /// Service of the server, as a position in [`Load::services`].
+    #[prost(uint32, tag = "5")]
+    pub service: u32,
 }
 
 impl Load {
@@ -75,52 +101,141 @@
         })
     }
 
+    /// Whether a server of the report belongs to a service.
+    pub(crate) fn is_of_service(&self, free: &FreeCapacity, service: &str) -> bool {
+        let own = self.services.get(free.service as usize);
+        own.map_or(self.services.is_empty(), |own| own.name == service)
+    }
+
+    /// Load of the servers of a service, or of all servers if the report does not tell services; `None` if no server or waiting
+    /// task is of the service.
+    fn of_service(&self, service: &str) -> Option<ServiceLoad> {
+        if self.services.is_empty() {
+            return Some(ServiceLoad {
+                name: service.to_owned(),
+                cpu_millis: self.cpu_millis,
+                cpu_requested_millis: self.cpu_requested_millis,
+                best_effort_millis: self.best_effort_millis,
+                best_effort_requested_millis: self.best_effort_requested_millis,
+                labels: (0..to_u32(self.labels.len())).collect(),
+            });
+        }
+        let found = self.find_service(service).ok()?;
+        Some(self.services[found].clone())
+    }
+
+    fn find_service(&self, service: &str) -> Result<usize, usize> {
+        self.services
+            .binary_search_by(|known| known.name.as_str().cmp(service))
+    }
+
+    fn service_mut(&mut self, service: &str) -> &mut ServiceLoad {
+        let index = self.find_service(service).unwrap_or_else(|index| {
+            let own = ServiceLoad {
+                name: service.to_owned(),
+                ..ServiceLoad::default()
+            };
+            self.services.insert(index, own);
+            index
+        });
+        &mut self.services[index]
+    }
+
+    /// Labels of a server, as positions in the report's list.
+    fn positions_of(&self, server: &Server) -> Vec<u32> {
+        let labels = server.entry.labels.iter();
+        let positions = labels.filter_map(|label| {
+            let found = self.labels.binary_search_by(|own| own.as_str().cmp(label));
+            found.ok().map(to_u32)
+        });
+        positions.collect()
+    }
+
     /// Adds a job that was sent to the shard after the report.
     pub fn add(&mut self, job: &JobSpec) {
         let (is_best_effort, requested_millis) = demand(job);
-        if is_best_effort {
-            self.best_effort_requested_millis += requested_millis;
-        } else {
-            self.cpu_requested_millis += requested_millis;
-        }
+        self.request(service_of(job), is_best_effort, requested_millis);
     }
 
     /// Adds tasks of a step that were sent to the shard after the report.
-    pub(crate) fn request(&mut self, step: &StepSpec, tasks: u32) {
-        let millis = u64::from(tasks) * u64::from(step.cpu_millis);
-        if step.best_effort {
+    pub(crate) fn add_tasks(&mut self, service: &str, step: &StepSpec) {
+        let millis = u64::from(step.tasks) * u64::from(step.cpu_millis);
+        self.request(service, step.best_effort, millis);
+    }
+
+    fn request(&mut self, service: &str, is_best_effort: bool, millis: u64) {
+        let own = self.find_service(service).ok();
+        let mut own = own.map(|found| &mut self.services[found]);
+        if is_best_effort {
             self.best_effort_requested_millis += millis;
+            if let Some(own) = &mut own {
+                own.best_effort_requested_millis += millis;
+            }
         } else {
             self.cpu_requested_millis += millis;
+            if let Some(own) = &mut own {
+                own.cpu_requested_millis += millis;
+            }
         }
     }
 
-    /// Whether the shard has more CPU than running and waiting tasks request.
+    /// Whether the servers have more CPU than running and waiting tasks request.
     pub(crate) fn has_spare(&self) -> bool {
         self.cpu_requested_millis < self.cpu_millis
             || self.best_effort_requested_millis < self.best_effort_millis
     }
 
-    /// Whether the shard has the CPU for some tasks of a step besides what running and waiting tasks request.
-    pub(crate) fn covers(&self, step: &StepSpec, tasks: u32) -> bool {
+    /// Whether the servers of a service have the CPU for some tasks of a step besides what running and waiting tasks request.
+    pub(crate) fn covers(&self, service: &str, step: &StepSpec, tasks: u32) -> bool {
+        let Some(load) = self.of_service(service) else {
+            return false;
+        };
         let millis = u64::from(tasks) * u64::from(step.cpu_millis);
         if step.best_effort {
-            self.best_effort_requested_millis + millis <= self.best_effort_millis
+            load.best_effort_requested_millis + millis <= load.best_effort_millis
         } else {
-            self.cpu_requested_millis + millis <= self.cpu_millis
+            load.cpu_requested_millis + millis <= load.cpu_millis
         }
     }
 
     /// Permille of the capacity that would be requested including the job; `None` without usable servers.
     fn permille_with(&self, job: &JobSpec) -> Option<u64> {
+        let load = self.of_service(service_of(job))?;
         let (is_best_effort, requested_millis) = demand(job);
         let (capacity, requested) = if is_best_effort {
-            (self.best_effort_millis, self.best_effort_requested_millis)
+            (load.best_effort_millis, load.best_effort_requested_millis)
         } else {
-            (self.cpu_millis, self.cpu_requested_millis)
+            (load.cpu_millis, load.cpu_requested_millis)
         };
-        (self.cpu_millis > 0).then(|| (requested + requested_millis) * 1_000 / capacity.max(1))
+        (load.cpu_millis > 0).then(|| (requested + requested_millis) * 1_000 / capacity.max(1))
     }
+
+    /// Whether usable servers of a service have a label.
+    fn lists(&self, service: &str, label: &str) -> bool {
+        let found = self
+            .labels
+            .binary_search_by(|known| known.as_str().cmp(label));
+        let Ok(position) = found.map(to_u32) else {
+            return false;
+        };
+        self.of_service(service)
+            .is_some_and(|load| load.labels.binary_search(&position).is_ok())
+    }
+
+    /// Whether usable servers of the job's service have the labels that its steps need.
+    fn serves(&self, job: &JobSpec) -> bool {
+        let service = service_of(job);
+        let mut labels = job.steps.iter().map(|step| step.label.as_str());
+        self.of_service(service)
+            .is_some_and(|load| load.cpu_millis > 0)
+            && labels.all(|label| label.is_empty() || self.lists(service, label))
+    }
+}
+
+fn service_of(job: &JobSpec) -> &str {
+    job.queue
+        .as_ref()
+        .map_or("", |queue| queue.service.as_str())
 }
 
 /// CPU requested by the steps of a job that can start at once, in millicores, and whether all of these are best-effort.
@@ -136,19 +251,17 @@
 /// Index of the shard that should keep a job; `own_index` is the index of the accepting failure domain.
 #[must_use]
 pub fn choose_home(own_index: usize, loads: &[Option<&Load>], job: &JobSpec) -> usize {
+    // Where no shard has all that the job needs, it has to move between its steps in any case.
+    let is_any_able = loads.iter().flatten().any(|load| load.serves(job));
+    let able = |index: usize| loads[index].filter(|load| !is_any_able || load.serves(job));
     if let Some(rack) = job.data_rack() {
-        let has_rack = |load: Option<&Load>| {
-            load.is_some_and(|load| {
-                load.labels
-                    .binary_search_by(|label| label.as_str().cmp(&rack))
-                    .is_ok()
-            })
-        };
-        if let Some(index) = loads.iter().position(|load| has_rack(*load)) {
+        let service = service_of(job);
+        let has_rack = |&index: &usize| able(index).is_some_and(|load| load.lists(service, &rack));
+        if let Some(index) = (0..loads.len()).find(has_rack) {
             return index;
         }
     }
-    let permille_at = |index: usize| loads[index].and_then(|load| load.permille_with(job));
+    let permille_at = |index: usize| able(index).and_then(|load| load.permille_with(job));
     let mut best_index = own_index;
     let mut least_permille = permille_at(own_index).map_or(u64::MAX, |permille| {
         permille.saturating_sub(REMOTE_MARGIN_PERMILLE)
@@ -165,18 +278,29 @@
     best_index
 }
 
+/// Adds a label to a sorted list. Returns whether it was new.
+fn insert_label(labels: &mut Vec<String>, label: &str) -> bool {
+    let found = labels.binary_search_by(|known| known.as_str().cmp(label));
+    let Err(position) = found else { return false };
+    labels.insert(position, label.to_owned());
+    true
+}
+
+/// Distinct labels of servers, sorted.
+fn labels_of<'a>(servers: impl Iterator<Item = &'a Server>) -> Vec<String> {
+    let mut labels = Vec::new();
+    for label in servers.flat_map(|server| &server.entry.labels) {
+        insert_label(&mut labels, label);
+    }
+    labels
+}
+
 /// Servers whose free capacity is reported, of some with the most free CPU first. A label, or accelerators, may be rare.
 fn servers_to_report<'a>(servers: &[&'a Server]) -> Vec<&'a Server> {
     let (freest, others) = servers.split_at(servers.len().min(FREE_CAPACITIES_MAX));
     let mut reported = freest.to_vec();
-    let mut labels: Vec<&str> = Vec::new();
-    let mut has_gpus = false;
-    for server in freest {
-        labels.extend(server.entry.labels.iter().map(SmolStr::as_str));
-        has_gpus |= server.gpus_free() > 0;
-    }
-    labels.sort_unstable();
-    labels.dedup();
+    let mut labels = labels_of(freest.iter().copied());
+    let mut has_gpus = freest.iter().any(|server| server.gpus_free() > 0);
     for server in others {
         if reported.len() >= FREE_CAPACITIES_MAX + RARE_CAPACITIES_MAX {
             break;
@@ -184,10 +308,7 @@
         let mut is_rare = server.gpus_free() > 0 && !has_gpus;
         has_gpus |= is_rare;
         for label in &server.entry.labels {
-            if let Err(position) = labels.binary_search(&label.as_str()) {
-                labels.insert(position, label);
-                is_rare = true;
-            }
+            is_rare |= insert_label(&mut labels, label);
         }
         if is_rare {
             reported.push(server);
@@ -200,49 +321,59 @@
     #[must_use]
     pub fn load_summary(&self, now_ms: u64) -> Load {
         let mut load = Load::default();
-        let mut servers: Vec<&Server> = Vec::new();
-        for (key, server) in &self.servers {
-            if !server.is_usable(now_ms) {
-                continue;
+        let servers = self.servers.iter();
+        let usable: Vec<(ServerKey, &Server)> = servers
+            .filter(|(_, server)| server.is_usable(now_ms))
+            .collect();
+        load.labels = labels_of(usable.iter().map(|&(_, server)| server));
+        let mut open: Vec<&Server> = Vec::new();
+        for &(key, server) in &usable {
+            let positions = load.positions_of(server);
+            let own = load.service_mut(&server.entry.service);
+            own.cpu_millis += u64::from(server.entry.cpu_millis);
+            own.cpu_requested_millis += u64::from(server.cpu_used_millis);
+            own.best_effort_millis += u64::from(Self::best_effort_capacity_millis(server));
+            own.best_effort_requested_millis += u64::from(server.best_effort_used_millis);
+            for position in positions {
+                if let Err(index) = own.labels.binary_search(&position) {
+                    own.labels.insert(index, position);
+                }
             }
-            load.cpu_millis += u64::from(server.entry.cpu_millis);
-            load.cpu_requested_millis += u64::from(server.cpu_used_millis);
-            load.best_effort_millis += u64::from(Self::best_effort_capacity_millis(server));
-            load.best_effort_requested_millis += u64::from(server.best_effort_used_millis);
-            load.labels
-                .extend(server.entry.labels.iter().map(ToString::to_string));
             // Such a server takes no other task for now.
             if server.suspected_run.is_none() && !self.has_trial_run(key) {
-                servers.push(server);
+                open.push(server);
             }
         }
-        load.labels.sort();
-        load.labels.dedup();
-        servers.sort_by_key(|server| Reverse(server.cpu_free_millis()));
-        for server in servers_to_report(&servers) {
-            let positions = server.entry.labels.iter().filter_map(|label| {
-                let found = load.labels.binary_search_by(|own| own.as_str().cmp(label));
-                found.ok().map(to_u32)
-            });
-            let free = FreeCapacity {
-                cpu_millis: server.cpu_free_millis(),
-                memory_mb: server.memory_free_mb(),
-                gpus: server.gpus_free(),
-                labels: positions.collect(),
-            };
-            load.free_capacity.push(free);
-        }
         for &task_ref in &self.ready {
-            if !self.jobs.contains_key(task_ref.job) {
+            let Some(job) = self.jobs.get(task_ref.job) else {
                 continue;
-            }
+            };
             let step = self.step_spec(task_ref);
+            let own = load.service_mut(&job.queue.service);
             if step.best_effort {
-                load.best_effort_requested_millis += u64::from(step.cpu_millis);
+                own.best_effort_requested_millis += u64::from(step.cpu_millis);
             } else {
-                load.cpu_requested_millis += u64::from(step.cpu_millis);
+                own.cpu_requested_millis += u64::from(step.cpu_millis);
             }
         }
+        for own in &load.services {
+            load.cpu_millis += own.cpu_millis;
+            load.cpu_requested_millis += own.cpu_requested_millis;
+            load.best_effort_millis += own.best_effort_millis;
+            load.best_effort_requested_millis += own.best_effort_requested_millis;
+        }
+        open.sort_by_key(|server| Reverse(server.cpu_free_millis()));
+        for server in servers_to_report(&open) {
+            let service = load.find_service(&server.entry.service);
+            let free = FreeCapacity {
+                cpu_millis: server.cpu_free_millis(),
+                memory_mb: server.memory_free_mb(),
+                gpus: server.gpus_free(),
+                labels: load.positions_of(server),
+                service: to_u32(service.unwrap_or_default()),
+            };
+            load.free_capacity.push(free);
+        }
         load
     }
 }
--- a/crates/fleet/src/need.rs
+++ b/crates/fleet/src/need.rs
@@ -71,7 +71,8 @@
 
     /// How many tasks fit into the free capacity of a server that another shard reports.
     pub(crate) fn count_in_free(&self, load: &Load, free: &FreeCapacity) -> u32 {
-        if !self.label.is_empty() && !load.has_label(free, &self.label) {
+        let has_label = self.label.is_empty() || load.has_label(free, &self.label);
+        if !has_label || !load.is_of_service(free, &self.service) {
             return 0;
         }
         // Reports do not tell the headroom for best-effort tasks.
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -209,12 +209,14 @@
             let Some(reason) = self.move_reason(task_ref, now_ms) else {
                 continue;
             };
+            let service = self.jobs[task_ref.job].queue.service.as_str();
             let step = self.step_spec(task_ref);
             let need = self.need_of(task_ref);
             let mut best: Option<(usize, u32)> = None;
             for (index, (_, load)) in others.iter().enumerate() {
                 let count = need.count_free(load);
-                let is_open = reason == MoveReason::Unserved || load.covers(step, need.tasks);
+                let is_open =
+                    reason == MoveReason::Unserved || load.covers(service, step, need.tasks);
                 if is_open && count >= need.tasks && best.is_none_or(|(_, most)| count >= most) {
                     best = Some((index, count));
                 }
@@ -224,7 +226,7 @@
             for _ in 0..step.tasks {
                 need.take_free(load);
             }
-            load.request(step, step.tasks);
+            load.add_tasks(service, step);
             let failure_domain = failure_domain.clone();
             return Some(self.begin_move(task_ref, reason, failure_domain, now_ms));
         }
