Delegate long-running gangs as a whole

Callers of a job with a long-running gang beside other long-running tasks would see it as `running` while the gang never ran again once its failure domain had no room for all members. A job moves only without runs, and members of a gang were never delegated. Change: all members that wait are delegated in one transfer to a failure domain with room for all of them. Members on draining servers stay, as before. Measured: a_gang_starts_as_a_whole_in_another_failure_domain failed before and passes.

--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -131,7 +131,8 @@
         // A load that is reported later still includes the room for tasks whose runs have not ended.
         let mut others = others.to_vec();
         for task_ref in self.ready.iter().copied().chain(moving) {
-            if self.jobs.contains_key(task_ref.job) && self.step_spec(task_ref).can_be_delegated() {
+            if self.jobs.contains_key(task_ref.job) && self.can_be_stopped_for_delegation(task_ref)
+            {
                 self.take_room(task_ref, &mut others);
             }
         }
@@ -141,7 +142,7 @@
                 break;
             }
             if self.jobs[run.task_ref.job].is_live()
-                && self.step_spec(run.task_ref).can_be_delegated()
+                && self.can_be_stopped_for_delegation(run.task_ref)
                 && self.take_room(run.task_ref, &mut others).is_some()
             {
                 to_stop.push(run);
@@ -152,6 +153,30 @@
         }
     }
 
+    /// Whether a run may be stopped so that its task is delegated; the stop of one member would end all runs of a gang.
+    fn can_be_stopped_for_delegation(&self, task_ref: TaskRef) -> bool {
+        let step = self.step_spec(task_ref);
+        step.can_be_delegated() && !step.gang
+    }
+
+    /// Takes room for all members of a gang from the reported capacity of another shard, the one with the most. Returns its
+    /// failure domain.
+    fn take_gang_room(&self, task_ref: TaskRef, others: &mut [(SmolStr, Load)]) -> Option<SmolStr> {
+        let need = self.need_of(task_ref).with_idle_cpu();
+        let counts = others.iter_mut().map(|(domain, load)| {
+            let count = need.count_free(load);
+            (count, domain, load)
+        });
+        let (count, domain, load) = counts.max_by_key(|&(count, _, _)| count)?;
+        if count < need.tasks {
+            return None;
+        }
+        for _ in 0..need.tasks {
+            need.take_free(load);
+        }
+        Some(domain.clone())
+    }
+
     /// Takes one server for a task from the reported capacity of other shards, of which the one with the most servers that
     /// fit. Returns its failure domain. Several owners see the same reports: which server is taken depends on the task, so
     /// that they rarely count on the same one. A delegate that found no use for the room here passes the task on to each
@@ -161,6 +186,9 @@
         task_ref: TaskRef,
         others: &mut [(SmolStr, Load)],
     ) -> Option<SmolStr> {
+        if self.step_spec(task_ref).gang {
+            return self.take_gang_room(task_ref, others);
+        }
         let need = self.need_of(task_ref).with_idle_cpu();
         let mut fitting_shards: Vec<(usize, Vec<usize>)> = Vec::new();
         for (index, (_, load)) in others.iter().enumerate() {
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -232,10 +232,10 @@
 }
 
 impl StepSpec {
-    /// Whether its tasks may run in another failure domain than that of their job.
+    /// Whether its tasks may run in another failure domain than that of their job; all members of a gang in the same one.
     #[must_use]
     pub fn can_be_delegated(&self) -> bool {
-        self.long_running && !self.gang
+        self.long_running
     }
 }
 
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -39,15 +39,20 @@
             if count >= DELEGATED_TASKS_MAX {
                 break;
             }
+            let members = self.members_of(task_ref);
+            let mut others_of_gang = members.iter().filter(|&&member| member != task_ref);
+            // Another member may have been delegated with its gang just now.
+            let is_ready = self.task(task_ref).queued
+                && others_of_gang.all(|&member| self.can_delegate(member, now_ms));
             let job = &self.jobs[task_ref.job];
-            if job.outbound_transfers.len() >= UNRECORDED_TRANSFERS_MAX {
+            if !is_ready || job.outbound_transfers.len() >= UNRECORDED_TRANSFERS_MAX {
                 continue;
             }
             let Some(domain) = self.take_room(task_ref, others) else {
                 continue;
             };
-            self.delegate_to(task_ref, domain, now_ms);
-            count += 1;
+            self.delegate_to(&members, domain, now_ms);
+            count += members.len();
         }
         self.stop_for_delegation(others, now_ms);
         count > 0
@@ -71,44 +76,56 @@
             && now_ms >= task.queued_ms + delegate_after_ms
     }
 
-    fn delegate_to(&mut self, task_ref: TaskRef, domain: SmolStr, now_ms: u64) {
-        let task = self.task_mut(task_ref);
-        let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
-        task.remote = true;
-        task.queued = false;
-        task.moved = Move::None;
-        // Each transfer uses a run number, so that the newest of several records of a task can be identified.
-        task.last_run += 1;
-        let record = TaskRecord {
-            occurrence: task_ref.occurrence,
-            step: task_ref.step,
-            index: task_ref.index,
-            last_run: task.last_run,
-            checkpoint: task.checkpoint.to_string(),
-            crashed_runs: task.crashed_runs.clone(),
-            sole_crashes: task.sole_crashes,
-            lapsed_runs: task.lapsed_runs.clone(),
-            last_lapse_unix_ms: task.last_lapse_unix_ms.unwrap_or(0),
-            waited_ms,
-            ..TaskRecord::default()
-        };
-        self.ready.retain(|&other| other != task_ref);
-        let job = &mut self.jobs[task_ref.job];
-        let transfer = Transfer {
-            tasks: vec![record],
-        };
+    /// The tasks that have to start together with a task, itself included.
+    fn members_of(&self, task_ref: TaskRef) -> Vec<TaskRef> {
+        let step = self.step_spec(task_ref);
+        if !step.gang {
+            return vec![task_ref];
+        }
+        let indexes = 0..step.tasks;
+        indexes.map(|index| TaskRef { index, ..task_ref }).collect()
+    }
+
+    /// Delegates a task, or all members of a gang, to the shard of another failure domain.
+    fn delegate_to(&mut self, members: &[TaskRef], domain: SmolStr, now_ms: u64) {
+        let mut transfer = Transfer::default();
+        for &task_ref in members {
+            let task = self.task_mut(task_ref);
+            let waited_ms = now_ms.saturating_sub(task.ready_since_ms);
+            task.remote = true;
+            task.queued = false;
+            task.moved = Move::None;
+            // Each transfer uses a run number, so that the newest of several records of a task can be identified.
+            task.last_run += 1;
+            transfer.tasks.push(TaskRecord {
+                occurrence: task_ref.occurrence,
+                step: task_ref.step,
+                index: task_ref.index,
+                last_run: task.last_run,
+                checkpoint: task.checkpoint.to_string(),
+                crashed_runs: task.crashed_runs.clone(),
+                sole_crashes: task.sole_crashes,
+                lapsed_runs: task.lapsed_runs.clone(),
+                last_lapse_unix_ms: task.last_lapse_unix_ms.unwrap_or(0),
+                waited_ms,
+                ..TaskRecord::default()
+            });
+            self.log_decision(
+                "task_handed_over",
+                Some(task_ref),
+                None,
+                [("waited_ms", waited_ms)],
+            );
+        }
+        self.ready.retain(|other| !members.contains(other));
+        let key = members[0].job;
+        let job = &mut self.jobs[key];
         job.outbound_transfers.push((domain.clone(), transfer));
         if let Err(position) = job.delegate_domains.binary_search(&domain) {
             job.delegate_domains.insert(position, domain);
         }
         job.mark_changed(now_ms);
-        self.changed.push(task_ref.job);
-        self.log_decision(
-            "task_handed_over",
-            Some(task_ref),
-            None,
-            [("waited_ms", waited_ms)],
-        );
+        self.changed.push(key);
     }
 
     /// Accepts tasks that another shard delegated to this one. Tasks have no runs when they are delegated, so those
--- a/crates/fleet/tests/delegation_needs.rs
+++ b/crates/fleet/tests/delegation_needs.rs
@@ -4,6 +4,7 @@
 
 use common::{DELEGATION_WAIT_MS, Harness, entry, service_step, step};
 use primrosestack_fleet::job::{JobId, StepSpec};
+use primrosestack_fleet::record::StoredJob;
 use primrosestack_fleet::report::ServerEntry;
 use smol_str::SmolStr;
 use test_case::test_case;
@@ -50,9 +51,10 @@
         labelled("two", "gold", 16_000),
     ];
     let mut source = open_with(&servers);
+    let tasks = special.tasks as usize + 3;
     source.submit(LONG_RUNNING.0, 0, vec![special, service_step(3, "a")]);
     source.plan();
-    assert_eq!(source.confirm_starts().len(), 4);
+    assert_eq!(source.confirm_starts().len(), tasks);
     source.report_running(&[LONG_RUNNING]);
     source.write_records();
     source.shard.unregister_server("two");
@@ -120,3 +122,46 @@
     let mut others = vec![(SmolStr::new("cxs"), open_with(&servers).load())];
     assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
 }
+
+/// Guards against a long-running gang that never runs again after the loss of a server, since no servers of its home
+/// have room for all members, while other tasks of its job run and keep the job there.
+#[test]
+fn a_gang_starts_as_a_whole_in_another_failure_domain() {
+    let gang = StepSpec {
+        tasks: 4,
+        cpu_millis: 4_000,
+        gang: true,
+        ..gold_step()
+    };
+    let mut source = home_without(gang);
+    let small = open_with(&[labelled("three", "gold", 12_000)]).load();
+    let mut others = vec![(SmolStr::new("cxs"), small)];
+    assert!(!source.shard.delegate_tasks(&mut others, source.now_ms));
+    let servers = [
+        labelled("four", "gold", 8_000),
+        labelled("five", "gold", 8_000),
+    ];
+    let mut target = open_with(&servers);
+    others.push((SmolStr::new("pel"), target.load()));
+    assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
+    let batch = source.shard.take_batch(source.now_ms);
+    let record = &batch.jobs[0];
+    assert_eq!(record.transfers.len(), 1, "all members go at once");
+    assert_eq!(record.transfers[0].0, "pel");
+    let stored = StoredJob {
+        spec: record.spec.clone(),
+        is_delegated: true,
+        transfers: vec![record.transfers[0].1.clone()],
+        created_revision: 200,
+        ..StoredJob::default()
+    };
+    target.shard.add_job(LONG_RUNNING, stored, target.now_ms);
+    target.plan();
+    let starts = target.confirm_starts();
+    assert_eq!(starts.len(), 4);
+    assert!(
+        starts
+            .iter()
+            .all(|(_, request)| request.run == starts[0].1.run)
+    );
+}
