Start a task again on the server that may carry out its old start

Cause: the next life of a server knows neither the stop nor the lease, and the owner hears of that life up to 0.65 s late. No field of the start would make the new life refuse it. Change: while an abandoned start may still be carried out, its task prefers the server that it was sent to, and waits until a new life of that server has confirmed the stop. Why it works: a run there has ended before the next life begins, so the old start has no run beside it.

--- a/crates/fleet/src/abandoned_starts.rs
+++ b/crates/fleet/src/abandoned_starts.rs
@@ -1,14 +1,16 @@
 //! Starts that got no answer and were given up, although the next life of their server may still carry them out.
 //!
 //! A stop, or the end of the lease in the start, keeps such a start out of one life of its server. The next one, under the
-//! same name, knows of neither, so it gets a stop of its own as soon as it is heard of.
+//! same name, knows of neither, so it gets a stop of its own as soon as it is heard of. Until the start can no longer be carried
+//! out, its task runs on that server if there is room: such a run has ended when the next life begins.
 
 use smol_str::SmolStr;
 
 use crate::action::Action;
 use crate::job::TaskId;
 use crate::runs::STOP_RETRY_MS;
-use crate::shard::{ServerKey, Shard};
+use crate::server::Server;
+use crate::shard::{ServerKey, Shard, TaskRef};
 use crate::task::Run;
 
 /// Maximum number of remembered starts; those that can be carried out for the shortest time are forgotten first.
@@ -30,7 +32,47 @@
     stop_sent_ms: u64,
 }
 
+impl AbandonedStart {
+    /// Whether the present life of its server refuses it.
+    fn is_refused(&self, server: &Server) -> bool {
+        self.refused_by_unix_ms >= server.present_life_unix_ms()
+    }
+}
+
 impl Shard {
+    /// Abandoned starts of a task that may still be carried out, with their servers as far as they are known.
+    fn abandoned_starts_of(
+        &self,
+        task_ref: TaskRef,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&AbandonedStart, ServerKey)> {
+        let id = self.task_id(task_ref);
+        let starts = self.abandoned_starts.iter();
+        let own = starts.filter(move |start| start.task == id && now_ms < start.void_ms);
+        own.filter_map(|start| {
+            let names = &self.server_index;
+            let found = names.binary_search_by(|(name, _)| name.cmp(&start.server));
+            Some((start, names[found.ok()?].1))
+        })
+    }
+
+    /// Server whose next life may carry out an abandoned start of a task, while the present one refuses it.
+    pub(crate) fn server_of_abandoned_start(
+        &self,
+        task_ref: TaskRef,
+        now_ms: u64,
+    ) -> Option<ServerKey> {
+        let mut starts = self.abandoned_starts_of(task_ref, now_ms);
+        let found = starts.find(|&(start, server)| start.is_refused(&self.servers[server]));
+        Some(found?.1)
+    }
+
+    /// Whether a server has begun a life that does not refuse an abandoned start of a task yet.
+    pub(crate) fn awaits_refusal(&self, task_ref: TaskRef, now_ms: u64) -> bool {
+        let mut starts = self.abandoned_starts_of(task_ref, now_ms);
+        starts.any(|(start, server)| !start.is_refused(&self.servers[server]))
+    }
+
     /// Remembers the start of an abandoned run if it got no answer. The server's present life refuses it.
     pub(crate) fn remember_abandoned_start(
         &mut self,
@@ -74,7 +116,7 @@
         }
         let state = &self.servers[server];
         let name = state.entry.name.clone();
-        let present_unix_ms = state.started_unix_ms.max(state.entry.started_unix_ms);
+        let present_unix_ms = state.present_life_unix_ms();
         let begin = self
             .abandoned_starts
             .partition_point(|start| start.server < name);
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -174,11 +174,12 @@
         }
     }
 
-    /// Whether a task that may crash servers must not start at present: it waits for servers that lapsed, or for the
-    /// record of its crashes.
+    /// Whether a task must not start at present: one that may crash servers waits for those that lapsed, or for the record of its
+    /// crashes, and one with an abandoned start for the refusal of it.
     pub(crate) fn is_start_postponed(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         self.task(task_ref).crash_version > self.jobs[task_ref.job].recorded_version
             || self.awaits_lapsed_servers(task_ref, now_ms)
+            || self.awaits_refusal(task_ref, now_ms)
     }
 
     /// Ends the suspicion against runs on a server that had lapsed and turns out not to have crashed.
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -35,6 +35,7 @@
     /// Chooses the server with the lowest placement cost, optionally within a rack.
     pub(crate) fn choose(&self, task_ref: TaskRef, rack: Option<&str>, now_ms: u64) -> Choice {
         let mut best: Option<(u64, ServerKey)> = None;
+        let preferred = self.server_of_abandoned_start(task_ref, now_ms);
         for (key, _) in &self.servers {
             if !self.fits(task_ref, key, now_ms) {
                 continue;
@@ -52,7 +53,11 @@
             // Another crash of the same server would not tell whether it is the server or the task.
             let has_crashed = self.task(task_ref).crashed_servers.contains(&key);
             let crash_cost = u64::from(has_crashed) * CRASHED_SERVER_COST;
-            let placement_cost = crash_cost + self.placement_cost(task_ref, key);
+            let placement_cost = if preferred == Some(key) {
+                crash_cost
+            } else {
+                crash_cost + self.placement_cost(task_ref, key)
+            };
             if best.is_none_or(|(least, _)| placement_cost < least) {
                 best = Some((placement_cost, key));
             }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -144,6 +144,12 @@
         Incarnation::started_at(self.started_unix_ms)
     }
 
+    /// Start of the newest incarnation that has answered or registered, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn present_life_unix_ms(&self) -> u64 {
+        self.started_unix_ms.max(self.entry.started_unix_ms)
+    }
+
     /// Number up to which the ends of the present incarnation are acknowledged; `None` for none.
     #[must_use]
     pub fn acknowledgement(&self) -> Option<OfIncarnation<u64>> {
--- a/crates/fleet/tests/late_orders.rs
+++ b/crates/fleet/tests/late_orders.rs
@@ -4,6 +4,7 @@
 
 use common::{Harness, entry, run_end, run_status, step, task_id};
 use primrosestack_fleet::action::{Action, StartReply, StartRequest};
+use primrosestack_fleet::job::StepSpec;
 use primrosestack_fleet::report::{EndKind, Report, RunStatus, ServerEntry};
 use primrosestack_fleet::shard::ServerKey;
 
@@ -286,3 +287,54 @@
     let stop = (server, request.task, request.run);
     assert!(!harness.stops.contains(&stop));
 }
+
+/// Guards against a task running twice because the next life of a server carries out a start that the present one refuses: as
+/// long as it may, the task runs on that server, so that its run ends with the present life.
+#[test]
+fn a_task_stays_on_the_server_that_may_carry_out_its_old_start() {
+    let mut harness = Harness::open(&["one", "two"]);
+    for name in ["one", "two"] {
+        let labelled = ServerEntry {
+            labels: vec![name.into()],
+            ..entry(name)
+        };
+        harness.shard.set_server(labelled, harness.now_ms);
+    }
+    let (server, request, other) = start_without_answer(&mut harness);
+    let name = harness.name(server);
+    let beside = StepSpec {
+        label: other.into(),
+        ..step(8)
+    };
+    let filler = harness.submit(8, 0, vec![beside]);
+    harness.plan();
+    assert_eq!(harness.confirm_starts().len(), 8);
+    harness.now_ms += 500;
+    harness.report(&name, &[], &[]);
+    harness.confirm_stops();
+    harness.now_ms += 500;
+    harness.report_running_on(other, &[filler]);
+    harness.report(&name, &[], &[]);
+    harness.plan();
+    let starts = harness.confirm_starts();
+    assert_eq!((starts[0].0, starts[0].1.task), (server, request.task));
+    assert_eq!(starts[0].1.run, request.run + 1);
+}
+
+/// Guards against the same where the run ends with its server: the next life has to refuse the old start first.
+#[test]
+fn a_task_waits_until_the_next_life_refuses_its_old_start() {
+    let mut harness = Harness::open(&["one", "two"]);
+    let (server, _, other) = stopped_start(&mut harness);
+    let own_runs = harness.shard.runs_on(server);
+    assert_eq!(own_runs.len(), 1, "the task runs on the same server again");
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    assert!(harness.starts.is_empty());
+    harness.confirm_stops();
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
+    assert_eq!(harness.starts.len(), 1);
+}
