--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -30,7 +30,7 @@
 
 /// Interval at which a job that waits in its home is logged, and the maximum number of such lines for each examination.
 const STAY_LOG_INTERVAL_MS: u64 = 10_000;
-const STAY_LINES_MAX: usize = 8;
+const STAY_LINES_MAX: usize = 4;
 
 /// Maximum number of different needs that count as unserved at a time.
 const NEEDS_MAX: usize = 1_024;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -118,6 +118,17 @@
         harness
     }
 
+    /// Opens a shard in its first term, with claimed servers of different kinds.
+    pub fn open_with(servers: &[ServerEntry]) -> Self {
+        let mut harness = Self::open(&[]);
+        for server in servers {
+            harness.shard.set_server(server.clone(), harness.now_ms);
+            harness.claim(&server.name);
+        }
+        harness.write_records();
+        harness
+    }
+
     /// Opens a shard at the beginning of a term, with registered servers; `previous` are those of earlier terms.
     pub fn open_term(term: u64, previous: &[&str], servers: &[&str]) -> Self {
         let known = ServerSet {
--- a/crates/fleet/tests/delegation_needs.rs
+++ b/crates/fleet/tests/delegation_needs.rs
@@ -34,23 +34,13 @@
     }
 }
 
-fn open_with(servers: &[ServerEntry]) -> Harness {
-    let mut harness = Harness::open(&[]);
-    for server in servers {
-        harness.shard.set_server(server.clone(), harness.now_ms);
-        harness.claim(&server.name);
-    }
-    harness.write_records();
-    harness
-}
-
 /// A shard that has lost its only server for one of the tasks of a job, while the others run.
 fn home_without(special: StepSpec) -> Harness {
     let servers = [
         labelled("one", "plain", 16_000),
         labelled("two", "gold", 16_000),
     ];
-    let mut source = open_with(&servers);
+    let mut source = Harness::open_with(&servers);
     let tasks = special.tasks as usize + 3;
     source.submit(LONG_RUNNING.0, 0, vec![special, service_step(3, "a")]);
     source.plan();
@@ -75,8 +65,8 @@
 #[test_case(gpu_step(); "accelerators")]
 fn a_task_with_special_needs_starts_where_they_are_met(special: StepSpec) {
     let mut source = home_without(special);
-    let plain = open_with(&[labelled("three", "plain", 64_000)]).load();
-    let gold = open_with(&[labelled("four", "gold", 16_000)]).load();
+    let plain = Harness::open_with(&[labelled("three", "plain", 64_000)]).load();
+    let gold = Harness::open_with(&[labelled("four", "gold", 16_000)]).load();
     let mut others = vec![(SmolStr::new("cxs"), gold), (SmolStr::new("pel"), plain)];
     assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
     let batch = source.shard.take_batch(source.now_ms);
@@ -95,7 +85,7 @@
         labelled("three", "plain", 64_000),
         labelled("four", "gold", 16_000),
     ];
-    let mut target = open_with(&servers);
+    let mut target = Harness::open_with(&servers);
     let gold = StepSpec {
         label: "gold".into(),
         ..step(16)
@@ -119,7 +109,7 @@
         servers.push(labelled(name, "plain", 64_000));
     }
     servers.push(labelled("rare", "gold", 4_000));
-    let mut others = vec![(SmolStr::new("cxs"), open_with(&servers).load())];
+    let mut others = vec![(SmolStr::new("cxs"), Harness::open_with(&servers).load())];
     assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
 }
 
@@ -134,14 +124,14 @@
         ..gold_step()
     };
     let mut source = home_without(gang);
-    let small = open_with(&[labelled("three", "gold", 12_000)]).load();
+    let small = Harness::open_with(&[labelled("three", "gold", 12_000)]).load();
     let mut others = vec![(SmolStr::new("cxs"), small)];
     assert!(!source.shard.delegate_tasks(&mut others, source.now_ms));
     let servers = [
         labelled("four", "gold", 8_000),
         labelled("five", "gold", 8_000),
     ];
-    let mut target = open_with(&servers);
+    let mut target = Harness::open_with(&servers);
     others.push((SmolStr::new("pel"), target.load()));
     assert!(source.shard.delegate_tasks(&mut others, source.now_ms));
     let batch = source.shard.take_batch(source.now_ms);
--- a/crates/fleet/tests/services.rs
+++ b/crates/fleet/tests/services.rs
@@ -19,13 +19,7 @@
 }
 
 fn load_of(servers: &[ServerEntry]) -> Load {
-    let mut harness = Harness::open(&[]);
-    for server in servers {
-        harness.shard.set_server(server.clone(), harness.now_ms);
-        harness.claim(&server.name);
-    }
-    harness.write_records();
-    harness.load()
+    Harness::open_with(servers).load()
 }
 
 /// Two failure domains: the first has more room, on servers of another service only.
--- a/crates/fleet/tests/transfer.rs
+++ b/crates/fleet/tests/transfer.rs
@@ -5,7 +5,7 @@
 use common::{
     DELEGATION_WAIT_MS, Harness, queue, run_end, run_status, service_step, step, task_id,
 };
-use primrosestack_fleet::job::{JobId, JobSpec, StepSpec};
+use primrosestack_fleet::job::{JobId, JobSpec, StepSpec, TaskId};
 use primrosestack_fleet::ledger::JobRecord;
 use primrosestack_fleet::record::{Phase, StoredJob, Transfer};
 use primrosestack_fleet::report::EndKind;
@@ -48,20 +48,23 @@
     }
 }
 
+/// Tasks that a shard starts at once when it reads the transfers of a job.
+fn started_by_delegate(record: &JobRecord) -> Vec<TaskId> {
+    let mut target = Harness::open(&["two"]);
+    let stored = delegated_job(record, 200);
+    target.shard.add_job(record.id, stored, target.now_ms);
+    target.plan();
+    let starts = target.confirm_starts().into_iter();
+    starts.map(|(_, request)| request.task).collect()
+}
+
 /// Guards against a long-running task waiting in a full failure domain while another one has free capacity.
 #[test]
 fn a_waiting_task_starts_in_another_failure_domain() {
     let (_, job, record) = delegated_task();
     assert_eq!(record.transfers.len(), 1);
     assert_eq!(record.progress.delegate_domains, ["cxs"]);
-    let mut target = Harness::open(&["two"]);
-    target
-        .shard
-        .add_job(job, delegated_job(&record, 200), target.now_ms);
-    target.plan();
-    let starts = target.confirm_starts();
-    assert_eq!(starts.len(), 1, "only the delegated task is started");
-    assert_eq!(starts[0].1.task, task_id(job, 0, 16));
+    assert_eq!(started_by_delegate(&record), [task_id(job, 0, 16)]);
 }
 
 /// Guards against a delegated task waiting for the leases of earlier owners of its new shard, which cannot have started it.
@@ -97,14 +100,7 @@
     source.plan();
     assert_eq!(source.confirm_starts().len(), 16, "the server has 16 cores");
     let record = delegate_waiting(&mut source);
-    let mut target = Harness::open(&["two"]);
-    target
-        .shard
-        .add_job(job, delegated_job(&record, 200), target.now_ms);
-    target.plan();
-    let starts = target.confirm_starts();
-    assert_eq!(starts.len(), 1, "only the delegated task is started");
-    assert_eq!(starts[0].1.task, task_id(job, 1, 16));
+    assert_eq!(started_by_delegate(&record), [task_id(job, 1, 16)]);
 }
 
 /// Guards against the wait of a task beginning anew when its first transfer arrives: after some more it gets a server first.
