Wait until a late start that its server had begun has ended

Cause: the answer to the stop counted as a refusal, but the new life had begun the run before the stop came. Change: a life of a server refuses an abandoned start once it has answered the stop and a report to a later poll does not list the run.

--- a/crates/fleet/src/abandoned_starts.rs
+++ b/crates/fleet/src/abandoned_starts.rs
@@ -8,6 +8,7 @@
 
 use crate::action::Action;
 use crate::job::TaskId;
+use crate::report::Report;
 use crate::runs::STOP_RETRY_MS;
 use crate::server::Server;
 use crate::shard::{ServerKey, Shard, TaskRef};
@@ -30,6 +31,8 @@
     stopped_unix_ms: u64,
     /// When that stop was sent.
     stop_sent_ms: u64,
+    /// When it was answered. That life does not begin the run later, but may have begun it before.
+    stop_answered_ms: Option<u64>,
 }
 
 impl AbandonedStart {
@@ -103,6 +106,7 @@
             void_ms,
             stopped_unix_ms: 0,
             stop_sent_ms: 0,
+            stop_answered_ms: None,
         };
         let starts = &mut self.abandoned_starts;
         let index = starts.partition_point(|other| other.server <= start.server);
@@ -125,14 +129,17 @@
             if start.server != name {
                 break;
             }
-            let is_pending = start.stopped_unix_ms == present_unix_ms
-                && now_ms < start.stop_sent_ms + STOP_RETRY_MS;
+            let was_sent = start.stopped_unix_ms == present_unix_ms;
+            let is_answered = start.stop_answered_ms.is_some();
+            let is_pending =
+                was_sent && (is_answered || now_ms < start.stop_sent_ms + STOP_RETRY_MS);
             let is_refused = start.refused_by_unix_ms >= present_unix_ms;
             if is_refused || is_pending || now_ms >= start.void_ms {
                 continue;
             }
             start.stopped_unix_ms = present_unix_ms;
             start.stop_sent_ms = now_ms;
+            start.stop_answered_ms = None;
             stops.push((start.task, start.run));
         }
         for (task, run) in stops {
@@ -149,27 +156,49 @@
         }
     }
 
-    /// Notes that a server confirmed the stop of an abandoned start.
+    /// Notes that a server answered the stop of an abandoned start.
     pub(crate) fn note_abandoned_start_stopped(
         &mut self,
         server: ServerKey,
         task: TaskId,
         run: u32,
+        now_ms: u64,
     ) {
-        let Some(state) = self.servers.get(server) else {
-            return;
-        };
-        let name = &state.entry.name;
-        let begin = self
-            .abandoned_starts
-            .partition_point(|start| start.server < *name);
-        for start in &mut self.abandoned_starts[begin..] {
-            if start.server != *name {
-                break;
+        for start in self.abandoned_starts_on(server) {
+            if start.task == task && start.run == run && start.stopped_unix_ms > 0 {
+                start.stop_answered_ms.get_or_insert(now_ms);
             }
-            if start.task == task && start.run == run {
+        }
+    }
+
+    /// Notes the abandoned starts that a life of a server refuses: it has answered their stops, and has not begun them before.
+    pub(crate) fn note_refused_starts(&mut self, server: ServerKey, report: &Report) {
+        if self.abandoned_starts.is_empty() {
+            return;
+        }
+        for start in self.abandoned_starts_on(server) {
+            let is_later = start
+                .stop_answered_ms
+                .is_some_and(|answered_ms| answered_ms < report.sent_ms);
+            let mut running = report.running.iter();
+            let is_listed =
+                running.any(|status| (status.task, status.run) == (start.task, start.run));
+            if is_later && !is_listed && report.started_unix_ms >= start.stopped_unix_ms {
                 start.refused_by_unix_ms = start.refused_by_unix_ms.max(start.stopped_unix_ms);
             }
         }
     }
+
+    /// Abandoned starts that were sent to a server.
+    fn abandoned_starts_on(
+        &mut self,
+        server: ServerKey,
+    ) -> impl Iterator<Item = &mut AbandonedStart> {
+        let name = self
+            .servers
+            .get(server)
+            .map(|state| state.entry.name.clone());
+        let starts = self.abandoned_starts.iter_mut();
+        starts.filter(move |start| name.as_ref() == Some(&start.server))
+    }
 }
--- a/crates/fleet/src/run_ends.rs
+++ b/crates/fleet/src/run_ends.rs
@@ -68,6 +68,7 @@
         }
         self.update_unwanted_runs(server, report);
         self.abandon_unlisted_runs(server, report, poll_sent_ms, now_ms);
+        self.note_refused_starts(server, report);
         self.stop_abandoned_starts(server, now_ms);
         self.throttle_best_effort(server, now_ms);
         let jobs = &self.jobs;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -273,7 +273,7 @@
         run: u32,
         now_ms: u64,
     ) {
-        self.note_abandoned_start_stopped(server, task, run);
+        self.note_abandoned_start_stopped(server, task, run, now_ms);
         let Some(task_ref) = self.find_task(task) else {
             return;
         };
--- a/crates/fleet/tests/late_orders.rs
+++ b/crates/fleet/tests/late_orders.rs
@@ -325,7 +325,7 @@
 #[test]
 fn a_task_waits_until_the_next_life_refuses_its_old_start() {
     let mut harness = Harness::open(&["one", "two"]);
-    let (server, _, other) = stopped_start(&mut harness);
+    let (server, request, other) = stopped_start(&mut harness);
     let own_runs = harness.shard.runs_on(server);
     assert_eq!(own_runs.len(), 1, "the task runs on the same server again");
     harness.now_ms += 500;
@@ -333,6 +333,17 @@
     report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
     assert!(harness.starts.is_empty());
     harness.confirm_stops();
+    harness.plan();
+    assert!(
+        harness.starts.is_empty(),
+        "it may have begun before the stop"
+    );
+    harness.now_ms += 500;
+    harness.report(other, &[], &[]);
+    let status = run_status(request.task, request.run);
+    report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[status]);
+    assert!(harness.starts.is_empty(), "it has begun");
+    harness.confirm_stops();
     harness.now_ms += 500;
     harness.report(other, &[], &[]);
     report_of_life(&mut harness, server, SECOND_LIFE_UNIX_MS, &[]);
