Bound the search for jobs that leave a full failure domain

Cause: each pass compared every waiting step of a full home with the reports of all others. With thousands of waiting jobs and 35 other failure domains that would take longer than the pass interval on the smallest hosts (worked out, not measured). Change: a pass searches for 128 waiting steps, and the next one goes on with those after them.

--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -32,6 +32,9 @@
 const STAY_LOG_INTERVAL_MS: u64 = 10_000;
 const STAY_LINES_MAX: usize = 4;
 
+/// Jobs in a full home for which the loads of others are searched in one pass; the next pass goes on with those after them.
+const FULL_EXAMINED_MAX: usize = 128;
+
 /// Maximum number of different needs that count as unserved at a time.
 const NEEDS_MAX: usize = 1_024;
 
@@ -196,6 +199,7 @@
         if self.unserved.is_empty() && !is_any_spare {
             return None;
         }
+        let mut full_seen = 0;
         let mut previous: Option<TaskRef> = None;
         for &task_ref in &self.ready {
             let is_same_step = previous.is_some_and(|previous| {
@@ -209,30 +213,56 @@
             let Some(reason) = self.move_reason(task_ref, now_ms) else {
                 continue;
             };
-            let service = self.jobs[task_ref.job].queue.service.as_str();
-            let step = self.step_spec(task_ref);
-            let need = self.need_of(task_ref);
-            let mut best: Option<(usize, u32)> = None;
-            for (index, (_, load)) in others.iter().enumerate() {
-                let count = need.count_free(load);
-                let is_open =
-                    reason == MoveReason::Unserved || load.covers(service, step, need.tasks);
-                if is_open && count >= need.tasks && best.is_none_or(|(_, most)| count >= most) {
-                    best = Some((index, count));
+            if reason == MoveReason::Full {
+                full_seen += 1;
+                let is_due = full_seen > self.full_examined;
+                if !is_due || full_seen > self.full_examined + FULL_EXAMINED_MAX {
+                    continue;
                 }
             }
-            let Some((index, _)) = best else { continue };
+            let Some(index) = self.find_room_elsewhere(task_ref, reason, others) else {
+                continue;
+            };
             let (failure_domain, load) = &mut others[index];
+            let step = self.step_spec(task_ref);
+            let need = self.need_of(task_ref);
             for _ in 0..step.tasks {
                 need.take_free(load);
             }
-            load.add_tasks(service, step);
+            load.add_tasks(&self.jobs[task_ref.job].queue.service, step);
             let failure_domain = failure_domain.clone();
             return Some(self.begin_move(task_ref, reason, failure_domain, now_ms));
         }
+        self.full_examined += FULL_EXAMINED_MAX;
+        if self.full_examined >= full_seen {
+            self.full_examined = 0;
+        }
         None
     }
 
+    /// Position of the load with the most room for a waiting step.
+    fn find_room_elsewhere(
+        &self,
+        task_ref: TaskRef,
+        reason: MoveReason,
+        others: &[(SmolStr, Load)],
+    ) -> Option<usize> {
+        let service = self.jobs[task_ref.job].queue.service.as_str();
+        let step = self.step_spec(task_ref);
+        let need = self.need_of(task_ref);
+        let mut best: Option<(usize, u32)> = None;
+        for (index, (_, load)) in others.iter().enumerate() {
+            let count = need.count_free(load);
+            if count < need.tasks || best.is_some_and(|(_, most)| count < most) {
+                continue;
+            }
+            if reason == MoveReason::Unserved || load.covers(service, step, need.tasks) {
+                best = Some((index, count));
+            }
+        }
+        Some(best?.0)
+    }
+
     /// The same move with the present progress; `None` if the job has ended since, or must stay for another reason.
     #[must_use]
     pub fn current_move(&self, job_move: &JobMove) -> Option<JobMove> {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -250,6 +250,8 @@
     pub(crate) unserved: Vec<(Need, u64)>,
     /// When they were last determined.
     pub(crate) unserved_as_of_ms: u64,
+    /// Number of waiting steps in the full home that recent passes have found no room elsewhere for.
+    pub(crate) full_examined: usize,
     /// Jobs that moved to other shards lately, sorted.
     pub(crate) moved_jobs: Vec<MovedJob>,
     /// Servers that lapsed and left the registrations with runs that may have crashed them, oldest first.
@@ -310,6 +312,7 @@
             actions: Vec::new(),
             unserved: Vec::new(),
             unserved_as_of_ms: 0,
+            full_examined: 0,
             moved_jobs: Vec::new(),
             lapsed_servers: Vec::new(),
             abandoned_starts: Vec::new(),
