Report room of each service beside others with more

A load names the 24 servers with the most free CPU; with several services in a failure domain, those of one may all be missing, and its jobs find no room elsewhere. Change: up to four services are named with 24 servers each, more share 96. Nothing changes for one service. Measured: each_service_is_reported_beside_others_with_more_room failed before and passes.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -14,10 +14,13 @@
 /// of 16 servers.
 const REMOTE_MARGIN_PERMILLE: u64 = 25;
 
-/// Number of servers whose free capacity is reported; each takes one task of another shard between two reports. When many
+/// Number of servers of a service whose free capacity is reported; each takes one task of another shard between two reports. When many
 /// servers drain at once, hundreds of tasks are delegated within seconds.
 const FREE_CAPACITIES_MAX: usize = 24;
 
+/// Number of services of which that many servers are reported; more services share this number of servers.
+const FULL_SHARES_MAX: usize = 4;
+
 /// Number of further servers that are reported since they have a label, or accelerators, that none of the others has.
 const RARE_CAPACITIES_MAX: usize = 24;
 
@@ -42,7 +45,7 @@
     /// Interference estimates that the owner has learned, in replies to hosts that asked for them.
     #[prost(message, repeated, tag = "6")]
     pub interference: Vec<InterferenceEstimate>,
-    /// Free capacity of the servers with the most free CPU, in descending order, and of some with further labels.
+    /// Free capacity of the servers of each service with the most free CPU, and of some with further labels.
     #[prost(message, repeated, tag = "7")]
     pub free_capacity: Vec<FreeCapacity>,
     /// The same load by service, sorted by name; owners of earlier versions tell none.
@@ -295,14 +298,37 @@
     labels
 }
 
-/// Servers whose free capacity is reported, of some with the most free CPU first. A label, or accelerators, may be rare.
+/// Servers whose free capacity is reported, of those with the most free CPU first: some of each service, and some with a label,
+/// or accelerators, that none of these has.
 fn servers_to_report<'a>(servers: &[&'a Server]) -> Vec<&'a Server> {
-    let (freest, others) = servers.split_at(servers.len().min(FREE_CAPACITIES_MAX));
-    let mut reported = freest.to_vec();
-    let mut labels = labels_of(freest.iter().copied());
-    let mut has_gpus = freest.iter().any(|server| server.gpus_free() > 0);
+    let mut services: Vec<(&str, usize)> = Vec::new();
+    for server in servers {
+        let service = server.entry.service.as_str();
+        if let Err(position) = services.binary_search_by_key(&service, |&(name, _)| name) {
+            services.insert(position, (service, 0));
+        }
+    }
+    let share = (FREE_CAPACITIES_MAX * FULL_SHARES_MAX / services.len().max(1))
+        .clamp(1, FREE_CAPACITIES_MAX);
+    let mut reported = Vec::new();
+    let mut others = Vec::new();
+    for &server in servers {
+        let service = server.entry.service.as_str();
+        let found = services.binary_search_by_key(&service, |&(name, _)| name);
+        let Ok(position) = found else { continue };
+        let count = &mut services[position].1;
+        if *count < share {
+            *count += 1;
+            reported.push(server);
+        } else {
+            others.push(server);
+        }
+    }
+    let mut labels = labels_of(reported.iter().copied());
+    let mut has_gpus = reported.iter().any(|server| server.gpus_free() > 0);
+    let mut rare = 0;
     for server in others {
-        if reported.len() >= FREE_CAPACITIES_MAX + RARE_CAPACITIES_MAX {
+        if rare >= RARE_CAPACITIES_MAX {
             break;
         }
         let mut is_rare = server.gpus_free() > 0 && !has_gpus;
@@ -311,6 +337,7 @@
             is_rare |= insert_label(&mut labels, label);
         }
         if is_rare {
+            rare += 1;
             reported.push(server);
         }
     }
--- a/crates/fleet/tests/services.rs
+++ b/crates/fleet/tests/services.rs
@@ -56,6 +56,26 @@
     assert!(tick_until_move(&mut source, without, 2 * LOSS_MS).is_none());
 }
 
+/// Guards against a service whose servers are left out of the report, since those of others have more room.
+#[test]
+fn each_service_is_reported_beside_others_with_more_room() {
+    let names: Vec<String> = (0..120).map(|nth| format!("s{nth}")).collect();
+    let mut servers = Vec::new();
+    for (nth, name) in names.iter().enumerate() {
+        servers.push(server(name, &format!("notes-{}", nth % 6), "r-1"));
+    }
+    let small = ServerEntry {
+        cpu_millis: 4_000,
+        ..server("small", "sheets", "r-1")
+    };
+    servers.push(small);
+    let load = load_of(&servers);
+    assert!(load.free_capacity.len() <= 96);
+    let mut source = home_without_servers();
+    let others = [("cxs".into(), load)];
+    assert!(tick_until_move(&mut source, &others, LOSS_MS + MOVE_WAIT_MS).is_some());
+}
+
 /// Guards against a long-running task that goes round failure domains without servers of its service.
 #[test]
 fn a_task_is_delegated_to_servers_of_its_service() {
