Test crowds of jobs against the memory of the host

Cause: what callers may make a process hold by complete jobs is bounded by the number of open tasks alone. Callers saw processes of 64 MB grow to more than twice that, and ordinary jobs refused while all servers were idle. Crowds and bounds are fixed here, before the product is changed.

--- a/tests/callers_site/mod.rs
+++ b/tests/callers_site/mod.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,9 @@
     pub peer: SocketAddr,
     pub metrics: SocketAddr,
     child: Child,
+    settings: PathBuf,
+    /// Peaks of memory of the processes before this one.
+    memory_peak_before_kb: u64,
     client: HttpClient,
     fds_seen_max: usize,
     kernel_bytes_seen_max: u64,
@@ -60,6 +63,20 @@
     })
 }
 
+fn spawn_daemon(settings: &Path) -> Child {
+    let log = settings.with_extension("log");
+    let log = File::options().create(true).append(true).open(log);
+    let log = log.expect("a log file");
+    Command::new(env!("CARGO_BIN_EXE_primrosestack"))
+        .args(["daemon", "--settings"])
+        .arg(settings)
+        .stderr(log.try_clone().expect("a second handle"))
+        .stdout(log)
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("the daemon starts")
+}
+
 impl Site {
     /// Starts everything and waits until the daemon is ready. Only one site runs at a time, also of other processes.
     pub async fn open(name: &str) -> Self {
@@ -110,38 +127,53 @@
             "memory_mb": MEMORY_MB, "fds_max": FDS_MAX,
         });
         let path = folder.join(format!("callers-{name}.jsonc"));
+        let _absent = fs::remove_file(path.with_extension("log"));
         fs::write(&path, settings.to_string()).expect("the settings are written");
-        let log = File::create(folder.join(format!("callers-{name}.log"))).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_primrosestack"))
-            .args(["daemon", "--settings"])
-            .arg(&path)
-            .stderr(log.try_clone().expect("a second handle"))
-            .stdout(log)
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
+        let child = spawn_daemon(&path);
         let mut site = Self {
             callers,
             ready,
             peer,
             metrics,
             child,
+            settings: path,
+            memory_peak_before_kb: 0,
             client,
             fds_seen_max: 0,
             kernel_bytes_seen_max: 0,
             _lock: lock,
         };
-        site.wait_for(
-            ready,
-            Method::GET,
-            "/v1/ready",
-            &Value::Null,
-            |status, _| status == 200,
-        )
-        .await;
+        site.wait_until_ready().await;
         site
     }
 
+    async fn wait_until_ready(&mut self) {
+        let is_ready = |status, _: &Value| status == 200;
+        self.wait_for(self.ready, Method::GET, "/v1/ready", &Value::Null, is_ready)
+            .await;
+    }
+
+    /// Submits the jobs of a crowd, and samples meanwhile.
+    pub async fn run_job_crowd(&mut self, crowd: JobCrowd) {
+        let mut running = tokio::spawn(crowd.run(self.callers));
+        let submitted = loop {
+            tokio::select! {
+                submitted = &mut running => break submitted.expect("the crowd does not panic"),
+                () = tokio::time::sleep(Duration::from_millis(100)) => self.sample(),
+            }
+        };
+        println!("{submitted:?}");
+    }
+
+    /// Kills the process and starts another, which takes the shard over.
+    pub async fn replace_process(&mut self) {
+        self.memory_peak_before_kb = self.memory_peak_kb();
+        self.child.kill().expect("the process is killed");
+        self.child.wait().expect("the process ends");
+        self.child = spawn_daemon(&self.settings);
+        self.wait_until_ready().await;
+    }
+
     /// Records how many descriptors the process has and what the kernel holds for its ports.
     pub fn sample(&mut self) {
         let folder = format!("/proc/{}/fd", self.child.id());
@@ -181,7 +213,7 @@
         let status = status.unwrap_or_default();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let peak = peak.and_then(|rest| rest.split_whitespace().next()?.parse().ok());
-        peak.unwrap_or(0)
+        peak.unwrap_or(0).max(self.memory_peak_before_kb)
     }
 
     /// Asserts that the process lives and stayed within its bounds, and that an ordinary job is accepted and completes.
@@ -272,6 +304,99 @@
     }
 }
 
+/// Callers that each submit one job after the other on a connection of their own and read the answers.
+pub struct JobCrowd {
+    pub path: &'static str,
+    /// Identifiers of the jobs are numbered from here.
+    pub first_id: u64,
+    pub connections: usize,
+    pub jobs_per_connection: usize,
+    pub job: Value,
+    /// Whether each job is cancelled as soon as it is accepted.
+    pub cancels: bool,
+}
+
+/// Outcomes of a crowd's submissions.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Submitted {
+    pub accepted: usize,
+    pub refused: usize,
+    /// Connections that were closed before their last answer; their callers stay away.
+    pub closed: usize,
+}
+
+impl JobCrowd {
+    async fn run(self, to: SocketAddr) -> Submitted {
+        let body: std::sync::Arc<str> = self.job.to_string().into();
+        let mut callers = tokio::task::JoinSet::new();
+        for caller in 0..self.connections {
+            let first_id = self.first_id + (caller * self.jobs_per_connection) as u64;
+            let ids = first_id..first_id + self.jobs_per_connection as u64;
+            let (path, cancels, body) = (self.path, self.cancels, std::sync::Arc::clone(&body));
+            callers.spawn(async move { submit_jobs(to, path, ids, &body, cancels).await });
+        }
+        let mut total = Submitted::default();
+        while let Some(caller) = callers.join_next().await {
+            let submitted = caller.expect("a caller does not panic");
+            total.accepted += submitted.accepted;
+            total.refused += submitted.refused;
+            total.closed += submitted.closed;
+        }
+        total
+    }
+}
+
+/// Status of the answer to a request; `None` if the connection was closed.
+async fn request(stream: &mut TcpStream, method: &str, path: &str, body: &str) -> Option<u16> {
+    let length = body.len();
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        // These answers have no body.
+        if stream.read_buf(&mut answer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let answer = String::from_utf8_lossy(&answer);
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
+async fn submit_jobs(
+    to: SocketAddr,
+    path: &str,
+    ids: std::ops::Range<u64>,
+    body: &str,
+    cancels: bool,
+) -> Submitted {
+    let mut submitted = Submitted::default();
+    let Ok(mut stream) = TcpStream::connect(to).await else {
+        submitted.closed += 1;
+        return submitted;
+    };
+    for id in ids {
+        let path = format!("{path}{id:016x}");
+        match request(&mut stream, "POST", &path, body).await {
+            Some(200) => submitted.accepted += 1,
+            Some(_) => {
+                submitted.refused += 1;
+                continue;
+            }
+            None => {
+                submitted.closed += 1;
+                return submitted;
+            }
+        }
+        if cancels && request(&mut stream, "DELETE", &path, "").await.is_none() {
+            submitted.closed += 1;
+            return submitted;
+        }
+    }
+    submitted
+}
+
 /// How a caller of a crowd sends.
 #[derive(Clone)]
 pub struct Sending {
