Keep only the status of an ended job

What callers saw: on a host of 64 MB, jobs that were cancelled as soon as they were accepted made the process grow to 129,140 kB. Cause: an ended job stayed in the shard with all its tasks and texts for the time of retention, 120 s, although only its status is asked for; an owner that took the shard over built as much again. The number of ended jobs had no bound either. Change: ended.rs keeps identifier, time and phase of a job once its end is recorded and it has no runs left; jobs whose tasks may have crashed a server stay whole, since that is still counted. Entries that were read before the end was recorded don't bring it back. Owners report the number, and admission refuses beyond ended_jobs_max, with the time until the first purge as Retry-After. With the bound on the bytes of jobs alone, a queue that has used its half accepts nothing more until the retention ends. Why it works: a later GET needs the status alone, a successor read nothing else of an ended job before either.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -1,7 +1,7 @@
 //! Decides whether a job is accepted, and which shard gets it, by what the shards hold. Without I/O.
 //!
-//! Each waiting task takes memory of the owner and is sorted in each plan, and so does each job.
-//! Many jobs within the limits on one job could exhaust the process.
+//! Each waiting task takes memory of the owner and is sorted in each plan, a job takes memory until its end is recorded, and
+//! the status of an ended one is retained. Many jobs within the limits on one job could exhaust the process.
 
 use crate::footprint::JobSize;
 use crate::intake::{Load, choose_home};
@@ -13,6 +13,7 @@
 pub enum Limit {
     OpenTasks,
     JobBytes,
+    EndedJobs,
 }
 
 impl Limit {
@@ -22,6 +23,7 @@
         match self {
             Self::OpenTasks => "open_tasks_max",
             Self::JobBytes => "job_bytes_max",
+            Self::EndedJobs => "ended_jobs_max",
         }
     }
 }
@@ -33,6 +35,7 @@
         match self {
             Self::OpenTasks => limits.open_tasks_max,
             Self::JobBytes => limits.job_bytes_max,
+            Self::EndedJobs => limits.ended_jobs_max,
         }
     }
 }
@@ -71,6 +74,9 @@
     let limits = open.limits.unwrap_or(own_limits);
     let JobSize { tasks, bytes } = JobSize::of(job);
     let of_queue = open.of_queue(queue_of(job));
+    if open.ended_jobs >= limits.ended_jobs_max {
+        return Err(Limit::EndedJobs);
+    }
     let own = of_queue.size();
     for (limit, added, of_queue, total) in [
         (Limit::OpenTasks, tasks, own.tasks, open.total),
--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::action::{Action, Decision};
+use crate::ended::EndedJob;
 use crate::footprint::job_bytes;
 use crate::job::{JobId, JobSpec, Queue, TaskId};
 use crate::record::{Phase, Progress, StoredJob};
@@ -19,21 +20,16 @@
     spec.validate_structure().is_ok() && records.all(|record| record.occurrence < occurrences)
 }
 
-/// Longest chain of the steps of a live job; the specification of an ended one need not be valid.
-fn critical_path_ms(spec: &JobSpec, phase: Phase) -> u64 {
-    if phase == Phase::Live {
-        spec.critical_path_ms()
-    } else {
-        0
-    }
-}
-
 impl Shard {
     /// Adds a job read from the store, or merges its transfers and cancellation into a known job.
     pub fn add_job(&mut self, id: JobId, stored: StoredJob, now_ms: u64) {
         if !stored.is_delegated && self.has_moved(id, stored.created_revision) {
             return;
         }
+        if self.find_ended(id).is_some() {
+            // The entry was read before the end of the job was recorded.
+            return;
+        }
         self.forget_left_copy(id, &stored);
         let predates_term = stored.created_revision <= self.term_revision;
         if let Some(key) = self.find_job(id) {
@@ -46,12 +42,17 @@
             .progress
             .as_ref()
             .map_or(Phase::Live, Progress::phase);
-        let spec_stored = stored.spec.is_some();
-        if !spec_stored && recorded == Phase::Live {
+        if recorded != Phase::Live {
+            self.insert_ended(EndedJob {
+                id,
+                ended_ms: now_ms,
+                phase: recorded,
+                is_delegated: stored.is_delegated,
+            });
             return;
         }
-        let spec = stored.spec.unwrap_or_default();
-        if recorded == Phase::Live && !is_consistent(&spec, stored.progress.as_ref()) {
+        let Some(spec) = stored.spec else { return };
+        if !is_consistent(&spec, stored.progress.as_ref()) {
             self.actions.push(Action::Log(Decision {
                 event: "stored_job_invalid",
                 task: Some(TaskId {
@@ -68,13 +69,13 @@
         let queue = self.current_queue(&spec, stored.progress.as_ref());
         let job = Job {
             id,
-            critical_path_ms: critical_path_ms(&spec, recorded),
+            critical_path_ms: spec.critical_path_ms(),
             bytes: job_bytes(&spec),
             queue,
             occurrences: Vec::new(),
             remaining: 0,
-            phase: recorded,
-            recorded_phase: recorded,
+            phase: Phase::Live,
+            recorded_phase: Phase::Live,
             version: 0,
             recorded_version: 0,
             started: stored.progress.as_ref().is_some_and(Progress::has_started),
@@ -97,8 +98,8 @@
             stay_logged_ms: 0,
             run_count: 0,
             arrived_ms: now_ms,
-            ended_ms: (recorded != Phase::Live).then_some(now_ms),
-            spec_stored,
+            ended_ms: None,
+            spec_stored: true,
             unrecorded_since_ms: now_ms,
             path_ms: spec.path_ms(),
             spec,
@@ -106,9 +107,6 @@
         let key = self.jobs.insert(job);
         let index = self.job_index.partition_point(|(job_id, _)| *job_id < id);
         self.job_index.insert(index, (id, key));
-        if recorded != Phase::Live {
-            return;
-        }
         if !self.jobs[key].spec.is_recurring() {
             self.open_occurrences(key, 1, now_ms);
             self.jobs[key].due_occurrences = 1;
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -437,7 +437,7 @@
             };
             load.free_capacity.push(free);
         }
-        let open_tasks = self.open_tasks();
+        let open_tasks = self.open_tasks(now_ms);
         load.open_tasks = (open_tasks != OpenTasks::default()).then_some(open_tasks);
         load
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod crashes;
 mod cut_off;
 mod drain;
+mod ended;
 pub mod evacuation;
 pub mod expiry;
 pub mod footprint;
--- a/crates/fleet/src/open_tasks.rs
+++ b/crates/fleet/src/open_tasks.rs
@@ -39,6 +39,9 @@
     /// Bytes of jobs without their tasks, until the end of the job is recorded.
     #[prost(uint64, tag = "2")]
     pub job_bytes_max: u64,
+    /// Ended jobs whose status is retained.
+    #[prost(uint64, tag = "3")]
+    pub ended_jobs_max: u64,
 }
 
 /// Open work of a shard.
@@ -53,6 +56,12 @@
     /// Bytes of jobs without their tasks.
     #[prost(uint64, tag = "3")]
     pub bytes: u64,
+    /// Ended jobs whose status is retained.
+    #[prost(uint64, tag = "6")]
+    pub ended_jobs: u64,
+    /// Time until the first of these is purged, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub purge_in_ms: u64,
     /// Limits of the owner; `None` from owners of earlier versions.
     #[prost(message, optional, tag = "8")]
     pub limits: Option<ShardLimits>,
@@ -217,9 +226,10 @@
 
     /// Work that takes memory of the owner.
     #[must_use]
-    pub fn open_tasks(&self) -> OpenTasks {
+    pub fn open_tasks(&self, now_ms: u64) -> OpenTasks {
         let mut open = OpenTasks::default();
         for job in self.jobs.values() {
+            // An ended job takes room until its end is recorded.
             let size = JobSize {
                 tasks: if job.is_live() {
                     u64::from(job.remaining)
@@ -231,6 +241,9 @@
             open.add(&job.queue.name, size);
         }
         open.shorten();
+        open.ended_jobs = self.ended_jobs.len() as u64;
+        let purge_ms = self.next_purge_ms();
+        open.purge_in_ms = purge_ms.map_or(0, |purge_ms| purge_ms.saturating_sub(now_ms));
         open.limits = self.limits;
         open
     }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -9,7 +9,6 @@
 use crate::bounds::Bounds;
 use crate::job::{StepSpec, TaskId};
 use crate::place::Choice;
-use crate::record::Phase;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef};
 use crate::task::Move;
 use crate::urgency::Place;
@@ -396,37 +395,12 @@
         }
         self.drain_long_running(now_ms);
         self.stop_before_departure(now_ms);
+        self.retire_ended_jobs(now_ms);
         self.purge_ended_jobs(now_ms);
         self.update_unserved(now_ms);
         self.forget_moved_jobs(now_ms);
     }
 
-    /// Purges recorded jobs whose retention period has passed.
-    fn purge_ended_jobs(&mut self, now_ms: u64) {
-        let retention_ms = self.bounds.retention_ms;
-        let mut expired = Vec::new();
-        for (key, job) in &self.jobs {
-            let Some(ended_ms) = job.ended_ms else {
-                continue;
-            };
-            let is_recorded =
-                job.recorded_phase != Phase::Live && job.recorded_version == job.version;
-            if is_recorded && job.run_count == 0 && now_ms >= ended_ms + retention_ms {
-                expired.push((key, job.id, job.is_delegated));
-            }
-        }
-        for (key, id, is_delegated) in expired {
-            self.jobs.remove(key);
-            if let Ok(index) = self
-                .job_index
-                .binary_search_by(|(job_id, _)| job_id.cmp(&id))
-            {
-                self.job_index.remove(index);
-            }
-            self.purged.push((id, is_delegated));
-        }
-    }
-
     /// Maximum number of unanswered start requests per server.
     #[must_use]
     pub fn unanswered_starts_max() -> usize {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -10,6 +10,7 @@
 use crate::bounds::Bounds;
 use crate::crash_rate::UnexplainedLosses;
 use crate::crashes::LapsedServer;
+use crate::ended::EndedJob;
 use crate::handover::Predecessors;
 use crate::interference::InterferenceModel;
 use crate::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
@@ -206,6 +207,8 @@
     pub(crate) jobs: SlotMap<JobKey, Job>,
     /// Keys of the jobs, sorted by identifier.
     pub(crate) job_index: Vec<(JobId, JobKey)>,
+    /// Sorted by identifier.
+    pub(crate) ended_jobs: Vec<EndedJob>,
     /// What it may hold, as reported to other hosts; `None` for no limits.
     pub(crate) limits: Option<ShardLimits>,
     pub(crate) servers: SlotMap<ServerKey, Server>,
@@ -290,6 +293,7 @@
             term_revision,
             jobs: SlotMap::with_key(),
             job_index: Vec::new(),
+            ended_jobs: Vec::new(),
             limits: None,
             servers: SlotMap::with_key(),
             server_index: Vec::new(),
@@ -394,19 +398,6 @@
         Some(self.job_index[index].1)
     }
 
-    /// Status of a job as shown to callers; an end is shown only once it is recorded.
-    #[must_use]
-    pub fn job_status(&self, id: JobId) -> Option<JobStatus> {
-        let job = &self.jobs[self.find_job(id)?];
-        Some(match job.recorded_phase {
-            Phase::Completed => JobStatus::Completed,
-            Phase::Failed => JobStatus::Failed,
-            Phase::Cancelled => JobStatus::Cancelled,
-            Phase::Live if job.started => JobStatus::Running,
-            Phase::Live => JobStatus::Queued,
-        })
-    }
-
     /// Number of jobs per queue of which no task has started, sorted by queue.
     #[must_use]
     pub fn queued_jobs(&self) -> Vec<(SmolStr, u32)> {
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -15,6 +15,7 @@
 const LIMITS: ShardLimits = ShardLimits {
     open_tasks_max: 25_000,
     job_bytes_max: 100_000,
+    ended_jobs_max: 1_000,
 };
 const NO_TASK_ROOM: Refusal = Refusal::NoRoom {
     index: 0,
@@ -160,3 +161,14 @@
     let load = Harness::open(&["one"]).load();
     assert_eq!(decide_in(&open, Some(&load), &job), expected);
 }
+
+/// Guards against callers who make a shard retain any number of ended jobs.
+#[test_case(999, Ok(()); "below the limit")]
+#[test_case(1_000, Err(Limit::EndedJobs); "at the limit")]
+fn the_number_of_ended_jobs_is_bounded(ended_jobs: u64, expected: Result<(), Limit>) {
+    let open = OpenTasks {
+        ended_jobs,
+        ..OpenTasks::default()
+    };
+    assert_eq!(decide_in(&open, None, &job(0, 1)), expected);
+}
--- a/crates/fleet/tests/move_limits.rs
+++ b/crates/fleet/tests/move_limits.rs
@@ -21,6 +21,7 @@
     open.limits = Some(ShardLimits {
         open_tasks_max: ROOM,
         job_bytes_max: ROOM,
+        ..ShardLimits::default()
     });
     let size = JobSize {
         tasks: held_tasks,
--- a/src/daemon/ingress/limits.rs
+++ b/src/daemon/ingress/limits.rs
@@ -42,14 +42,19 @@
     pub open_tasks_max: u64,
     /// Bytes of the jobs of a shard without their tasks, until their ends are recorded.
     pub job_bytes_max: u64,
+    /// Ended jobs of a shard whose status is retained.
+    pub ended_jobs_max: u64,
 }
 
+/// Memory of the owner for the status of an ended job, which doubles while its list grows, and for the purge.
+const ENDED_JOB_BYTES: u64 = 64;
+
 /// A failure domain has about 15,000 running tasks at the design size, and a job up to 20,000.
 const OPEN_TASKS_MIN: u64 = 25_000;
 
 impl CallerLimits {
-    /// Limits of the shards that the host owns. By default, open tasks take an eighth of the memory and jobs a
-    /// sixteenth, since a host may own several shards, and jobs have copies while they are read.
+    /// Limits of the shards that the host owns. By default, open tasks take an eighth of the memory, jobs a sixteenth and
+    /// ended jobs a thirty-second, since a host may own several shards, and jobs have copies while they are read.
     #[must_use]
     pub fn of_shards(&self, host: HostSize) -> ShardLimits {
         let memory_bytes = host.memory_bytes as u64;
@@ -58,6 +63,7 @@
         ShardLimits {
             open_tasks_max: given_or(self.open_tasks_max, open_tasks),
             job_bytes_max: given_or(self.job_bytes_max, memory_bytes / 16),
+            ended_jobs_max: given_or(self.ended_jobs_max, memory_bytes / 32 / ENDED_JOB_BYTES),
         }
     }
 
@@ -91,6 +97,7 @@
             json_depth_max: 16,
             open_tasks_max: 0,
             job_bytes_max: 0,
+            ended_jobs_max: 0,
         }
     }
 }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -7,7 +7,7 @@
 use primrosestack_fleet::claim::{self, Candidate};
 use primrosestack_fleet::load_views::LoadReport;
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{self, Phase, ServerSet, StoredJob, Term, TermOwner};
+use primrosestack_fleet::record::{self, ServerSet, StoredJob, Term, TermOwner};
 use primrosestack_fleet::shard::JobStatus;
 use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX};
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
@@ -481,11 +481,5 @@
 /// Status of a job according to its progress record.
 #[must_use]
 pub fn status_of(progress: &record::Progress) -> JobStatus {
-    match progress.phase() {
-        Phase::Completed => JobStatus::Completed,
-        Phase::Failed => JobStatus::Failed,
-        Phase::Cancelled => JobStatus::Cancelled,
-        Phase::Live if progress.has_started() => JobStatus::Running,
-        Phase::Live => JobStatus::Queued,
-    }
+    progress.phase().status(progress.has_started())
 }
--- a/src/daemon/refusal.rs
+++ b/src/daemon/refusal.rs
@@ -14,6 +14,9 @@
 use crate::daemon::node::Node;
 use crate::logs::Line;
 
+/// Longest `Retry-After` while the statuses of ended jobs are retained.
+const ENDED_RETRY_AFTER_S_MAX: u64 = 30;
+
 /// Replies to a submission that no shard may get. A refusal says that the job was not accepted, so that one which an earlier
 /// request may have stored is not refused.
 pub(super) async fn reply(
@@ -29,7 +32,8 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 log(node, id, job, refusal);
-                return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
+                let retry_after_s = retry_after_s(node, refusal);
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, retry_after_s);
             }
             Err(_) => return doubt(id),
         }
@@ -38,6 +42,21 @@
     empty_reply(StatusCode::OK)
 }
 
+fn retry_after_s(node: &Node, refusal: Refusal) -> u64 {
+    let Refusal::NoRoom { index, limit } = refusal else {
+        return RETRY_AFTER_S;
+    };
+    let views = node.load_views.borrow();
+    match limit {
+        Limit::EndedJobs => {
+            let purge_in_ms = views.view(index).open_tasks.known().purge_in_ms;
+            let wait_s = purge_in_ms.div_ceil(1_000);
+            wait_s.clamp(RETRY_AFTER_S, ENDED_RETRY_AFTER_S_MAX)
+        }
+        _ => RETRY_AFTER_S,
+    }
+}
+
 /// Logs what a limit compares: amounts of the job, of its queue and of the shard, and the maximum of the shard.
 fn with_amounts(
     line: Line,
@@ -49,6 +68,7 @@
     let (own, queue, shard) = match limit {
         Limit::OpenTasks => (job.tasks, of_queue.tasks, open.total),
         Limit::JobBytes => (job.bytes, of_queue.bytes, open.bytes),
+        Limit::EndedJobs => (1, 0, open.ended_jobs),
     };
     line.with("of_job", own)
         .with("of_queue", queue)
--- a/tests/callers_jobs.rs
+++ b/tests/callers_jobs.rs
@@ -57,6 +57,7 @@
         jobs_per_connection: JOBS_PER_CONNECTION,
         job: unserved_job(COMMAND_BYTES, 1),
         cancels: false,
+        retries: 0,
     };
     site.run_job_crowd(crowd).await;
     if is_taken_over {
@@ -66,10 +67,11 @@
 }
 
 /// Guards against a shard that keeps all of a job for as long as its status is retained.
-#[test_case(false, "ended_jobs"; "at the owner that accepted them")]
-#[test_case(true, "ended_jobs_taken_over"; "at an owner that takes the shard over")]
+#[test_case(false, 0, "ended_jobs"; "at the owner that accepted them")]
+#[test_case(true, 0, "ended_jobs_taken_over"; "at an owner that takes the shard over")]
+#[test_case(true, 50, "ended_jobs_sent_again"; "of callers that send refused ones again")]
 #[tokio::test]
-async fn ended_jobs_stay_within_the_host(is_taken_over: bool, form: &str) {
+async fn ended_jobs_stay_within_the_host(is_taken_over: bool, retries: u32, form: &str) {
     let mut site = Site::open(form).await;
     let crowd = JobCrowd {
         path: "/bulk/",
@@ -78,6 +80,7 @@
         jobs_per_connection: JOBS_PER_CONNECTION,
         job: unserved_job(COMMAND_BYTES, 1),
         cancels: true,
+        retries,
     };
     site.run_job_crowd(crowd).await;
     if is_taken_over {
@@ -99,6 +102,7 @@
             jobs_per_connection: UNSERVED_JOBS_PER_QUEUE,
             job: unserved_job(10, 250),
             cancels: false,
+            retries: 0,
         };
         site.run_job_crowd(crowd).await;
     }
--- a/tests/callers_site/mod.rs
+++ b/tests/callers_site/mod.rs
@@ -27,6 +27,8 @@
 
 const ANSWER_TIMEOUT: Duration = Duration::from_mins(1);
 
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// A running daemon with its stand-ins. Dropping it ends the process.
 pub struct Site {
     pub callers: SocketAddr,
@@ -314,6 +316,8 @@
     pub job: Value,
     /// Whether each job is cancelled as soon as it is accepted.
     pub cancels: bool,
+    /// How often a refused job is sent again.
+    pub retries: u32,
 }
 
 /// Outcomes of a crowd's submissions.
@@ -332,8 +336,9 @@
         for caller in 0..self.connections {
             let first_id = self.first_id + (caller * self.jobs_per_connection) as u64;
             let ids = first_id..first_id + self.jobs_per_connection as u64;
-            let (path, cancels, body) = (self.path, self.cancels, std::sync::Arc::clone(&body));
-            callers.spawn(async move { submit_jobs(to, path, ids, &body, cancels).await });
+            let (path, cancels, retries) = (self.path, self.cancels, self.retries);
+            let body = std::sync::Arc::clone(&body);
+            callers.spawn(async move { submit_jobs(to, path, ids, &body, cancels, retries).await });
         }
         let mut total = Submitted::default();
         while let Some(caller) = callers.join_next().await {
@@ -370,6 +375,7 @@
     ids: std::ops::Range<u64>,
     body: &str,
     cancels: bool,
+    retries: u32,
 ) -> Submitted {
     let mut submitted = Submitted::default();
     let Ok(mut stream) = TcpStream::connect(to).await else {
@@ -378,7 +384,15 @@
     };
     for id in ids {
         let path = format!("{path}{id:016x}");
-        match request(&mut stream, "POST", &path, body).await {
+        let mut status = request(&mut stream, "POST", &path, body).await;
+        for _ in 0..retries {
+            if status != Some(503) {
+                break;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+            status = request(&mut stream, "POST", &path, body).await;
+        }
+        match status {
             Some(200) => submitted.accepted += 1,
             Some(_) => {
                 submitted.refused += 1;
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -116,4 +116,6 @@
     );
     // 1,500 jobs of a failure domain at the design size, with the longest commands.
     assert!(shards.job_bytes_max >= 1_500 * 6_000, "{shards:?}");
+    // 100 jobs a second, retained for two minutes.
+    assert!(shards.ended_jobs_max >= 100 * 120, "{shards:?}");
 }
