Bound what jobs that no known server can run may hold

What callers saw: 100 jobs of 250 tasks with a label that no server has, or with more CPU than any server, and every ordinary job was refused with 503 for as long as they waited, on all queues, with all servers idle. Cause: such jobs take their place among the open tasks, never run and never end. They can't be refused at once, since a server with the label, or of that size, may join. Change: owners report the largest registered servers of each service by label (largest.rs), and what their jobs hold that these could not complete. Accepting hosts give jobs without a known server a quarter of what a shard may hold, half of that for a queue; beyond it they are refused at once, with a Retry-After of 5 s, by which a server that joins is known. A host that knows no servers yet applies the share to all. Evidence: an_owner_reports_jobs_without_servers and jobs_without_servers_get_a_share (admission.rs) show the count and the share for labels, CPU, memory, accelerators and gangs; a server that is silent for 5 s still counts. Why it works: three quarters of each limit are left to jobs that can run, and those end.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -6,13 +6,17 @@
 use crate::footprint::JobSize;
 use crate::intake::{Load, choose_home};
 use crate::job::JobSpec;
-use crate::open_tasks::{OpenTasks, ShardLimits, queue_of};
+use crate::open_tasks::{OpenTasks, ShardLimits, is_served, queue_of};
 
 /// A limit of a shard that a job would exceed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Limit {
     OpenTasks,
     JobBytes,
+    /// Share of the open tasks for jobs that no known server could complete.
+    UnservedTasks,
+    /// The same share of the bytes.
+    UnservedBytes,
     EndedJobs,
 }
 
@@ -23,11 +27,17 @@
         match self {
             Self::OpenTasks => "open_tasks_max",
             Self::JobBytes => "job_bytes_max",
+            Self::UnservedTasks => "unserved_tasks_max",
+            Self::UnservedBytes => "unserved_bytes_max",
             Self::EndedJobs => "ended_jobs_max",
         }
     }
 }
 
+/// Reciprocal of the share of a shard that jobs may hold which no known server could complete. They wait for a server that
+/// may never come, and everybody else waits behind them.
+const UNSERVED_SHARE: u64 = 4;
+
 impl Limit {
     /// The maximum for all jobs of a shard.
     #[must_use]
@@ -35,6 +45,8 @@
         match self {
             Self::OpenTasks => limits.open_tasks_max,
             Self::JobBytes => limits.job_bytes_max,
+            Self::UnservedTasks => limits.open_tasks_max / UNSERVED_SHARE,
+            Self::UnservedBytes => limits.job_bytes_max / UNSERVED_SHARE,
             Self::EndedJobs => limits.ended_jobs_max,
         }
     }
@@ -58,6 +70,14 @@
     pub is_evacuated: bool,
 }
 
+/// A shard that gets a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Admission {
+    pub index: usize,
+    /// Whether each step of the job could run on a server that is known.
+    pub is_served: bool,
+}
+
 /// Whether an amount would exceed a maximum, or that of its queue. A queue has at most half, so that its callers cannot shut
 /// out those of the others; a job may have more than that if its queue has nothing, or if the shard has nothing at all.
 fn exceeds(added: u64, of_queue: u64, total: u64, max: u64) -> bool {
@@ -70,7 +90,12 @@
 /// # Errors
 ///
 /// Returns the first limit that would be exceeded.
-pub fn check(open: &OpenTasks, job: &JobSpec, own_limits: ShardLimits) -> Result<(), Limit> {
+pub fn check(
+    open: &OpenTasks,
+    job: &JobSpec,
+    is_served: bool,
+    own_limits: ShardLimits,
+) -> Result<(), Limit> {
     let limits = open.limits.unwrap_or(own_limits);
     let JobSize { tasks, bytes } = JobSize::of(job);
     let of_queue = open.of_queue(queue_of(job));
@@ -86,6 +111,20 @@
             return Err(limit);
         }
     }
+    if is_served {
+        return Ok(());
+    }
+    let (own, all) = (of_queue.unserved(), open.unserved());
+    for (limit, added, of_queue, total) in [
+        (Limit::UnservedTasks, tasks, own.tasks, all.tasks),
+        (Limit::UnservedBytes, bytes, own.bytes, all.bytes),
+    ] {
+        let max = limit.max(limits);
+        // Also a single job over the share waits at its caller until there is a server for it.
+        if added > max || exceeds(added, of_queue, total, max) {
+            return Err(limit);
+        }
+    }
     Ok(())
 }
 
@@ -99,15 +138,16 @@
     shards: &[ShardState],
     job: &JobSpec,
     own_limits: ShardLimits,
-) -> Result<usize, Refusal> {
+) -> Result<Admission, Refusal> {
     let loads: Vec<Option<&Load>> = shards.iter().map(|shard| shard.load).collect();
+    let is_served = is_served(&loads, job);
     let checks = shards
         .iter()
-        .map(|shard| check(shard.open_tasks, job, own_limits));
+        .map(|shard| check(shard.open_tasks, job, is_served, own_limits));
     let checks: Vec<Result<(), Limit>> = checks.collect();
     let is_excluded = |index: usize| shards[index].is_evacuated || checks[index].is_err();
     if let Some(index) = choose_home(own_index, &loads, is_excluded, job) {
-        return Ok(index);
+        return Ok(Admission { index, is_served });
     }
     let mut fewest: Option<(u64, Refusal)> = None;
     for (index, shard) in shards.iter().enumerate() {
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -7,6 +7,7 @@
 
 use crate::interference::InterferenceEstimate;
 use crate::job::{JobSpec, StepSpec};
+use crate::largest::LargestServer;
 use crate::open_tasks::OpenTasks;
 use crate::server::Server;
 use crate::shard::{ServerKey, Shard, to_u32};
@@ -55,6 +56,9 @@
     /// Tasks that are not done; `None` from some owners of earlier versions.
     #[prost(message, optional, tag = "9")]
     pub open_tasks: Option<OpenTasks>,
+    /// Whether the largest servers of each service are told; owners of earlier versions do not.
+    #[prost(bool, tag = "10")]
+    pub tells_largest: bool,
 }
 
 /// Load of the servers of one service.
@@ -77,6 +81,12 @@
     /// Labels of the usable servers, as positions in [`Load::labels`], sorted.
     #[prost(uint32, repeated, tag = "6")]
     pub labels: Vec<u32>,
+    /// Largest registered servers, also those that do not answer at present.
+    #[prost(message, repeated, tag = "7")]
+    pub largest: Vec<LargestServer>,
+    /// CPU of the registered servers, in millicores.
+    #[prost(uint64, tag = "8")]
+    pub registered_cpu_millis: u64,
 }
 
 /// Free capacity of one server.
@@ -125,10 +135,15 @@
                 best_effort_millis: self.best_effort_millis,
                 best_effort_requested_millis: self.best_effort_requested_millis,
                 labels: (0..to_u32(self.labels.len())).collect(),
+                ..ServiceLoad::default()
             });
         }
+        self.service(service).cloned()
+    }
+
+    pub(crate) fn service(&self, service: &str) -> Option<&ServiceLoad> {
         let found = self.find_service(service).ok()?;
-        Some(self.services[found].clone())
+        Some(&self.services[found])
     }
 
     fn find_service(&self, service: &str) -> Result<usize, usize> {
@@ -136,7 +151,7 @@
             .binary_search_by(|known| known.name.as_str().cmp(service))
     }
 
-    fn service_mut(&mut self, service: &str) -> &mut ServiceLoad {
+    pub(crate) fn service_mut(&mut self, service: &str) -> &mut ServiceLoad {
         let index = self.find_service(service).unwrap_or_else(|index| {
             let own = ServiceLoad {
                 name: service.to_owned(),
@@ -149,7 +164,7 @@
     }
 
     /// Labels of a server, as positions in the report's list.
-    fn positions_of(&self, server: &Server) -> Vec<u32> {
+    pub(crate) fn positions_of(&self, server: &Server) -> Vec<u32> {
         let labels = server.entry.labels.iter();
         let positions = labels.filter_map(|label| {
             let found = self.labels.binary_search_by(|own| own.as_str().cmp(label));
@@ -244,7 +259,7 @@
     }
 }
 
-fn service_of(job: &JobSpec) -> &str {
+pub(crate) fn service_of(job: &JobSpec) -> &str {
     job.queue
         .as_ref()
         .map_or("", |queue| queue.service.as_str())
@@ -307,7 +322,7 @@
 }
 
 /// Adds a label to a sorted list. Returns whether it was new.
-fn insert_label(labels: &mut Vec<String>, label: &str) -> bool {
+pub(crate) fn insert_label(labels: &mut Vec<String>, label: &str) -> bool {
     let found = labels.binary_search_by(|known| known.as_str().cmp(label));
     let Err(position) = found else { return false };
     labels.insert(position, label.to_owned());
@@ -377,7 +392,8 @@
         let usable: Vec<(ServerKey, &Server)> = servers
             .filter(|(_, server)| server.is_usable(now_ms) && !self.is_evacuated())
             .collect();
-        load.labels = labels_of(usable.iter().map(|&(_, server)| server));
+        load.labels = labels_of(self.registered_servers());
+        self.tell_largest(&mut load);
         let mut open: Vec<&Server> = Vec::new();
         for &(key, server) in &usable {
             let positions = load.positions_of(server);
@@ -437,7 +453,7 @@
             };
             load.free_capacity.push(free);
         }
-        let open_tasks = self.open_tasks(now_ms);
+        let open_tasks = self.open_tasks(&load, now_ms);
         load.open_tasks = (open_tasks != OpenTasks::default()).then_some(open_tasks);
         load
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod intake;
 pub mod interference;
 pub mod job;
+pub mod largest;
 pub mod ledger;
 mod listed_runs;
 pub mod load_views;
--- a/crates/fleet/src/open_tasks.rs
+++ b/crates/fleet/src/open_tasks.rs
@@ -3,9 +3,9 @@
 use smol_str::SmolStr;
 
 use crate::footprint::JobSize;
-use crate::intake::Load;
+use crate::intake::{Load, service_of};
 use crate::job::JobSpec;
-use crate::shard::{Shard, TaskRef};
+use crate::shard::{Job, Shard, TaskRef};
 
 /// Queues whose open work is reported. A further queue has less than a sixteenth of all, far below the bound of a queue.
 pub const QUEUES_REPORTED_MAX: usize = 16;
@@ -28,6 +28,12 @@
     /// Bytes of its jobs without their tasks.
     #[prost(uint64, tag = "3")]
     pub bytes: u64,
+    /// Part of `tasks` in jobs that no known server could complete.
+    #[prost(uint64, tag = "4")]
+    pub unserved_tasks: u64,
+    /// Part of `bytes` of these jobs.
+    #[prost(uint64, tag = "5")]
+    pub unserved_bytes: u64,
 }
 
 /// What a shard may hold, by the memory of its owner.
@@ -56,6 +62,12 @@
     /// Bytes of jobs without their tasks.
     #[prost(uint64, tag = "3")]
     pub bytes: u64,
+    /// Part of `total` in jobs that no known server could complete.
+    #[prost(uint64, tag = "4")]
+    pub unserved_tasks: u64,
+    /// Part of `bytes` of these jobs.
+    #[prost(uint64, tag = "5")]
+    pub unserved_bytes: u64,
     /// Ended jobs whose status is retained.
     #[prost(uint64, tag = "6")]
     pub ended_jobs: u64,
@@ -76,6 +88,14 @@
         }
     }
 
+    #[must_use]
+    pub fn unserved(&self) -> JobSize {
+        JobSize {
+            tasks: self.unserved_tasks,
+            bytes: self.unserved_bytes,
+        }
+    }
+
     fn memory_bytes(&self) -> u64 {
         self.bytes + self.tasks * OPEN_TASK_BYTES
     }
@@ -105,8 +125,16 @@
         }
     }
 
+    #[must_use]
+    pub fn unserved(&self) -> JobSize {
+        JobSize {
+            tasks: self.unserved_tasks,
+            bytes: self.unserved_bytes,
+        }
+    }
+
     /// Adds a job, or what is left of it.
-    pub fn add(&mut self, queue: &str, size: JobSize) {
+    pub fn add(&mut self, queue: &str, size: JobSize, is_served: bool) {
         let index = self.find(queue).unwrap_or_else(|index| {
             let queue = QueueTasks {
                 queue: queue.to_owned(),
@@ -120,6 +148,13 @@
         self.bytes += size.bytes;
         of_queue.tasks += size.tasks;
         of_queue.bytes += size.bytes;
+        if is_served {
+            return;
+        }
+        self.unserved_tasks += size.tasks;
+        self.unserved_bytes += size.bytes;
+        of_queue.unserved_tasks += size.tasks;
+        of_queue.unserved_bytes += size.bytes;
     }
 
     /// Keeps the queues with the most open work.
@@ -136,11 +171,23 @@
     job.queue.as_ref().map_or("", |queue| queue.name.as_str())
 }
 
+/// Whether each step of a job could run in a shard whose load is known.
+#[must_use]
+pub fn is_served(loads: &[Option<&Load>], job: &JobSpec) -> bool {
+    let service = service_of(job);
+    let mut steps = job.steps.iter();
+    steps.all(|step| {
+        let mut known = loads.iter().flatten();
+        known.any(|load| load.could_run(service, step))
+    })
+}
+
 #[derive(Clone, Debug)]
 struct SentJob {
     sent_ms: u64,
     queue: SmolStr,
     size: JobSize,
+    is_served: bool,
 }
 
 /// Open work of a shard as an accepting host knows it: that of the last report and that of jobs sent since.
@@ -160,18 +207,19 @@
         self.sent
             .retain(|job| job.sent_ms + RECEIVED_WITHIN_MS > updated_ms);
         for job in &self.sent {
-            self.known.add(&job.queue, job.size);
+            self.known.add(&job.queue, job.size, job.is_served);
         }
     }
 
     /// Counts a job that is being sent to the shard.
-    pub fn add(&mut self, job: &JobSpec, now_ms: u64) {
+    pub fn add(&mut self, job: &JobSpec, is_served: bool, now_ms: u64) {
         let (queue, size) = (queue_of(job), JobSize::of(job));
-        self.known.add(queue, size);
+        self.known.add(queue, size, is_served);
         self.sent.push(SentJob {
             sent_ms: now_ms,
             queue: queue.into(),
             size,
+            is_served,
         });
     }
 
@@ -198,7 +246,22 @@
     /// Counts a job that is sent to the shard.
     pub(crate) fn count_job(&mut self, job: &JobSpec) {
         let open = self.open_tasks.get_or_insert_default();
-        open.add(queue_of(job), JobSize::of(job));
+        open.add(queue_of(job), JobSize::of(job), true);
+    }
+}
+
+impl Job {
+    /// Whether some server of a load could run each step that is not done.
+    fn is_served_by(&self, load: &Load) -> bool {
+        let service = self.queue.service.as_str();
+        for (index, step) in self.spec.steps.iter().enumerate() {
+            let mut occurrences = self.occurrences.iter();
+            let is_left = occurrences.any(|occurrence| occurrence.steps[index].remaining > 0);
+            if is_left && !load.could_run(service, step) {
+                return false;
+            }
+        }
+        true
     }
 }
 
@@ -224,9 +287,9 @@
         }
     }
 
-    /// Work that takes memory of the owner.
+    /// Work that takes memory of the owner; `load` tells the servers.
     #[must_use]
-    pub fn open_tasks(&self, now_ms: u64) -> OpenTasks {
+    pub fn open_tasks(&self, load: &Load, now_ms: u64) -> OpenTasks {
         let mut open = OpenTasks::default();
         for job in self.jobs.values() {
             // An ended job takes room until its end is recorded.
@@ -238,7 +301,8 @@
                 },
                 bytes: job.bytes,
             };
-            open.add(&job.queue.name, size);
+            let is_served = !job.is_live() || job.is_served_by(load);
+            open.add(&job.queue.name, size, is_served);
         }
         open.shorten();
         open.ended_jobs = self.ended_jobs.len() as u64;
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -6,7 +6,7 @@
 use primrosestack_fleet::admission::{Limit, Refusal, ShardState, admit};
 use primrosestack_fleet::footprint::{JobSize, job_bytes};
 use primrosestack_fleet::intake::Load;
-use primrosestack_fleet::job::JobSpec;
+use primrosestack_fleet::job::{JobSpec, StepSpec};
 use primrosestack_fleet::open_tasks::{
     OpenTasks, OpenTasksView, QUEUES_REPORTED_MAX, RECEIVED_WITHIN_MS, ShardLimits,
 };
@@ -35,7 +35,7 @@
     let mut open = OpenTasks::default();
     for &(priority, tasks) in queues {
         let size = JobSize { tasks, bytes: 0 };
-        open.add(&queue(priority).name, size);
+        open.add(&queue(priority).name, size, true);
     }
     open
 }
@@ -53,7 +53,7 @@
         is_evacuated: shard.is_none(),
     });
     let states: Vec<ShardState> = states.collect();
-    admit(0, &states, &job(0, tasks), LIMITS)
+    admit(0, &states, &job(0, tasks), LIMITS).map(|admission| admission.index)
 }
 
 /// Guards against a shard that takes more tasks than its owner has memory for, against a queue that shuts out the others,
@@ -81,13 +81,13 @@
 fn sent_jobs_count_until_the_report_contains_them() {
     let mut view = OpenTasksView::default();
     let sent = job(0, 9_000);
-    view.add(&sent, 1_000);
+    view.add(&sent, true, 1_000);
     let mut expected = OpenTasks::default();
-    expected.add("queue-0", JobSize::of(&sent));
+    expected.add("queue-0", JobSize::of(&sent), true);
     assert_eq!(view.known(), &expected);
     view.apply(open(&[(1, 5)]), 1_000 + RECEIVED_WITHIN_MS - 1);
     let other = JobSize { tasks: 5, bytes: 0 };
-    expected.add("queue-1", other);
+    expected.add("queue-1", other, true);
     assert_eq!(view.known(), &expected);
     view.apply(open(&[(0, 8_000)]), 1_000 + RECEIVED_WITHIN_MS);
     assert_eq!(view.known(), &open(&[(0, 8_000)]));
@@ -152,7 +152,7 @@
         bytes: held_bytes,
     };
     if held_bytes > 0 {
-        open.add(&queue(held_by_priority).name, held);
+        open.add(&queue(held_by_priority).name, held, true);
     }
     open.limits = owner_max.map(|job_bytes_max| ShardLimits {
         job_bytes_max,
@@ -172,3 +172,55 @@
     };
     assert_eq!(decide_in(&open, None, &job(0, 1)), expected);
 }
+
+fn labelled(label: &str) -> StepSpec {
+    StepSpec {
+        label: label.into(),
+        ..step(100)
+    }
+}
+
+/// Guards against jobs that no known server could complete and that use up the room of the others.
+#[test_case(step(100), Ok(()); "a job that any server takes")]
+#[test_case(labelled("a"), Ok(()); "a known label")]
+#[test_case(labelled("b"), Err(Limit::UnservedTasks); "an unknown label")]
+#[test_case(StepSpec { cpu_millis: 16_001, ..step(100) }, Err(Limit::UnservedTasks); "more CPU than a server has")]
+#[test_case(StepSpec { memory_mb: 64_001, ..step(100) }, Err(Limit::UnservedTasks); "more memory than a server has")]
+#[test_case(StepSpec { gpus: 1, ..step(100) }, Err(Limit::UnservedTasks); "accelerators")]
+#[test_case(StepSpec { gang: true, ..step(100) }, Err(Limit::UnservedTasks); "a gang wider than all servers")]
+fn jobs_without_servers_get_a_share(step: StepSpec, expected: Result<(), Limit>) {
+    let load = Harness::open(&["one", "two"]).load();
+    let mut open = OpenTasks::default();
+    let held = JobSize {
+        tasks: 6_200,
+        bytes: 100,
+    };
+    open.add("queue-1", held, false);
+    let job = JobSpec {
+        steps: vec![step],
+        ..job(0, 1)
+    };
+    assert_eq!(decide_in(&open, Some(&load), &job), expected);
+    let unknown = decide_in(&open, None, &job);
+    assert_eq!(unknown, Err(Limit::UnservedTasks), "no server is known");
+    let none = OpenTasks::default();
+    assert_eq!(
+        decide_in(&none, Some(&load), &job),
+        Ok(()),
+        "the share is free"
+    );
+}
+
+/// Guards against a share that ends with the report of the owner, or with one of its servers that is silent for a while.
+#[test]
+fn an_owner_reports_jobs_without_servers() {
+    let mut harness = Harness::open(&["one"]);
+    harness.submit(1, 0, vec![step(3)]);
+    harness.submit(2, 0, vec![step(3), labelled("b")]);
+    let open = harness.load().open_tasks.expect("a report");
+    assert_eq!((open.total, open.unserved_tasks), (106, 103));
+    assert_eq!(open.of_queue("queue-0").unserved_tasks, 103);
+    harness.now_ms += 5_000;
+    let open = harness.load().open_tasks.expect("a report");
+    assert_eq!(open.unserved_tasks, 103);
+}
--- a/crates/fleet/tests/move_limits.rs
+++ b/crates/fleet/tests/move_limits.rs
@@ -27,7 +27,7 @@
         tasks: held_tasks,
         bytes: held_bytes,
     };
-    open.add("queue-2", size);
+    open.add("queue-2", size, true);
     (SmolStr::new("cxs"), load)
 }
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -314,13 +314,13 @@
                 is_evacuated: self.is_evacuated(domain),
             })
             .collect();
-        let home = admission::admit(own, &shards, job, self.shard_limits)?;
-        let view = views.view_mut(home);
-        view.open_tasks.add(job, now_ms());
+        let admission = admission::admit(own, &shards, job, self.shard_limits)?;
+        let view = views.view_mut(admission.index);
+        view.open_tasks.add(job, admission.is_served, now_ms());
         if let Some(load) = &mut view.load {
             load.add(job);
         }
-        Ok(domains[home].clone())
+        Ok(domains[admission.index].clone())
     }
 
     /// Decodes the registrations of the servers of a failure domain.
--- a/src/daemon/refusal.rs
+++ b/src/daemon/refusal.rs
@@ -14,6 +14,9 @@
 use crate::daemon::node::Node;
 use crate::logs::Line;
 
+/// `Retry-After` for a job that no known server could complete. A server that joins is known to all hosts by then.
+const UNSERVED_RETRY_AFTER_S: u64 = 5;
+
 /// Longest `Retry-After` while the statuses of ended jobs are retained.
 const ENDED_RETRY_AFTER_S_MAX: u64 = 30;
 
@@ -47,7 +50,9 @@
         return RETRY_AFTER_S;
     };
     let views = node.load_views.borrow();
+    let is_any_known = views.views().iter().any(|view| view.load.is_some());
     match limit {
+        Limit::UnservedTasks | Limit::UnservedBytes if is_any_known => UNSERVED_RETRY_AFTER_S,
         Limit::EndedJobs => {
             let purge_in_ms = views.view(index).open_tasks.known().purge_in_ms;
             let wait_s = purge_in_ms.div_ceil(1_000);
@@ -68,6 +73,8 @@
     let (own, queue, shard) = match limit {
         Limit::OpenTasks => (job.tasks, of_queue.tasks, open.total),
         Limit::JobBytes => (job.bytes, of_queue.bytes, open.bytes),
+        Limit::UnservedTasks => (job.tasks, of_queue.unserved_tasks, open.unserved_tasks),
+        Limit::UnservedBytes => (job.bytes, of_queue.unserved_bytes, open.unserved_bytes),
         Limit::EndedJobs => (1, 0, open.ended_jobs),
     };
     line.with("of_job", own)
--- a/tests/callers_jobs.rs
+++ b/tests/callers_jobs.rs
@@ -89,22 +89,32 @@
     site.assert_sound(form).await;
 }
 
+/// A job that no server has the CPU for.
+fn oversized_job(tasks: u32) -> Value {
+    json!({
+        "spec": "100 50 0",
+        "steps": [{ "count": tasks, "cpu": 1_000_000, "memMb": 100, "estimatedMs": 50 }],
+    })
+}
+
 /// Guards against jobs that no known server can run and that use up the room for open tasks, so that those of others are
 /// refused while all servers are idle.
+#[test_case(unserved_job(10, 250), "unserved_jobs"; "with an unknown label")]
+#[test_case(oversized_job(250), "oversized_jobs"; "too large for any server")]
 #[tokio::test]
-async fn jobs_that_no_server_can_run_leave_room_for_others() {
-    let mut site = Site::open("unserved_jobs").await;
+async fn jobs_that_no_server_can_run_leave_room_for_others(job: Value, form: &str) {
+    let mut site = Site::open(form).await;
     for (path, first_id) in [("/bulk/", 0x3000_0000), ("/quote/", 0x4000_0000)] {
         let crowd = JobCrowd {
             path,
             first_id,
             connections: 1,
             jobs_per_connection: UNSERVED_JOBS_PER_QUEUE,
-            job: unserved_job(10, 250),
+            job: job.clone(),
             cancels: false,
             retries: 0,
         };
         site.run_job_crowd(crowd).await;
     }
-    site.assert_sound("unserved_jobs").await;
+    site.assert_sound(form).await;
 }
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -230,7 +230,7 @@
         assert!(submit(&callers, JobId(7)).await.starts_with("HTTP/1.1 200"));
         let fill = |index: usize, tasks: u64| {
             let mut open = OpenTasks::default();
-            open.add("other", JobSize { tasks, bytes: 0 });
+            open.add("other", JobSize { tasks, bytes: 0 }, true);
             let mut views = node.load_views.borrow_mut();
             views
                 .view_mut(index)
