--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -20,9 +20,12 @@
 #[allow(dead_code)]
 mod callers_site;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use callers_site::{HOST, Sending, Site, crowd};
+use primrosestack::daemon::peers::PeerRequest;
+use prost::Message;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -51,6 +54,19 @@
 enum Port {
     Callers,
     Ready,
+    Metrics,
+    Peer,
+}
+
+impl Port {
+    fn of(self, site: &Site) -> SocketAddr {
+        match self {
+            Self::Callers => site.callers,
+            Self::Ready => site.ready,
+            Self::Metrics => site.metrics,
+            Self::Peer => site.peer,
+        }
+    }
 }
 
 #[derive(Clone, Copy)]
@@ -94,27 +110,39 @@
 #[test_case(Port::Callers, "/quote/00000000000000b1", Shape::Chunks, "chunks"; "in chunks")]
 #[test_case(Port::Callers, "/nowhere", Shape::OnePiece, "no_route"; "on a path without a route")]
 #[test_case(Port::Ready, "/v1/ready", Shape::OnePiece, "ready"; "on the readiness port")]
+#[test_case(Port::Callers, "/nowhere", Shape::Chunks, "no_route_chunks"; "in chunks on a path without a route")]
+#[test_case(Port::Ready, "/v1/ready", Shape::SmallPieces, "ready_pieces"; "in small pieces on the readiness port")]
+#[test_case(Port::Ready, "/v1/ready", Shape::Chunks, "ready_chunks"; "in chunks on the readiness port")]
+#[test_case(Port::Metrics, "/metrics", Shape::Chunks, "metrics_chunks"; "in chunks on the metrics port")]
 #[tokio::test]
 async fn unfinished_bodies_stay_within_the_host(port: Port, path: &str, shape: Shape, form: &str) {
     let mut site = Site::open(form).await;
-    let to = match port {
-        Port::Callers => site.callers,
-        Port::Ready => site.ready,
-    };
-    let _crowd = crowd(to, BODY_CROWD, &unfinished(path, shape, BODY_MAX));
+    let _crowd = crowd(
+        port.of(&site),
+        BODY_CROWD,
+        &unfinished(path, shape, BODY_MAX),
+    );
     site.watch(HOLD).await;
     site.assert_sound(form).await;
 }
 
 /// Guards against a process that reads bodies over the limit. Each caller sends 4 MB.
-#[test_case("content-length: 4194304", "over_length"; "with a length")]
-#[test_case("transfer-encoding: chunked", "over_chunks"; "in chunks")]
+#[test_case(Port::Callers, "/quote/00000000000000b2", "content-length: 4194304", "over_length"; "with a length")]
+#[test_case(Port::Callers, "/quote/00000000000000b2", "transfer-encoding: chunked", "over_chunks"; "in chunks")]
+#[test_case(Port::Callers, "/nowhere", "transfer-encoding: chunked", "over_no_route"; "on a path without a route")]
+#[test_case(Port::Ready, "/v1/ready", "transfer-encoding: chunked", "over_ready"; "on the readiness port")]
+#[test_case(Port::Metrics, "/metrics", "transfer-encoding: chunked", "over_metrics"; "on the metrics port")]
 #[tokio::test]
-async fn bodies_over_the_limit_stay_within_the_host(framing: &str, form: &str) {
+async fn bodies_over_the_limit_stay_within_the_host(
+    port: Port,
+    path: &str,
+    framing: &str,
+    form: &str,
+) {
     let mut site = Site::open(form).await;
-    let mut sending = unfinished("/quote/00000000000000b2", Shape::Chunks, 4 << 20);
-    sending.head = post("/quote/00000000000000b2", framing);
-    let _crowd = crowd(site.callers, BODY_CROWD / 2, &sending);
+    let mut sending = unfinished(path, Shape::Chunks, 4 << 20);
+    sending.head = post(path, framing);
+    let _crowd = crowd(port.of(&site), BODY_CROWD / 2, &sending);
     site.watch(HOLD).await;
     site.assert_sound(form).await;
 }
@@ -138,6 +166,79 @@
     site.assert_sound(form).await;
 }
 
+/// Guards against the same on the ports for probes and peers.
+#[test_case(Port::Ready, b"GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n".to_vec(), "pipelined_ready"; "probes")]
+#[test_case(Port::Peer, load_query(), "pipelined_peer"; "queries of loads")]
+#[tokio::test]
+async fn requests_sent_ahead_on_other_ports_stay_within_the_host(
+    port: Port,
+    request: Vec<u8>,
+    form: &str,
+) {
+    let mut site = Site::open(form).await;
+    let sending = Sending {
+        head: String::new(),
+        piece: request.repeat(100),
+        pieces: 400,
+        pause: Duration::ZERO,
+        reads: false,
+    };
+    let _crowd = crowd(port.of(&site), PIPELINED_CROWD, &sending);
+    site.watch(HOLD).await;
+    site.assert_sound(form).await;
+}
+
+/// A frame that asks an owner for its load.
+fn load_query() -> Vec<u8> {
+    let request = PeerRequest {
+        failure_domain: "poa".into(),
+        wants_all_shards: true,
+        ..PeerRequest::default()
+    };
+    let body = request.encode_to_vec();
+    let length = u32::try_from(body.len()).expect("a short frame");
+    [length.to_be_bytes().as_slice(), body.as_slice()].concat()
+}
+
+/// Guards against a process that holds heads of legal size with very many short fields.
+#[test_case(Port::Callers, "short_headers"; "on the port for callers")]
+#[test_case(Port::Ready, "short_headers_ready"; "on the readiness port")]
+#[test_case(Port::Metrics, "short_headers_metrics"; "on the metrics port")]
+#[tokio::test]
+async fn many_short_headers_stay_within_the_host(port: Port, form: &str) {
+    let mut site = Site::open(form).await;
+    let fields = "a: b\r\n".repeat(2_500);
+    let request = format!("GET /quote/ HTTP/1.1\r\nhost: {HOST}\r\n{fields}\r\n");
+    let sending = Sending {
+        head: String::new(),
+        piece: request.into_bytes(),
+        pieces: 40,
+        pause: Duration::ZERO,
+        reads: false,
+    };
+    let _crowd = crowd(port.of(&site), SLOW_CROWD, &sending);
+    site.watch(HOLD).await;
+    site.assert_sound(form).await;
+}
+
+/// Guards against a process that crowds with slow bodies deprive of descriptors or memory.
+#[test_case("/quote/00000000000000b4", "slow_bodies"; "of jobs")]
+#[test_case("/nowhere", "slow_bodies_no_route"; "on a path without a route")]
+#[tokio::test]
+async fn slow_bodies_stay_within_the_host(path: &str, form: &str) {
+    let mut site = Site::open(form).await;
+    let sending = Sending {
+        head: post(path, &format!("content-length: {BODY_MAX}")),
+        piece: vec![b' '; 40],
+        pieces: 20,
+        pause: Duration::from_millis(200),
+        reads: false,
+    };
+    let _crowd = crowd(site.callers, SLOW_CROWD, &sending);
+    site.watch(HOLD).await;
+    site.assert_sound(form).await;
+}
+
 /// Guards against a process that crowds of slow callers deprive of descriptors or memory.
 #[test_case(15_000, 1, 0, "half_heads"; "that stop in a long head")]
 #[test_case(40, 20, 200, "slow_heads"; "that send heads slowly")]
