Count done tasks of a job that has not ended

What callers saw: nothing yet; found by reading. A job of 20,000 short tasks and one that no server can run holds the memory of all of them as soon as they are done, and counts as one open task. Cause: open tasks were those that are not done, but the owner keeps each task, at 384 bytes, until its job ends. Change: a shard counts all tasks of occurrences that are not done. Done occurrences of a recurring job still don't count: it would keep others out for ever. They hold memory uncounted, as before. Evidence and why it works: done_tasks_count_until_their_job_ends reports 4 tasks with 3 done, and none once the end is recorded.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -53,7 +53,7 @@
     /// The same load by service, sorted by name; owners of earlier versions tell none.
     #[prost(message, repeated, tag = "8")]
     pub services: Vec<ServiceLoad>,
-    /// Tasks that are not done; `None` from some owners of earlier versions.
+    /// What the shard holds and may hold; `None` for nothing and no limits, and from some owners of earlier versions.
     #[prost(message, optional, tag = "9")]
     pub open_tasks: Option<OpenTasks>,
     /// Whether the largest servers of each service are told; owners of earlier versions do not.
--- a/crates/fleet/src/open_tasks.rs
+++ b/crates/fleet/src/open_tasks.rs
@@ -39,7 +39,7 @@
 /// What a shard may hold, by the memory of its owner.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct ShardLimits {
-    /// Tasks that are not done.
+    /// Tasks of jobs that have not ended, done ones included.
     #[prost(uint64, tag = "1")]
     pub open_tasks_max: u64,
     /// Bytes of jobs without their tasks, until the end of the job is recorded.
@@ -53,7 +53,7 @@
 /// Open work of a shard.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OpenTasks {
-    /// Tasks that are not done.
+    /// Tasks of jobs that have not ended, done ones included.
     #[prost(uint64, tag = "1")]
     pub total: u64,
     /// The queues with the most open work, sorted by name.
@@ -251,6 +251,20 @@
 }
 
 impl Job {
+    /// Tasks of occurrences that are not done. Those of done ones stay too, but a recurring job must not keep others out for
+    /// ever.
+    pub(crate) fn held_tasks(&self) -> u64 {
+        let mut tasks = 0;
+        for occurrence in &self.occurrences {
+            if occurrence.steps.iter().all(|step| step.remaining == 0) {
+                continue;
+            }
+            let steps = occurrence.steps.iter();
+            tasks += steps.map(|step| step.tasks.len() as u64).sum::<u64>();
+        }
+        tasks
+    }
+
     /// Whether some server of a load could run each step that is not done.
     fn is_served_by(&self, load: &Load) -> bool {
         let service = self.queue.service.as_str();
@@ -292,13 +306,9 @@
     pub fn open_tasks(&self, load: &Load, now_ms: u64) -> OpenTasks {
         let mut open = OpenTasks::default();
         for job in self.jobs.values() {
-            // An ended job takes room until its end is recorded.
+            // Done tasks, and an ended job until its end is recorded, take memory like the others.
             let size = JobSize {
-                tasks: if job.is_live() {
-                    u64::from(job.remaining)
-                } else {
-                    0
-                },
+                tasks: job.held_tasks(),
                 bytes: job.bytes,
             };
             let is_served = !job.is_live() || job.is_served_by(load);
--- a/crates/fleet/tests/ended_jobs.rs
+++ b/crates/fleet/tests/ended_jobs.rs
@@ -107,3 +107,28 @@
     harness.tick();
     assert_eq!(harness.shard.job_status(ID), None);
 }
+
+/// Guards against jobs whose tasks are done but for one, and that hold the memory of all of them uncounted.
+#[test]
+fn done_tasks_count_until_their_job_ends() {
+    let mut harness = Harness::open(&["one"]);
+    harness.submit(ID.0, 0, vec![step(3), step(1)]);
+    harness.plan();
+    harness.confirm_starts();
+    for index in 0..3 {
+        let end = run_end(
+            index + 1,
+            task_id(ID, 0, u32::try_from(index).unwrap()),
+            1,
+            EndKind::Done,
+        );
+        harness.report_end("one", &end);
+    }
+    let open = harness.load().open_tasks.expect("a report");
+    assert_eq!(open.total, 4);
+    harness.report_end("one", &run_end(4, task_id(ID, 1, 0), 1, EndKind::Done));
+    harness.write_records();
+    harness.tick();
+    let open = harness.load().open_tasks.unwrap_or_default();
+    assert_eq!(open.total, 0);
+}
--- a/src/daemon/ingress/limits.rs
+++ b/src/daemon/ingress/limits.rs
@@ -38,7 +38,7 @@
     pub json_elements_max: usize,
     /// Nested arrays and objects in the JSON of a job.
     pub json_depth_max: usize,
-    /// Tasks of a shard that are not done, those of a job that is being submitted among them.
+    /// Tasks of the jobs of a shard, done ones included, and those of a job that is being submitted among them.
     pub open_tasks_max: u64,
     /// Bytes of the jobs of a shard without their tasks, until their ends are recorded.
     pub job_bytes_max: u64,
