--- a/tests/inbox.rs
+++ b/tests/inbox.rs
@@ -1,9 +1,9 @@
 //! Decoding of a shard's inbox in the store.
 
-use primrosestack::daemon::inbox::{self, InboxUpdate, QueuedJobs};
+use primrosestack::daemon::inbox::{self, InboxUpdate, QueuedJobs, StoredJobs};
 use primrosestack::daemon::keys;
 use primrosestack_fleet::job::{JobId, JobSpec};
-use primrosestack_fleet::record::{Progress, Term, Transfer};
+use primrosestack_fleet::record::{Phase, Progress, StoredJob, Term, Transfer};
 use primrosestack_platform::store::Item;
 use prost::Message;
 use smol_str::SmolStr;
@@ -99,3 +99,64 @@
     let counts = queued.counts();
     assert_eq!(counts, [(SmolStr::default(), 3)]);
 }
+
+/// Guards against an owner that reads a shard in pages and misses what a later page tells of a job, or an ended one.
+#[test]
+fn pages_of_a_shard_are_merged() {
+    let cancellation = |id| item(keys::cancellation("poa", JobId(id)), Vec::new(), 14);
+    let failure = item(keys::failure("poa", JobId(2)), Vec::new(), 15);
+    let inbox = [
+        cancellation(1),
+        cancellation(4),
+        failure,
+        job_item(1, 10),
+        job_item(2, 11),
+        job_item(3, 12),
+    ];
+    let record = |id, phase, run_base| {
+        let mut progress = Progress {
+            run_base,
+            ..Progress::default()
+        };
+        progress.set_phase(phase);
+        let key = keys::progress("poa", JobId(id));
+        item(key, progress.encode_to_vec(), 16)
+    };
+    let progress = [
+        record(3, Phase::Live, 5),
+        record(4, Phase::Cancelled, 0),
+        record(5, Phase::Live, 0),
+    ];
+    let mut stored = StoredJobs::default();
+    for page in inbox.chunks(2) {
+        stored.add_inbox(page);
+    }
+    for page in progress.chunks(2) {
+        stored.add_progress(page);
+    }
+    let jobs: Vec<(JobId, StoredJob)> = stored.into_jobs().collect();
+    let ids: Vec<u64> = jobs.iter().map(|(id, _)| id.0).collect();
+    assert_eq!(
+        ids,
+        [1, 2, 3, 4],
+        "a live job without a specification is none"
+    );
+    assert_eq!(
+        [0, 1, 2].map(|index: usize| jobs[index].1.cancelled),
+        [true, false, false]
+    );
+    assert!(jobs[1].1.delegates_failed);
+    assert!(jobs[..3].iter().all(|(_, job)| job.spec.is_some()));
+    assert_eq!(
+        jobs[2]
+            .1
+            .progress
+            .as_ref()
+            .map(|progress| progress.run_base),
+        Some(5)
+    );
+    assert_eq!(
+        jobs[3].1.progress.as_ref().map(Progress::phase),
+        Some(Phase::Cancelled)
+    );
+}
