Count jobs that are not due yet as without a server if they are

What callers saw: nothing yet; found by reading. Jobs that are due in a year, with a label that no server has, took their place outside the share for such jobs. Cause: the owner looked at the steps of opened occurrences only, and such a job has none. Change: while occurrences are still to be opened, all steps count as left. Jobs without times have one occurrence, which is opened on arrival, so that nothing changes for them.

--- a/crates/fleet/src/open_tasks.rs
+++ b/crates/fleet/src/open_tasks.rs
@@ -5,7 +5,7 @@
 use crate::footprint::JobSize;
 use crate::intake::{Load, service_of};
 use crate::job::JobSpec;
-use crate::shard::{Job, Shard, TaskRef};
+use crate::shard::{Job, Shard, TaskRef, to_u32};
 
 /// Queues whose open work is reported. A further queue has less than a sixteenth of all, far below the bound of a queue.
 pub const QUEUES_REPORTED_MAX: usize = 16;
@@ -268,9 +268,11 @@
     /// Whether some server of a load could run each step that is not done.
     fn is_served_by(&self, load: &Load) -> bool {
         let service = self.queue.service.as_str();
+        let has_unopened = to_u32(self.occurrences.len()) < self.spec.occurrences();
         for (index, step) in self.spec.steps.iter().enumerate() {
-            let mut occurrences = self.occurrences.iter();
-            let is_left = occurrences.any(|occurrence| occurrence.steps[index].remaining > 0);
+            let mut opened = self.occurrences.iter();
+            let is_left =
+                has_unopened || opened.any(|occurrence| occurrence.steps[index].remaining > 0);
             if is_left && !load.could_run(service, step) {
                 return false;
             }
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -6,10 +6,11 @@
 use primrosestack_fleet::admission::{Limit, Refusal, ShardState, admit};
 use primrosestack_fleet::footprint::{JobSize, job_bytes};
 use primrosestack_fleet::intake::Load;
-use primrosestack_fleet::job::{JobSpec, StepSpec};
+use primrosestack_fleet::job::{JobId, JobSpec, StepSpec};
 use primrosestack_fleet::open_tasks::{
     OpenTasks, OpenTasksView, QUEUES_REPORTED_MAX, RECEIVED_WITHIN_MS, ShardLimits,
 };
+use primrosestack_fleet::record::StoredJob;
 use test_case::test_case;
 
 const LIMITS: ShardLimits = ShardLimits {
@@ -224,3 +225,25 @@
     let open = harness.load().open_tasks.expect("a report");
     assert_eq!(open.unserved_tasks, 103);
 }
+
+/// Guards against jobs that are due much later, and that no known server could run then, outside the share.
+#[test]
+fn a_job_that_is_not_due_counts_as_one_without_a_server() {
+    let mut harness = Harness::open(&["one"]);
+    let spec = JobSpec {
+        steps: vec![labelled("b")],
+        repetitions: 1,
+        first_due_unix_ms: u64::MAX,
+        ..job(0, 1)
+    };
+    let stored = StoredJob {
+        spec: Some(spec),
+        created_revision: 200,
+        ..StoredJob::default()
+    };
+    harness.shard.add_job(JobId(1), stored, harness.now_ms);
+    let open = harness.load().open_tasks.expect("a report");
+    assert_eq!((open.total, open.unserved_tasks), (0, 0));
+    assert!(open.bytes > 0);
+    assert_eq!(open.unserved_bytes, open.bytes);
+}
