Read the jobs of a shard in a module of its own

Cause: the inbox decodes entries; merging pages into jobs, and counting them, is another job, and its file had doubled. No behaviour changed.

--- a/src/daemon/lookup.rs
+++ b/src/daemon/lookup.rs
@@ -9,11 +9,11 @@
 use smol_str::SmolStr;
 
 use crate::daemon::clock::now_ms;
-use crate::daemon::inbox::QueuedJobs;
 use crate::daemon::keys;
 use crate::daemon::node::Node;
 use crate::daemon::owner::status_of;
 use crate::daemon::peers::PeerRequest;
+use crate::daemon::stored_jobs::QueuedJobs;
 use crate::logs::Line;
 
 /// Home shard of a job, from the cache or the store; `Ok(None)` if the job does not exist.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,6 +28,7 @@
 mod scrape;
 pub mod services;
 pub mod settings;
+pub mod stored_jobs;
 mod succession;
 
 use std::rc::Rc;
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -16,11 +16,12 @@
 use tokio::sync::Notify;
 
 use crate::daemon::clock::{now_ms, unix_ms};
-use crate::daemon::inbox::{StoredJobs, decode_or_log};
+use crate::daemon::inbox::decode_or_log;
 use crate::daemon::keys;
 use crate::daemon::node::Node;
 use crate::daemon::peers::PeerRequest;
 use crate::daemon::services::spawn_for_shard;
+use crate::daemon::stored_jobs::StoredJobs;
 use crate::daemon::{election, journal, operator, rehoming};
 use crate::logs::Line;
 
--- a/tests/inbox.rs
+++ b/tests/inbox.rs
@@ -1,7 +1,8 @@
 //! Decoding of a shard's inbox in the store.
 
-use primrosestack::daemon::inbox::{self, InboxUpdate, QueuedJobs, StoredJobs};
+use primrosestack::daemon::inbox::{self, InboxUpdate};
 use primrosestack::daemon::keys;
+use primrosestack::daemon::stored_jobs::{QueuedJobs, StoredJobs};
 use primrosestack_fleet::job::{JobId, JobSpec};
 use primrosestack_fleet::record::{Phase, Progress, StoredJob, Term, Transfer};
 use primrosestack_platform::store::Item;
