Add amounts of other hosts without overflow

What callers saw: nothing yet; found by reading. A load of another host with amounts near the largest number ends a process that checks overflows, and lets everything in elsewhere. Cause: sums of reported amounts and of a job could wrap. Change: they saturate, at acceptance and for moves and delegation. Evidence and why it works: the case "a report of more than can be" of the_bytes_of_jobs_are_bounded; a saturated sum is over each limit. Result: the case failed before in a debug build (attempt to add with overflow), and passes.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -81,8 +81,8 @@
 /// Whether an amount would exceed a maximum, or that of its queue. A queue has at most half, so that its callers cannot shut
 /// out those of the others; a job may have more than that if its queue has nothing, or if the shard has nothing at all.
 fn exceeds(added: u64, of_queue: u64, total: u64, max: u64) -> bool {
-    let is_within_share = of_queue == 0 || of_queue + added <= max / 2;
-    total > 0 && (total + added > max || !is_within_share)
+    let is_within_share = of_queue == 0 || of_queue.saturating_add(added) <= max / 2;
+    total > 0 && (total.saturating_add(added) > max || !is_within_share)
 }
 
 /// Checks whether a shard may get a job. `own_limits` apply if the owner does not tell its limits.
@@ -120,7 +120,7 @@
         (Limit::UnservedBytes, bytes, own.bytes, all.bytes),
     ] {
         let max = limit.max(limits);
-        // Also a single job over the share waits at its caller until there is a server for it.
+        // A single job over the share is refused too: its caller waits until there is a server for it.
         if added > max || exceeds(added, of_queue, total, max) {
             return Err(limit);
         }
--- a/crates/fleet/src/open_tasks.rs
+++ b/crates/fleet/src/open_tasks.rs
@@ -144,17 +144,28 @@
             index
         });
         let of_queue = &mut self.queues[index];
-        self.total += size.tasks;
-        self.bytes += size.bytes;
-        of_queue.tasks += size.tasks;
-        of_queue.bytes += size.bytes;
+        // The amounts come from other hosts.
+        let sums = [
+            (&mut self.total, size.tasks),
+            (&mut self.bytes, size.bytes),
+            (&mut of_queue.tasks, size.tasks),
+            (&mut of_queue.bytes, size.bytes),
+        ];
+        for (sum, added) in sums {
+            *sum = sum.saturating_add(added);
+        }
         if is_served {
             return;
         }
-        self.unserved_tasks += size.tasks;
-        self.unserved_bytes += size.bytes;
-        of_queue.unserved_tasks += size.tasks;
-        of_queue.unserved_bytes += size.bytes;
+        let sums = [
+            (&mut self.unserved_tasks, size.tasks),
+            (&mut self.unserved_bytes, size.bytes),
+            (&mut of_queue.unserved_tasks, size.tasks),
+            (&mut of_queue.unserved_bytes, size.bytes),
+        ];
+        for (sum, added) in sums {
+            *sum = sum.saturating_add(added);
+        }
     }
 
     /// Keeps the queues with the most open work.
@@ -239,8 +250,9 @@
             return true;
         };
         let JobSize { tasks, bytes } = JobSize::of(job);
-        open.total + tasks <= limits.open_tasks_max && open.bytes + bytes <= limits.job_bytes_max
-            || open.total == 0
+        let has_task_room = open.total.saturating_add(tasks) <= limits.open_tasks_max;
+        let has_byte_room = open.bytes.saturating_add(bytes) <= limits.job_bytes_max;
+        open.total == 0 || has_task_room && has_byte_room
     }
 
     /// Counts a job that is sent to the shard.
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -135,6 +135,7 @@
 #[test_case(0, 46_000, None, Err(Limit::JobBytes); "no more than half for a queue")]
 #[test_case(1, 95_000, None, Ok(()); "beside another queue")]
 #[test_case(1, 96_000, None, Err(Limit::JobBytes); "a full shard")]
+#[test_case(1, u64::MAX, None, Err(Limit::JobBytes); "a report of more than can be")]
 #[test_case(1, 15_000, Some(20_000), Ok(()); "within the limits of the owner")]
 #[test_case(1, 16_000, Some(20_000), Err(Limit::JobBytes); "beyond the limits of the owner")]
 fn the_bytes_of_jobs_are_bounded(
