--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -322,7 +322,7 @@
 }
 
 /// Adds a label to a sorted list. Returns whether it was new.
-pub(crate) fn insert_label(labels: &mut Vec<String>, label: &str) -> bool {
+fn insert_label(labels: &mut Vec<String>, label: &str) -> bool {
     let found = labels.binary_search_by(|known| known.as_str().cmp(label));
     let Err(position) = found else { return false };
     labels.insert(position, label.to_owned());
