Keep a job that was cancelled before its acceptance from being accepted

Cause: a cancellation that finds no home wrote nothing, and an acceptance is conditional on there being no home. The store may carry a write out seconds after its answer was lost, and a host may still be trying.

Evidence: the test a_cancelled_job_is_not_accepted_later delays the acceptance in the store.

Change: the cancellation writes a tombstone in the place of the home, on the condition that acceptances have. One of the two writes fails in whatever order they are carried out, to whichever home the acceptance goes. A submission that meets a tombstone gets a 503 with Retry-After. The owner removes tombstones after Bounds::tombstone_ms; hosts try to store a job for 30 s at most.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::intake::{Load, choose_home};
 use crate::job::JobSpec;
 use crate::open_tasks::{OpenTasks, ShardLimits, is_served, queue_of};
+use crate::tombstones::TOMBSTONES_MAX;
 
 /// A limit of a shard that a job would exceed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +86,13 @@
     total > 0 && (total.saturating_add(added) > max || !is_within_share)
 }
 
+/// Whether a shard may get another tombstone from callers of a queue.
+#[must_use]
+pub fn admits_tombstone(open: &OpenTasks, queue: &str) -> bool {
+    let of_queue = open.of_queue(queue).tombstones;
+    !exceeds(1, of_queue, open.tombstones, TOMBSTONES_MAX)
+}
+
 /// Checks whether a shard may get a job. `own_limits` apply if the owner does not tell its limits.
 ///
 /// # Errors
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -37,7 +37,24 @@
 /// Allowance for the transit time of a request and for reading clocks.
 pub const CLOCK_SLACK_MS: u64 = 300;
 
+/// Longest time for which a host tries to have a job stored, whatever deadline its caller gives.
+pub const ACCEPTANCE_MAX_MS: u64 = 30_000;
+
+/// Longest time after which the store may carry out a write that got no answer. The platform says "seconds".
+const LATE_WRITE_MAX_MS: u64 = 12_000;
+
+/// Time within which callers repeat a submission by mistake. The platform says "seconds".
+const LATE_REPEAT_MAX_MS: u64 = 12_000;
+
 impl Bounds {
+    /// Time for which a tombstone is kept: no acceptance of its job can come later. It is not shorter than the status of an ended
+    /// job can be queried.
+    #[must_use]
+    pub fn tombstone_ms(&self) -> u64 {
+        let late_ms = ACCEPTANCE_MAX_MS + LATE_WRITE_MAX_MS + LATE_REPEAT_MAX_MS;
+        self.retention_ms.max(late_ms)
+    }
+
     /// Lease that a poll grants, on the server's clock.
     #[must_use]
     pub fn lease_ms(&self) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod suspension;
 pub mod task;
 pub mod throttle;
+pub mod tombstones;
 pub mod transfer;
 pub mod urgency;
 pub mod vacate;
--- a/crates/fleet/src/open_tasks.rs
+++ b/crates/fleet/src/open_tasks.rs
@@ -34,6 +34,9 @@
     /// Part of `bytes` of these jobs.
     #[prost(uint64, tag = "5")]
     pub unserved_bytes: u64,
+    /// Tombstones, if there are many of them.
+    #[prost(uint64, tag = "6")]
+    pub tombstones: u64,
 }
 
 /// What a shard may hold, by the memory of its owner.
@@ -77,6 +80,9 @@
     /// Limits of the owner; `None` from owners of earlier versions.
     #[prost(message, optional, tag = "8")]
     pub limits: Option<ShardLimits>,
+    /// Tombstones that the owner has to remove.
+    #[prost(uint64, tag = "9")]
+    pub tombstones: u64,
 }
 
 impl QueueTasks {
@@ -133,16 +139,29 @@
         }
     }
 
-    /// Adds a job, or what is left of it.
-    pub fn add(&mut self, queue: &str, size: JobSize, is_served: bool) {
-        let index = self.find(queue).unwrap_or_else(|index| {
+    fn queue_index(&mut self, queue: &str) -> usize {
+        self.find(queue).unwrap_or_else(|index| {
             let queue = QueueTasks {
                 queue: queue.to_owned(),
                 ..QueueTasks::default()
             };
             self.queues.insert(index, queue);
             index
-        });
+        })
+    }
+
+    /// Sets the number of tombstones in all, and those of the queues with many of them.
+    pub fn set_tombstones(&mut self, total: u64, queues: &[(SmolStr, u64)]) {
+        self.tombstones = total;
+        for (queue, tombstones) in queues {
+            let index = self.queue_index(queue);
+            self.queues[index].tombstones = *tombstones;
+        }
+    }
+
+    /// Adds a job, or what is left of it.
+    pub fn add(&mut self, queue: &str, size: JobSize, is_served: bool) {
+        let index = self.queue_index(queue);
         let of_queue = &mut self.queues[index];
         // The amounts come from other hosts.
         let sums = [
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -194,9 +194,12 @@
 /// Home shard of a job.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Home {
-    /// Failure domain of the home shard.
+    /// Failure domain of the home shard; of a tombstone, the shard that removes it.
     #[prost(string, tag = "1")]
     pub failure_domain: String,
+    /// Whether the job was cancelled before it was accepted. It has no home then, and gets none while the record exists.
+    #[prost(bool, tag = "2")]
+    pub tombstone: bool,
 }
 
 /// Error for a stored value that cannot be decoded.
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -8,8 +8,9 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
+use primrosestack_fleet::bounds::ACCEPTANCE_MAX_MS;
 use primrosestack_fleet::prelude::*;
-use primrosestack_fleet::record::{self, Home, StoredJob};
+use primrosestack_fleet::record::{self, Home};
 use primrosestack_platform::callers;
 use primrosestack_platform::catalog::Configuration;
 use primrosestack_platform::store::{StoreFailure, Transaction};
@@ -24,9 +25,9 @@
 use crate::daemon::ingress::limiter::{Connection, Limiter};
 use crate::daemon::ingress::limits::{self, Limits};
 use crate::daemon::keys;
-use crate::daemon::lookup::{count_queued_jobs, find_status, read_delegates, read_home};
+use crate::daemon::lookup::{count_queued_jobs, find_status};
 use crate::daemon::node::Node;
-use crate::daemon::refusal;
+use crate::daemon::{cancellation, refusal, tombstones};
 use crate::logs::Line;
 
 /// Applies to requests without a deadline header.
@@ -35,7 +36,7 @@
 /// Subtracted from the caller's deadline: a round trip to callers.
 const RESPONSE_MARGIN_MS: u64 = 60;
 
-const RETRY_DELAY_MS: u64 = 100;
+pub(super) const RETRY_DELAY_MS: u64 = 100;
 
 /// `Retry-After` while the store is unavailable; by then, this host has called the store again.
 pub(super) const RETRY_AFTER_S: u64 = 1;
@@ -209,8 +210,10 @@
     let wait_ms = wait_ms
         .and_then(|value| value.parse().ok())
         .unwrap_or(DEFAULT_DEADLINE_MS);
-    let deadline =
-        Instant::now() + Duration::from_millis(wait_ms.saturating_sub(RESPONSE_MARGIN_MS));
+    let wait_ms = wait_ms
+        .min(ACCEPTANCE_MAX_MS)
+        .saturating_sub(RESPONSE_MARGIN_MS);
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
     let reply = match method {
         Method::POST => {
             let body_max_bytes = configuration.body_max_bytes;
@@ -221,7 +224,7 @@
             }
         }
         Method::GET => return job_status(node, id).await,
-        Method::DELETE => cancel(node, id, deadline).await,
+        Method::DELETE => cancellation::cancel(node, id, queue, deadline).await,
         _ => empty_reply(StatusCode::METHOD_NOT_ALLOWED),
     };
     let line = Line::info("request_answered")
@@ -330,9 +333,13 @@
             }
             Err(StoreFailure::Conflict { items }) => {
                 for item in &items {
-                    if let Ok(home) = record::decode::<Home>(&item.key, &item.value) {
-                        node.cache_home(id, &home.failure_domain.into());
+                    let Ok(home) = record::decode::<Home>(&item.key, &item.value) else {
+                        continue;
+                    };
+                    if home.tombstone {
+                        return tombstones::refuse_job(node, id);
                     }
+                    node.cache_home(id, &home.failure_domain.into());
                 }
                 Line::info("job_known").with("job", id).write();
                 return empty_reply(StatusCode::OK);
@@ -356,6 +363,7 @@
 fn acceptance_of(id: JobId, job: &JobSpec, home: &SmolStr) -> Transaction {
     let record = Home {
         failure_domain: home.to_string(),
+        ..Home::default()
     };
     Transaction::default()
         .expect_revision(keys::home(id), 0)
@@ -381,59 +389,3 @@
         }
     }
 }
-
-/// Cancels a job in its home shard and in those that run delegated tasks of it.
-pub async fn cancel(node: &Rc<Node>, id: JobId, deadline: Instant) -> Reply {
-    loop {
-        let result = tokio::time::timeout_at(deadline, write_cancellation(node, id)).await;
-        let result = result.unwrap_or(Err(StoreFailure::NoAnswer));
-        match result {
-            Ok(None) => return empty_reply(StatusCode::GONE),
-            Ok(Some((home, revision))) => {
-                Line::info("job_cancelled")
-                    .with("job", id)
-                    .with("shard", &home)
-                    .with("revision", revision)
-                    .write();
-                if let Some(owned) = node.owned_shard(&home) {
-                    let stored = StoredJob {
-                        cancelled: true,
-                        created_revision: revision,
-                        ..StoredJob::default()
-                    };
-                    owned.receive_job(id, stored);
-                }
-                return empty_reply(StatusCode::OK);
-            }
-            Err(failure) => {
-                if Instant::now() + Duration::from_millis(RETRY_DELAY_MS) >= deadline {
-                    let line = Line::info("job_not_cancelled").with("job", id);
-                    node.failure_lines.write(|| line.with_reason(failure));
-                    return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
-                }
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
-    }
-}
-
-/// Writes a cancellation for the home shard, which may have no owner at present that would tell the delegates, and for
-/// these. Returns the home shard and the revision; `Ok(None)` if the job does not exist. The owner of the home shard may move
-/// the job meanwhile, so the write is conditional on the home.
-async fn write_cancellation(
-    node: &Node,
-    id: JobId,
-) -> Result<Option<(SmolStr, u64)>, StoreFailure> {
-    let Some((home, home_revision)) = read_home(node, id).await? else {
-        return Ok(None);
-    };
-    let mut transaction = Transaction::default()
-        .expect_revision(keys::home(id), home_revision)
-        .put(keys::cancellation(&home, id), Vec::new());
-    for delegate in read_delegates(node, &home, id).await? {
-        transaction = transaction.put(keys::cancellation(&delegate, id), Vec::new());
-    }
-    let result = node.store.commit(&transaction).await;
-    node.record_store_call("cancel_job", &result);
-    Ok(Some((home, result?)))
-}
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -11,6 +11,7 @@
 use crate::daemon::inbox::{self, InboxReader, InboxUpdate};
 use crate::daemon::keys;
 use crate::daemon::owner::OwnedShard;
+use crate::daemon::tombstones;
 use crate::logs::Line;
 
 /// Bounds the time until a dead connection is noticed.
@@ -60,6 +61,7 @@
             Change::Removed { .. } => None,
         };
         let items: Vec<Item> = page.rows.into_iter().filter_map(written).collect();
+        tombstones::add_from_inbox(&mut self.tombstones.borrow_mut(), &items);
         let update = inbox::decode_update(&items, self.leadership.term);
         drop(items);
         self.apply(update);
@@ -68,7 +70,10 @@
 
     pub(super) async fn list_inbox(self: &Rc<Self>, prefix: &str) -> Result<(), StoreFailure> {
         let mut reader = InboxReader::open(self.leadership.term);
-        let pages = self.node.store.list_pages(prefix, |rows| reader.add(&rows));
+        let pages = self.node.store.list_pages(prefix, |rows| {
+            tombstones::add_from_inbox(&mut self.tombstones.borrow_mut(), &rows);
+            reader.add(&rows);
+        });
         let result = pages.await;
         self.node.record_page("list_inbox", &result);
         self.inbox_revision.set(result?.revision);
--- a/src/daemon/inbox.rs
+++ b/src/daemon/inbox.rs
@@ -91,7 +91,7 @@
     }
 }
 
-/// Decodes an inbox entry about a job; `None` for a change of owner and for an invalid key.
+/// Decodes an inbox entry about a job; `None` for a tombstone, a change of owner and an invalid key.
 pub(crate) fn decode_stored_job(item: &Item) -> Option<(JobId, StoredJob)> {
     let mut stored = StoredJob {
         created_revision: item.created_revision,
@@ -122,7 +122,7 @@
             stored.delegates_failed = true;
             id
         }
-        InboxKey::Term => return None,
+        InboxKey::Tombstone(_) | InboxKey::Term => return None,
     };
     Some((id, stored))
 }
--- a/src/daemon/keys.rs
+++ b/src/daemon/keys.rs
@@ -42,6 +42,12 @@
     format_smolstr!("primrose/inbox/{failure_domain}/cancel/{id}")
 }
 
+/// A tombstone that the owner of a shard has to remove; the value names the queue. The job's home is the tombstone itself.
+#[must_use]
+pub fn tombstone(failure_domain: &str, id: JobId) -> SmolStr {
+    format_smolstr!("primrose/inbox/{failure_domain}/tombstone/{id}")
+}
+
 /// Failure of a job's delegated tasks, in the inbox of its home shard.
 #[must_use]
 pub fn failure(failure_domain: &str, id: JobId) -> SmolStr {
@@ -91,6 +97,8 @@
     Job(JobId),
     /// Cancellation of a job.
     Cancellation(JobId),
+    /// Cancellation of a job that was not accepted before.
+    Tombstone(JobId),
     /// Failure of a job's delegated tasks.
     Failure(JobId),
     /// A job with tasks that its home shard delegated to this shard.
@@ -113,6 +121,7 @@
     match kind {
         "job" => Some(InboxKey::Job(id)),
         "cancel" => Some(InboxKey::Cancellation(id)),
+        "tombstone" => Some(InboxKey::Tombstone(id)),
         "failed" => Some(InboxKey::Failure(id)),
         "guest" => Some(InboxKey::DelegatedJob(id)),
         "part" => Some(InboxKey::Transfer(id)),
@@ -125,7 +134,7 @@
     #[must_use]
     pub fn processing_order(self) -> u8 {
         match self {
-            Self::Job(_) | Self::DelegatedJob(_) | Self::Term => 0,
+            Self::Job(_) | Self::DelegatedJob(_) | Self::Tombstone(_) | Self::Term => 0,
             Self::Transfer(_) => 1,
             Self::Cancellation(_) | Self::Failure(_) => 2,
         }
--- a/src/daemon/lookup.rs
+++ b/src/daemon/lookup.rs
@@ -30,17 +30,38 @@
     node: &Node,
     id: JobId,
 ) -> Result<Option<(SmolStr, u64)>, StoreFailure> {
+    Ok(match read_residence(node, id).await? {
+        Residence::Home(home, revision) => Some((home, revision)),
+        Residence::Tombstone | Residence::Absent => None,
+    })
+}
+
+/// What the store has in the place of a job's home.
+pub(super) enum Residence {
+    /// The home shard, and the revision of its record.
+    Home(SmolStr, u64),
+    /// The job was cancelled before it was accepted.
+    Tombstone,
+    Absent,
+}
+
+pub(super) async fn read_residence(node: &Node, id: JobId) -> Result<Residence, StoreFailure> {
     let key = keys::home(id);
     let result = node.store.read(&key).await;
     node.record_store_call("read_home", &result);
-    let Some(item) = result? else { return Ok(None) };
+    let Some(item) = result? else {
+        return Ok(Residence::Absent);
+    };
     let Ok(home) = record::decode::<Home>(&key, &item.value) else {
         return Err(StoreFailure::Malformed { status: 200 });
     };
-    let home = SmolStr::from(home.failure_domain);
     node.forget_home(id);
-    node.cache_home(id, &home);
-    Ok(Some((home, item.revision)))
+    if home.tombstone {
+        return Ok(Residence::Tombstone);
+    }
+    let failure_domain = SmolStr::from(home.failure_domain);
+    node.cache_home(id, &failure_domain);
+    Ok(Residence::Home(failure_domain, item.revision))
 }
 
 /// Status of a job; `Ok(None)` if it does not exist. A cached home that does not know the job may have been left by it.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 //! All services run on one thread, since hosts have a tenth of a core and decisions take microseconds. They share
 //! [`node::Node`].
 
+pub mod cancellation;
 pub mod clock;
 mod departure;
 pub mod election;
@@ -30,6 +31,7 @@
 pub mod settings;
 pub mod stored_jobs;
 mod succession;
+pub mod tombstones;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -13,6 +13,7 @@
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::Owner;
 use primrosestack_fleet::store_health::{Availability, StoreHealth};
+use primrosestack_fleet::tombstones::WritePace;
 use primrosestack_platform::catalog::Configuration;
 use primrosestack_platform::http::HttpClient;
 use primrosestack_platform::servers::ServerClient;
@@ -90,6 +91,8 @@
     /// it reads all records of a shard.
     pub count_attempt: Mutex<Option<(u64, StoreFailure)>>,
     pub odd_entries: OddEntries,
+    /// Spaces the writes of tombstones.
+    pub tombstone_pace: Cell<WritePace>,
     /// Limits of the shards that this host owns, and of others whose owners do not tell theirs.
     pub shard_limits: ShardLimits,
     store_health: Cell<StoreHealth>,
@@ -157,6 +160,7 @@
             failure_lines: LineLimit::default(),
             count_attempt: Mutex::default(),
             odd_entries: OddEntries::default(),
+            tombstone_pace: Cell::default(),
             store_health: Cell::new(StoreHealth::default()),
             settings,
         }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -9,6 +9,7 @@
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{self, ServerSet, StoredJob, Term, TermOwner};
 use primrosestack_fleet::shard::JobStatus;
+use primrosestack_fleet::tombstones::Tombstones;
 use primrosestack_platform::catalog::{Configuration, SERVERS_PREFIX};
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
 use prost::Message;
@@ -22,7 +23,7 @@
 use crate::daemon::peers::PeerRequest;
 use crate::daemon::services::spawn_for_shard;
 use crate::daemon::stored_jobs::StoredJobs;
-use crate::daemon::{election, journal, operator, rehoming};
+use crate::daemon::{election, journal, operator, rehoming, tombstones};
 use crate::logs::Line;
 
 /// Interval of time-dependent checks.
@@ -51,6 +52,8 @@
     pub leadership: Leadership,
     /// Scheduler of the shard.
     pub shard: RefCell<Shard>,
+    /// Tombstones in the inbox.
+    pub tombstones: RefCell<Tombstones>,
     /// Wakes the task that writes records.
     pub records_due: Notify,
     /// Wakes tasks that wait for records to be written.
@@ -108,10 +111,14 @@
             None => ServerSet::default(),
         };
         let mut stored_jobs = StoredJobs::default();
+        let mut tombstones = Tombstones::default();
         let inbox_prefix = keys::inbox_prefix(&failure_domain);
         let inbox = node
             .store
-            .list_pages(&inbox_prefix, |rows| stored_jobs.add_inbox(&rows))
+            .list_pages(&inbox_prefix, |rows| {
+                tombstones::add_from_inbox(&mut tombstones, &rows);
+                stored_jobs.add_inbox(&rows);
+            })
             .await?;
         let progress_prefix = keys::progress_prefix(&failure_domain);
         let progress = node
@@ -165,6 +172,7 @@
             failure_domain,
             leadership,
             shard: RefCell::new(shard),
+            tombstones: RefCell::new(tombstones),
             records_due: Notify::new(),
             recorded: Notify::new(),
             closed: Cell::new(false),
@@ -313,8 +321,13 @@
             return report.clone();
         }
         let shard = self.shard.borrow();
+        let mut load = shard.load_summary(now);
+        let tombstones = self.tombstones.borrow();
+        if !tombstones.is_empty() {
+            tombstones.report(load.open_tasks.get_or_insert_default());
+        }
         let report = LoadReport {
-            load: shard.load_summary(now),
+            load,
             queued: shard.queued_jobs(),
             age_ms: 0,
         };
@@ -462,6 +475,7 @@
     );
     spawn_for_shard(owned, "records", journal::run(Rc::clone(owned)));
     spawn_for_shard(owned, "moves", rehoming::run(Rc::clone(owned)));
+    spawn_for_shard(owned, "tombstones", tombstones::run(Rc::clone(owned)));
 }
 
 pub async fn release_all(node: &Rc<Node>) {
--- a/src/daemon/rehoming.rs
+++ b/src/daemon/rehoming.rs
@@ -208,6 +208,7 @@
     let to = job_move.failure_domain.as_str();
     let home = Home {
         failure_domain: to.to_owned(),
+        ..Home::default()
     };
     let spec: &JobSpec = &job_move.spec;
     Transaction::default()
--- a/tests/callers_site/mod.rs
+++ b/tests/callers_site/mod.rs
@@ -352,7 +352,7 @@
 }
 
 /// Status of the answer to a request; `None` if the connection was closed.
-async fn request(stream: &mut TcpStream, method: &str, path: &str, body: &str) -> Option<u16> {
+pub async fn request(stream: &mut TcpStream, method: &str, path: &str, body: &str) -> Option<u16> {
     let length = body.len();
     let text = format!(
         "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {length}\r\n\r\n{body}"
--- a/tests/cancellation.rs
+++ b/tests/cancellation.rs
@@ -9,7 +9,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use daemon_fake::owned_shard_at;
-use primrosestack::daemon::entry;
+use primrosestack::daemon::cancellation;
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{Home, Progress};
 use prost::Message;
@@ -24,6 +24,7 @@
 fn read_value(request: &str) -> Option<Vec<u8>> {
     let home = Home {
         failure_domain: "cxs".into(),
+        ..Home::default()
     };
     let progress = Progress {
         delegate_domains: vec!["pel".into()],
@@ -75,7 +76,7 @@
         tokio::task::spawn_local(serve_store(listener, Rc::clone(&writes)));
         let (node, _owned) = owned_shard_at(&address).await;
         let deadline = Instant::now() + Duration::from_secs(10);
-        let reply = entry::cancel(&node, JOB, deadline).await;
+        let reply = cancellation::cancel(&node, JOB, &Queue::default(), deadline).await;
         assert!(reply.status().is_success());
         let writes = writes.borrow();
         let cancellation = writes.last().expect("the cancellation is written");
--- /dev/null
+++ b/tests/late_acceptances.rs
@@ -0,0 +1,181 @@
+//! Cancellations of jobs whose acceptance the store has not carried out yet.
+
+mod daemon_fake;
+mod store_fake;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daemon_fake::{LEADERSHIP, owned_shard_at};
+use primrosestack::daemon::clock::now_ms;
+use primrosestack::daemon::entry;
+use primrosestack::daemon::ingress::limits::{CallerLimits, HostSize, Limits};
+use primrosestack::daemon::node::Node;
+use primrosestack::daemon::owner::OwnedShard;
+use primrosestack::daemon::{keys, tombstones};
+use primrosestack_fleet::prelude::*;
+use primrosestack_fleet::record::Term;
+use primrosestack_fleet::tombstones::{Tombstone, Tombstones};
+use primrosestack_platform::catalog::decode_configuration;
+use prost::Message;
+use store_fake::{Contents, serve_store};
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+const LOOPBACK: &str = "127.0.0.1:0";
+
+const JOB: JobId = JobId(0xaa);
+
+const CONFIGURATION: &[u8] = br#"{"version":3,"routes":[{"name":"r1","host":"h","prefix":"/a/","service":"s"}],"services":[{"name":"s"}]}"#;
+
+const BODY: &str = r#"{"spec":"do","steps":[{"count":1,"cpu":100,"memMb":100}]}"#;
+
+struct Setup {
+    contents: Rc<RefCell<Contents>>,
+    node: Rc<Node>,
+    owned: Rc<OwnedShard>,
+    address: String,
+}
+
+async fn setup() -> Setup {
+    let store = TcpListener::bind(LOOPBACK).await.expect("a port");
+    let store_address = store.local_addr().expect("an address").to_string();
+    let contents = Rc::new(RefCell::new(Contents::default()));
+    let term = Term {
+        number: LEADERSHIP.term,
+        ..Term::default()
+    };
+    contents.borrow_mut().revision = LEADERSHIP.start_revision - 1;
+    contents
+        .borrow_mut()
+        .put(&keys::term("poa"), term.encode_to_vec());
+    tokio::task::spawn_local(serve_store(store, Rc::clone(&contents)));
+    let (node, owned) = owned_shard_at(&store_address).await;
+    let configuration = decode_configuration(CONFIGURATION).expect("a configuration");
+    *node.configuration.borrow_mut() = Some(Rc::new(configuration));
+    let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let host = HostSize::from_settings(0, 0);
+    let limits = Limits::for_callers(&CallerLimits::default(), host);
+    tokio::task::spawn_local(entry::serve(Rc::clone(&node), listener, limits));
+    Setup {
+        contents,
+        node,
+        owned,
+        address,
+    }
+}
+
+/// Head of the answer to a request for a job, in lower case.
+async fn call(address: &str, method: &str, job: JobId, deadline_ms: u64, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    let length = body.len();
+    let request = format!(
+        "{method} /a/{job} HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-primrosestack-deadline-ms: {deadline_ms}\r\ncontent-length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    answer.to_lowercase()
+}
+
+fn status(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).expect("a status");
+    status.parse().expect("a number")
+}
+
+/// Guards against a job that is cancelled before the store carries out its acceptance, and is stored and started after that.
+#[test_case(400, Duration::from_millis(600); "whose host has given up")]
+#[test_case(3_000, Duration::ZERO; "whose host tries again after the cancellation")]
+#[tokio::test]
+async fn a_cancelled_job_is_not_accepted_later(deadline_ms: u64, cancelled_after: Duration) {
+    let run = async {
+        let setup = setup().await;
+        setup.contents.borrow_mut().delays_acceptances = true;
+        let address = setup.address.clone();
+        let submission = tokio::task::spawn_local(async move {
+            call(&address, "POST", JOB, deadline_ms, BODY).await
+        });
+        let is_delayed = || !setup.contents.borrow().delayed.is_empty();
+        while !is_delayed() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(cancelled_after).await;
+        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
+        assert_eq!(status(&answer), 410, "{answer}");
+        setup.contents.borrow_mut().delays_acceptances = false;
+        let statuses = setup.contents.borrow_mut().carry_out_delayed();
+        assert!(statuses.iter().all(|&status| status == 412), "{statuses:?}");
+        let submitted = submission.await.expect("an answer");
+        assert!([503, 504].contains(&status(&submitted)), "{submitted}");
+        let job_key = keys::job("poa", JOB);
+        let is_stored = |contents: &Contents| contents.items.contains_key(job_key.as_str());
+        assert!(!is_stored(&setup.contents.borrow()));
+
+        let answer = call(&setup.address, "GET", JOB, 3_000, "").await;
+        assert_eq!(status(&answer), 410, "{answer}");
+        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
+        assert_eq!(status(&answer), 410, "{answer}");
+        let repeated = call(&setup.address, "POST", JOB, 3_000, BODY).await;
+        assert_eq!(status(&repeated), 503, "{repeated}");
+        assert!(repeated.contains("retry-after: "), "{repeated}");
+        assert!(!is_stored(&setup.contents.borrow()));
+        assert!(setup.owned.shard.borrow().find_job(JOB).is_none());
+        assert!(setup.node.cached_home(JOB).is_none());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// What the owner knows of the tombstones of its shard, after it has read its inbox.
+async fn due_tombstones(setup: &Setup) -> Vec<Tombstone> {
+    let mut tombstones = Tombstones::default();
+    let items = setup.node.store.list("primrose/inbox/poa/tombstone/").await;
+    for item in items.expect("a list").rows {
+        tombstones.add(JOB, item.revision, "r1", 0);
+    }
+    *setup.owned.tombstones.borrow_mut() = tombstones.clone();
+    tombstones.due(10, 0, 0)
+}
+
+/// Guards against tombstones that stay in the store for ever, and against a removal that is tried again and takes the home of a
+/// job which was accepted in between.
+#[tokio::test]
+async fn a_tombstone_is_removed_but_not_the_home_of_a_later_job() {
+    let run = async {
+        let setup = setup().await;
+        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
+        assert_eq!(status(&answer), 410, "{answer}");
+        let due = due_tombstones(&setup).await;
+        assert_eq!(due.len(), 1);
+        let removed = tombstones::remove(&setup.owned, &due).await;
+        assert_eq!(removed, Ok(()));
+        let answer = call(&setup.address, "POST", JOB, 3_000, BODY).await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        let removed = tombstones::remove(&setup.owned, &due).await;
+        assert_eq!(removed, Ok(()));
+        let contents = setup.contents.borrow();
+        assert!(contents.items.contains_key(keys::home(JOB).as_str()));
+        assert!(contents.items.contains_key(keys::job("poa", JOB).as_str()));
+        let tombstone = keys::tombstone("poa", JOB);
+        assert!(!contents.items.contains_key(tombstone.as_str()));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against an owner that does not know the tombstones which were written before its term.
+#[tokio::test]
+async fn an_owner_finds_the_tombstones_of_its_predecessor() {
+    let run = async {
+        let setup = setup().await;
+        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
+        assert_eq!(status(&answer), 410, "{answer}");
+        let successor = daemon_fake::open_shard(&setup.node).await;
+        let tombstones = successor.tombstones.borrow();
+        let due = tombstones.due(10, 0, now_ms());
+        assert_eq!(due.iter().map(|row| row.id).collect::<Vec<_>>(), [JOB]);
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/tests/rehoming.rs
+++ b/tests/rehoming.rs
@@ -12,7 +12,7 @@
 use primrosestack::daemon::clock::now_ms;
 use primrosestack::daemon::node::Node;
 use primrosestack::daemon::owner::OwnedShard;
-use primrosestack::daemon::{entry, keys, rehoming};
+use primrosestack::daemon::{cancellation, entry, keys, rehoming};
 use primrosestack_fleet::intake::{FreeCapacity, Load};
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::{Home, Phase, Progress, StoredJob, TaskRecord, Term};
@@ -50,6 +50,7 @@
 fn home_in(failure_domain: &str) -> Vec<u8> {
     let home = Home {
         failure_domain: failure_domain.to_owned(),
+        ..Home::default()
     };
     home.encode_to_vec()
 }
@@ -413,7 +414,7 @@
         let setup = setup().await;
         move_behind_the_cache(&setup);
         let deadline = Instant::now() + Duration::from_secs(10);
-        let reply = entry::cancel(&setup.node, JOB, deadline).await;
+        let reply = cancellation::cancel(&setup.node, JOB, &Queue::default(), deadline).await;
         assert!(reply.status().is_success(), "{}", reply.status());
         let contents = setup.contents.borrow();
         let is_written = |domain| {
--- a/tests/store_fake/mod.rs
+++ b/tests/store_fake/mod.rs
@@ -21,6 +21,10 @@
     pub items: BTreeMap<String, (Vec<u8>, u64)>,
     /// Number of transactions that are carried out without an answer.
     pub answers_lost: u32,
+    /// Whether transactions that accept jobs are neither answered nor carried out before [`Contents::carry_out_delayed`].
+    pub delays_acceptances: bool,
+    /// Such transactions.
+    pub delayed: Vec<Value>,
     /// Number of transactions that were carried out.
     pub commits: u32,
     /// Changes with their revisions, oldest first, as far as watches can still get them.
@@ -105,10 +109,20 @@
         (200, json!({"revision": self.revision}))
     }
 
+    /// Carries out the transactions that were delayed. Returns the statuses, which nobody gets.
+    pub fn carry_out_delayed(&mut self) -> Vec<u16> {
+        let delayed = std::mem::take(&mut self.delayed);
+        delayed.iter().map(|body| self.commit(body).0).collect()
+    }
+
     /// Status and body of the answer to a request; `None` for none.
     fn answer(&mut self, head: &str, body: &[u8]) -> Option<(u16, Value)> {
         if head.starts_with("POST") {
-            let body = serde_json::from_slice(body).expect("a transaction");
+            let body: Value = serde_json::from_slice(body).expect("a transaction");
+            if self.delays_acceptances && body.to_string().contains("/job/") {
+                self.delayed.push(body);
+                return None;
+            }
             let answer = self.commit(&body);
             if self.answers_lost > 0 {
                 self.answers_lost -= 1;
