Search all failure domains for servers that an advisor allows

Cause: an answer without an allowed server counted as a full home. The job moved to the failure domain with the most free CPU, whatever the advisor says there, and nothing of the answers was kept. Long-running tasks were passed on in the same way.

Change: a step keeps what the advisor has answered; only tickets are renewed. Owners look for servers on behalf of each other, with the loads that they request in any case. A job moves, and a task is delegated, only to a failure domain that has found room on allowed servers, so that nothing goes to and fro. Servers are reserved for overdue long-running tasks only where the advisor allows them.

Where the test harness collected no calls of the advisor it now does.

--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -91,6 +91,8 @@
         task: TaskId,
         /// Names of the candidate servers.
         servers: Vec<SmolStr>,
+        /// Time after which the answer is no longer waited for.
+        timeout_ms: u64,
     },
     /// Log a scheduling decision.
     Log(Decision),
--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -135,7 +135,7 @@
         for task_ref in self.ready.iter().copied().chain(moving) {
             if self.jobs.contains_key(task_ref.job) && self.can_be_stopped_for_delegation(task_ref)
             {
-                self.take_room(task_ref, &mut others);
+                self.take_room(task_ref, &mut others, now_ms);
             }
         }
         let mut budget = self.is_evacuated().then(|| self.stop_budget(now_ms));
@@ -151,7 +151,7 @@
             if is_allowed
                 && self.jobs[task_ref.job].is_live()
                 && self.can_be_stopped_for_delegation(task_ref)
-                && self.take_room(task_ref, &mut others).is_some()
+                && self.take_room(task_ref, &mut others, now_ms).is_some()
             {
                 if let Some(budget) = &mut budget {
                     budget.take(self, task_ref, now_ms);
@@ -170,6 +170,23 @@
         step.can_be_delegated() && !step.gang
     }
 
+    /// Chooses the shard that has found the most room on servers that the advisor allows. Returns its failure domain.
+    fn take_advised_room(
+        &self,
+        task_ref: TaskRef,
+        others: &mut [(SmolStr, Load)],
+        now_ms: u64,
+    ) -> Option<SmolStr> {
+        let able = others.iter_mut().filter(|(domain, load)| {
+            self.may_delegate_to(task_ref, domain, load)
+                && self.is_advised(task_ref, domain, now_ms)
+        });
+        let (domain, load) =
+            able.max_by_key(|(domain, _)| self.advised_room(task_ref, domain, now_ms))?;
+        self.count_delegated(task_ref, domain, load);
+        Some(domain.clone())
+    }
+
     /// Takes room for all members of a gang from the reported capacity of another shard, the one with the most. Returns its
     /// failure domain.
     fn take_gang_room(&self, task_ref: TaskRef, others: &mut [(SmolStr, Load)]) -> Option<SmolStr> {
@@ -197,7 +214,12 @@
         &self,
         task_ref: TaskRef,
         others: &mut [(SmolStr, Load)],
+        now_ms: u64,
     ) -> Option<SmolStr> {
+        // Other shards look for servers only for waiting steps.
+        if self.has_advisor(task_ref) && self.task(task_ref).runs.is_empty() {
+            return self.take_advised_room(task_ref, others, now_ms);
+        }
         if self.step_spec(task_ref).gang {
             return self.take_gang_room(task_ref, others);
         }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -185,6 +185,9 @@
     /// Whether servers reject tasks that do not fit.
     #[prost(bool, tag = "8")]
     pub servers_check_capacity: bool,
+    /// Further time of the advisor for each server that a call names.
+    #[prost(uint32, tag = "9")]
+    pub advisor_period_ms: u32,
 }
 
 /// A job as it was accepted.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,8 @@
 mod abandoned_starts;
 pub mod action;
 pub mod admission;
+pub mod advice;
+pub mod advice_queries;
 mod arrival;
 pub mod bounds;
 pub mod claim;
--- a/crates/fleet/src/need.rs
+++ b/crates/fleet/src/need.rs
@@ -36,6 +36,30 @@
         }
     }
 
+    /// The need of all tasks of a step, also if they need not start together.
+    pub(crate) fn of_all(queue: &Queue, step: &StepSpec) -> Self {
+        Self {
+            tasks: step.tasks,
+            max_per_server: step.max_per_server,
+            ..Self::of(queue, step)
+        }
+    }
+
+    /// How many tasks fit into the free capacity of a server of this shard.
+    pub(crate) fn count_free_on(&self, server: &Server) -> u32 {
+        let has_label = self.label.is_empty() || server.has_label(&self.label);
+        if !has_label || server.entry.service != self.service {
+            return 0;
+        }
+        // The headroom for best-effort tasks is known once one is to be placed.
+        let cpu_millis = if self.best_effort {
+            server.entry.cpu_millis
+        } else {
+            server.cpu_free_millis()
+        };
+        self.count_in(cpu_millis, server.memory_free_mb(), server.gpus_free())
+    }
+
     /// The same need with idle CPU also for best-effort tasks.
     pub(crate) fn with_idle_cpu(self) -> Self {
         Self {
--- a/crates/fleet/src/overdue.rs
+++ b/crates/fleet/src/overdue.rs
@@ -77,6 +77,9 @@
                 continue;
             }
             let free = server.cpu_free_millis();
+            if self.has_advisor(task_ref) && !self.step_state(task_ref).advice.is_allowed(key) {
+                continue;
+            }
             let is_freer = freest.is_none_or(|(most, _)| free > most);
             if is_freer && self.would_fit_without_short_tasks(task_ref, key) {
                 freest = Some((free, key));
@@ -86,6 +89,19 @@
         (reserved < usable / SERVERS_PER_RESERVATION).then_some(server)
     }
 
+    /// Whether a server could be reserved for a task if the advisor allowed it.
+    pub(crate) fn could_be_reserved(&self, task_ref: TaskRef, key: ServerKey, now_ms: u64) -> bool {
+        let waited_ms = now_ms.saturating_sub(self.task(task_ref).ready_since_ms);
+        let spec = self.step_spec(task_ref);
+        let server = &self.servers[key];
+        waited_ms >= RESERVE_AFTER_MS
+            && spec.long_running
+            && !spec.best_effort
+            && server.is_usable(now_ms)
+            && server.entry.service == self.jobs[task_ref.job].queue.service
+            && self.would_fit_without_short_tasks(task_ref, key)
+    }
+
     fn would_fit_without_short_tasks(&self, task_ref: TaskRef, key: ServerKey) -> bool {
         let spec = self.step_spec(task_ref);
         let server = &self.servers[key];
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -95,6 +95,16 @@
 
     /// Whether a server may run a task now, headroom of best-effort tasks aside.
     pub(crate) fn fits(&self, task_ref: TaskRef, key: ServerKey, now_ms: u64) -> bool {
+        self.has_ticket(task_ref, key, now_ms) && self.fits_without_ticket(task_ref, key, now_ms)
+    }
+
+    /// The same whatever the advisor allows.
+    pub(crate) fn fits_without_ticket(
+        &self,
+        task_ref: TaskRef,
+        key: ServerKey,
+        now_ms: u64,
+    ) -> bool {
         let server = &self.servers[key];
         let job = &self.jobs[task_ref.job];
         let spec = &job.spec.steps[task_ref.step as usize];
@@ -132,9 +142,6 @@
         if task.avoids_servers(now_ms) && task.avoided_servers.contains(&key) {
             return false;
         }
-        if !self.has_ticket(task_ref, key, now_ms) {
-            return false;
-        }
         if spec.max_per_server == 0 {
             return true;
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -5,9 +5,8 @@
 
 use smol_str::SmolStr;
 
-use crate::action::Action;
 use crate::bounds::Bounds;
-use crate::job::{StepSpec, TaskId};
+use crate::job::StepSpec;
 use crate::place::Choice;
 use crate::shard::{JobKey, ServerKey, Shard, TaskRef};
 use crate::task::Move;
@@ -31,12 +30,6 @@
 /// Unanswered start requests per server; more would wait in the queue of calls.
 const UNANSWERED_STARTS_MAX: usize = 6;
 
-/// Time without an answer after which the advisor is asked again.
-const ADVISOR_RETRY_MS: u64 = 3_000;
-
-/// Servers per advisor query; the advisor decides slowly, one server after the other.
-const ADVISOR_SERVERS_MAX: usize = 24;
-
 /// Waiting tasks per millisecond of plan interval; sorting and placing that many takes some tenths of a millisecond on
 /// the larger hosts.
 const TASKS_PER_PLAN_INTERVAL_MS: usize = 50;
@@ -75,7 +68,11 @@
             self.sort_ready(unix_ms, now_ms);
             return;
         }
-        if are_registrations_outdated || is_evacuation_outdated || self.ready.is_empty() {
+        if are_registrations_outdated || is_evacuation_outdated {
+            return;
+        }
+        if self.ready.is_empty() {
+            self.ask_advisor(now_ms);
             return;
         }
         self.sort_ready(unix_ms, now_ms);
@@ -96,7 +93,7 @@
                 unplaced.push(task_ref);
                 continue;
             }
-            if !self.ensure_tickets(task_ref, now_ms) {
+            if !self.has_any_ticket(task_ref, now_ms) {
                 blocked_steps.insert(step_key);
                 unplaced.push(task_ref);
                 continue;
@@ -126,6 +123,7 @@
         self.release_reservations(reservations);
         unplaced.retain(|&task_ref| self.is_startable(task_ref));
         self.ready.extend(unplaced);
+        self.ask_advisor(now_ms);
     }
 
     fn is_startable(&self, task_ref: TaskRef) -> bool {
@@ -309,80 +307,6 @@
         racks.into_iter().map(Some).collect()
     }
 
-    /// Asks the advisor for tickets if the queue has one and no valid tickets are stored. Returns whether the task may
-    /// be placed now.
-    fn ensure_tickets(&mut self, task_ref: TaskRef, now_ms: u64) -> bool {
-        if self.jobs[task_ref.job].queue.advisor_decision_ms == 0 {
-            return true;
-        }
-        let usable: Vec<SmolStr> = self
-            .servers
-            .values()
-            .filter(|server| {
-                server.is_usable(now_ms)
-                    && server.entry.service == self.jobs[task_ref.job].queue.service
-            })
-            .map(|server| server.entry.name.clone())
-            .collect();
-        let task = self.task_id(task_ref);
-        let step = &mut self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
-            [task_ref.step as usize];
-        if now_ms < step.tickets_expire_ms {
-            return true;
-        }
-        if step
-            .tickets_requested_ms
-            .is_some_and(|tickets_requested_ms| now_ms < tickets_requested_ms + ADVISOR_RETRY_MS)
-        {
-            return false;
-        }
-        step.tickets_requested_ms = Some(now_ms);
-        let offset = usable.len().min(task_ref.index as usize);
-        let servers = usable
-            .iter()
-            .cycle()
-            .skip(offset)
-            .take(ADVISOR_SERVERS_MAX.min(usable.len()))
-            .cloned()
-            .collect();
-        self.actions.push(Action::Advise { task, servers });
-        false
-    }
-
-    /// Sets the advisor's tickets for a step, valid for `valid_ms` from now.
-    pub fn set_tickets(
-        &mut self,
-        task: TaskId,
-        mut tickets: Vec<(SmolStr, SmolStr)>,
-        valid_ms: u64,
-        now_ms: u64,
-    ) {
-        let Some(task_ref) = self.find_task(task) else {
-            return;
-        };
-        tickets.sort();
-        let step = &mut self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
-            [task_ref.step as usize];
-        step.tickets = tickets;
-        step.tickets_expire_ms = now_ms + valid_ms;
-        step.tickets_requested_ms = None;
-    }
-
-    /// Whether the advisor allows the step to run on the server.
-    pub(crate) fn has_ticket(&self, task_ref: TaskRef, key: ServerKey, now_ms: u64) -> bool {
-        let job = &self.jobs[task_ref.job];
-        if job.queue.advisor_decision_ms == 0 {
-            return true;
-        }
-        let step = &job.occurrences[task_ref.occurrence as usize].steps[task_ref.step as usize];
-        let name = &self.servers[key].entry.name;
-        now_ms < step.tickets_expire_ms
-            && step
-                .tickets
-                .binary_search_by(|(server_name, _)| server_name.cmp(name))
-                .is_ok()
-    }
-
     /// Runs timer-driven work.
     pub fn tick(&mut self, now_ms: u64) {
         let awaited_confirmation = mem::take(&mut self.awaits_confirmation);
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -70,6 +70,8 @@
     Unserved,
     /// Its home has had no room for a waiting step.
     Full,
+    /// The advisor allows no server of its home to run a waiting step.
+    Denied,
     /// Its home is evacuated.
     Evacuated,
 }
@@ -229,9 +231,9 @@
                 }
             }
             let found = if reason == MoveReason::Evacuated {
-                self.least_loaded_elsewhere(task_ref, others)
+                self.least_loaded_elsewhere(task_ref, others, now_ms)
             } else {
-                self.find_room_elsewhere(task_ref, reason, others)
+                self.find_room_elsewhere(task_ref, reason, others, now_ms)
             };
             let Some(index) = found else {
                 continue;
@@ -261,20 +263,22 @@
         task_ref: TaskRef,
         reason: MoveReason,
         others: &[(SmolStr, Load)],
+        now_ms: u64,
     ) -> Option<usize> {
         let service = self.jobs[task_ref.job].queue.service.as_str();
         let step = self.step_spec(task_ref);
         let need = self.need_of(task_ref);
         let mut best: Option<(usize, u32)> = None;
-        for (index, (_, load)) in others.iter().enumerate() {
-            let count = need.count_free(load);
+        for (index, (domain, load)) in others.iter().enumerate() {
+            let advised = self.advised_room(task_ref, domain, now_ms);
+            let count = advised.unwrap_or_else(|| need.count_free(load));
             if count < need.tasks || best.is_some_and(|(_, most)| count < most) {
                 continue;
             }
             if !load.has_room_for(&self.jobs[task_ref.job].spec) {
                 continue;
             }
-            if reason == MoveReason::Unserved || load.covers(service, step, need.tasks) {
+            if reason != MoveReason::Full || load.covers(service, step, need.tasks) {
                 best = Some((index, count));
             }
         }
@@ -286,9 +290,16 @@
         &self,
         task_ref: TaskRef,
         others: &[(SmolStr, Load)],
+        now_ms: u64,
     ) -> Option<usize> {
         let job = &self.jobs[task_ref.job];
         let step = self.step_spec(task_ref);
+        let is_advised = |(domain, _): &(SmolStr, Load)| {
+            self.has_advisor(task_ref) && self.is_advised(task_ref, domain, now_ms)
+        };
+        if let Some(index) = others.iter().position(is_advised) {
+            return Some(index);
+        }
         let serves_step = |load: &Load| {
             load.serves_label(&job.queue.service, &step.label) && load.has_room_for(&job.spec)
         };
@@ -334,6 +345,9 @@
         if !self.settled {
             return None;
         }
+        if self.is_denied_here(task_ref, now_ms) && !self.step_spec(task_ref).can_be_delegated() {
+            return Some(MoveReason::Denied);
+        }
         let need = self.need_of(task_ref);
         let found = self
             .unserved
@@ -350,9 +364,8 @@
     fn waits_for_room(&self, task_ref: TaskRef, now_ms: u64) -> bool {
         let job = &self.jobs[task_ref.job];
         let step = &job.occurrences[task_ref.occurrence as usize].steps[task_ref.step as usize];
-        let is_placeable = job.queue.advisor_decision_ms == 0 || now_ms < step.tickets_expire_ms;
         let queued_ms = step.tasks[task_ref.index as usize].queued_ms;
-        is_placeable
+        (!self.has_advisor(task_ref) || step.advice.needs_others())
             && !self.registrations_outdated
             && !self.evacuation.is_outdated
             && !self.step_spec(task_ref).can_be_delegated()
@@ -381,6 +394,7 @@
             ("waiting", self.ready.len() as u64),
             ("unserved", u64::from(reason == MoveReason::Unserved)),
             ("evacuated", u64::from(reason == MoveReason::Evacuated)),
+            ("denied", u64::from(reason == MoveReason::Denied)),
         ];
         self.log_decision("job_moves", Some(task_ref), None, inputs);
         job_move
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -76,19 +76,13 @@
         }
         self.task_mut(task_ref).moved = Move::None;
         let state = &self.servers[server];
-        let tickets = &self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize].steps
-            [task_ref.step as usize]
-            .tickets;
-        let ticket = tickets.binary_search_by(|(name, _)| name.cmp(&state.entry.name));
-        let ticket = ticket
-            .map(|position| tickets[position].1.clone())
-            .unwrap_or_default();
+        let ticket = self.ticket(task_ref, server, now_ms).cloned();
         let request = StartRequest {
             task: self.task_id(task_ref),
             run: number,
             command: self.jobs[task_ref.job].spec.command.as_str().into(),
             checkpoint: self.task(task_ref).checkpoint.clone(),
-            ticket,
+            ticket: ticket.unwrap_or_default(),
             lease_end_ms: OfIncarnation::new(state.incarnation(), lease_end_ms),
             send_by_ms: self
                 .registrations_valid_until_ms()
@@ -258,9 +252,7 @@
                 self.abandon_start(task_ref, server, request.run, now_ms);
             }
             StartReply::NoTicket => {
-                let step = &mut self.jobs[task_ref.job].occurrences[task_ref.occurrence as usize]
-                    .steps[task_ref.step as usize];
-                step.tickets_expire_ms = 0;
+                self.advice_mut(task_ref).expire_ticket(server);
                 self.abandon_start(task_ref, server, request.run, now_ms);
             }
             StartReply::Stale | StartReply::Late => {
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -7,6 +7,7 @@
 
 use crate::abandoned_starts::AbandonedStart;
 use crate::action::{Action, Decision};
+use crate::advice::{AdvisorCalls, StepAdvice};
 use crate::bounds::Bounds;
 use crate::crash_rate::UnexplainedLosses;
 use crate::crashes::LapsedServer;
@@ -48,12 +49,7 @@
     /// Number of tasks that are not done.
     pub remaining: u32,
     pub tasks: Vec<Task>,
-    /// Tickets of the advisor as pairs of server and ticket, sorted by server.
-    pub tickets: Vec<(SmolStr, SmolStr)>,
-    /// When the tickets expire.
-    pub tickets_expire_ms: u64,
-    /// When the advisor was last asked; `None` after its answer.
-    pub tickets_requested_ms: Option<u64>,
+    pub advice: StepAdvice,
 }
 
 /// One repetition of a job's steps.
@@ -254,6 +250,7 @@
     pub(crate) unserved_as_of_ms: u64,
     /// Number of waiting steps in the full home that recent passes have found no room elsewhere for.
     pub(crate) full_examined: usize,
+    pub(crate) advisor: AdvisorCalls,
     /// Jobs that moved to other shards lately, sorted.
     pub(crate) moved_jobs: Vec<MovedJob>,
     /// Servers that lapsed and left the registrations with runs that may have crashed them, oldest first.
@@ -319,6 +316,7 @@
             unserved: Vec::new(),
             unserved_as_of_ms: 0,
             full_examined: 0,
+            advisor: AdvisorCalls::default(),
             moved_jobs: Vec::new(),
             lapsed_servers: Vec::new(),
             abandoned_starts: Vec::new(),
--- a/crates/fleet/src/transfer.rs
+++ b/crates/fleet/src/transfer.rs
@@ -53,9 +53,10 @@
             if !is_ready || job.outbound_transfers.len() >= UNRECORDED_TRANSFERS_MAX {
                 continue;
             }
-            let Some(domain) = self.take_room(task_ref, others) else {
+            let Some(domain) = self.take_room(task_ref, others, now_ms) else {
                 continue;
             };
+            self.use_advised_room(&members, &domain);
             self.delegate_to(&members, domain, now_ms);
             count += members.len();
         }
@@ -70,7 +71,7 @@
         let task = self.task(task_ref);
         let delegate_after_ms = match task.moved {
             Move::None if self.is_evacuated() && job.is_delegated => DELEGATE_AGAIN_AFTER_MS,
-            _ if self.is_evacuated() => 0,
+            _ if self.is_evacuated() || self.is_denied_here(task_ref, now_ms) => 0,
             Move::None => DELEGATE_AFTER_MS,
             Move::Reserved | Move::Unreserved => DELEGATE_MOVED_AFTER_MS,
         };
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use primrosestack_fleet::record::{ServerSet, StoredJob};
 use primrosestack_fleet::report::{EndKind, Report, RunEnd, RunStatus, ServerEntry};
 use primrosestack_fleet::shard::{ServerKey, Shard};
+use smol_str::SmolStr;
 
 /// Time at which every test begins.
 pub const START_MS: u64 = 1_000_000;
@@ -46,6 +47,7 @@
         stretch_factor: 2.0,
         target_ms: 1_000,
         advisor_decision_ms: 0,
+        advisor_period_ms: 0,
         servers_check_capacity: true,
     }
 }
@@ -108,6 +110,8 @@
     pub starts: Vec<(ServerKey, StartRequest)>,
     pub stops: Vec<(ServerKey, TaskId, u32)>,
     pub rates: Vec<(ServerKey, TaskId, u32, u32)>,
+    /// Calls to the advisor: any task of the step, and the servers.
+    pub advice_calls: Vec<(TaskId, Vec<SmolStr>)>,
 }
 
 impl Harness {
@@ -155,6 +159,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             rates: Vec::new(),
+            advice_calls: Vec::new(),
         }
     }
 
@@ -333,7 +338,8 @@
                     run,
                     percent,
                 } => self.rates.push((server, task, run, percent)),
-                Action::Advise { .. } | Action::Log(_) => {}
+                Action::Advise { task, servers, .. } => self.advice_calls.push((task, servers)),
+                Action::Log(_) => {}
             }
         }
     }
--- a/crates/standin/src/emulator/schedule.rs
+++ b/crates/standin/src/emulator/schedule.rs
@@ -65,6 +65,7 @@
             stretch_factor: 2.0,
             target_ms: 1_000,
             advisor_decision_ms: 0,
+            advisor_period_ms: 0,
             servers_check_capacity: true,
         }),
         ..JobSpec::default()
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 //! All services run on one thread, since hosts have a tenth of a core and decisions take microseconds. They share
 //! [`node::Node`].
 
+mod advice;
 pub mod cancellation;
 pub mod clock;
 mod departure;
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -8,6 +8,7 @@
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::server::Server;
 use primrosestack_platform::servers::{Poll, PollReply, Target};
+use smol_str::SmolStr;
 
 use crate::daemon::clock::{now_ms, unix_ms};
 use crate::daemon::owner::OwnedShard;
@@ -101,32 +102,37 @@
                         .write();
                 });
             }
-            Action::Advise { task, servers } => {
+            Action::Advise {
+                task,
+                servers,
+                timeout_ms,
+            } => {
                 spawn_for_shard(self, "advice", async move {
-                    if owned.is_evacuated() {
-                        return;
-                    }
-                    let address = owned.node.settings.advisor_address.clone();
-                    let Some((permitted, valid_ms)) =
-                        owned.node.servers.advise(&address, task, &servers).await
-                    else {
-                        Line::info("advice_missing")
-                            .with("task", task)
-                            .with("servers", servers.len())
-                            .write();
-                        return;
-                    };
-                    owned
-                        .shard
-                        .borrow_mut()
-                        .set_tickets(task, permitted, valid_ms, now_ms());
-                    owned.plan_and_execute();
+                    owned.ask_advisor(task, &servers, timeout_ms).await;
                 });
             }
             Action::Log(decision) => self.log_decision(decision),
         }
     }
 
+    /// Asks the advisor which servers may run the step of a task.
+    async fn ask_advisor(self: &Rc<Self>, task: TaskId, servers: &[SmolStr], timeout_ms: u64) {
+        let address = &self.node.settings.advisor_address;
+        let call = self.node.servers.advise(address, task, servers, timeout_ms);
+        if let Some((permitted, valid_ms)) = call.await {
+            self.shard
+                .borrow_mut()
+                .set_tickets(task, &permitted, valid_ms, now_ms());
+        } else {
+            Line::info("advice_missing")
+                .with("task", task)
+                .with("servers", servers.len())
+                .write();
+            self.shard.borrow_mut().advice_failed(task, now_ms());
+        }
+        self.plan_and_execute();
+    }
+
     /// Counts and logs a decision of the shard.
     fn log_decision(&self, decision: Decision) {
         let metrics = &self.node.metrics;
--- a/src/daemon/peer_messages.rs
+++ b/src/daemon/peer_messages.rs
@@ -1,5 +1,6 @@
 //! Messages between entry hosts.
 
+use primrosestack_fleet::advice_queries::{AdviceAnswer, AdviceQuery};
 use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::intake::Load;
 use primrosestack_fleet::shard::JobStatus;
@@ -31,6 +32,9 @@
     /// Term whose handover is requested; 0 for the term before `successor_term`, without [`Handover::unopened`].
     #[prost(uint64, tag = "8")]
     pub handover_term: u64,
+    /// Steps for which the owner should look for servers that the advisor allows.
+    #[prost(message, repeated, tag = "9")]
+    pub advice_queries: Vec<AdviceQuery>,
 }
 
 /// Status of a job in a reply.
@@ -97,6 +101,9 @@
     /// Loads of the other shards, if the request asks for them.
     #[prost(message, repeated, tag = "7")]
     pub other_shards: Vec<RelayedLoad>,
+    /// What the owner has found for the steps of the request.
+    #[prost(message, repeated, tag = "8")]
+    pub advice_answers: Vec<AdviceAnswer>,
 }
 
 impl JobStatusCode {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use futures_util::{SinkExt, StreamExt};
+use primrosestack_fleet::advice_queries::AdviceQuery;
 use primrosestack_fleet::handover::Handover;
 use primrosestack_fleet::load_views::{LoadQuery, LoadReport};
 use primrosestack_fleet::prelude::JobId;
@@ -19,6 +20,7 @@
 use tokio::sync::Mutex;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::daemon::advice;
 use crate::daemon::clock::now_ms;
 use crate::daemon::ingress::limiter::{Limiter, Metered};
 use crate::daemon::ingress::limits::{HostSize, Limits};
@@ -260,6 +262,8 @@
         return reply;
     }
     let now = now_ms();
+    let queries = &request.advice_queries;
+    reply.advice_answers = owned.shard.borrow_mut().answer_advice_queries(queries, now);
     let report = owned.load_report(now);
     reply.queued = encode_queued(&report.queued);
     reply.load = Some(report.load);
@@ -324,8 +328,11 @@
 pub async fn poll_loads(node: Rc<Node>) {
     loop {
         let owned = refresh_owned_views(&node);
+        let advice = advice::take_queries(&node);
+        advice::ask_owned(&node, &advice);
         let queries = node.load_views.borrow().due_queries(&owned, now_ms());
-        join_all(queries.into_iter().map(|query| run_query(&node, query))).await;
+        let queries = queries.into_iter();
+        join_all(queries.map(|query| run_query(&node, query, &advice))).await;
         node.load_views.borrow_mut().expire(now_ms());
         tokio::time::sleep(Duration::from_millis(LOAD_POLL_INTERVAL_MS)).await;
     }
@@ -347,7 +354,7 @@
     owned
 }
 
-async fn run_query(node: &Rc<Node>, query: LoadQuery) {
+async fn run_query(node: &Rc<Node>, query: LoadQuery, advice: &[(SmolStr, AdviceQuery)]) {
     let (index, wants_interference, wants_all_shards) = match query {
         LoadQuery::Shard {
             index,
@@ -370,6 +377,7 @@
         cpu_millis: node.settings.cpu_millis,
         wants_interference,
         wants_all_shards,
+        advice_queries: advice.iter().map(|(_, query)| query.clone()).collect(),
         ..PeerRequest::default()
     };
     let reply = match node.peers.call(&address, &request).await {
@@ -385,6 +393,7 @@
         }
     };
     let now = now_ms();
+    advice::apply_answers(node, failure_domain, &reply.advice_answers);
     if let Some(mut load) = reply.load {
         let estimates = std::mem::take(&mut load.interference);
         let mut views = node.load_views.borrow_mut();
