Size calls of the advisor by the share of allowed servers

What callers see: with many steps at once on a queue with an advisor, each waits for the calls of those before it, which name 30 servers although a few would do.

Change: while other steps wait, a call names as few servers as are likely to be enough by the queue's share of allowed ones. Other failure domains search after 1 s if there are allowed servers in the own one, as long as the step waits, and renew no tickets. What a step keeps and the shares are modules of their own.

--- a/crates/fleet/src/advice.rs
+++ b/crates/fleet/src/advice.rs
@@ -11,9 +11,11 @@
 
 use crate::action::Action;
 use crate::advice_queries::Search;
+use crate::advice_share::Shares;
 use crate::job::{Queue, TaskId};
 use crate::server::CONTACT_TIMEOUT_MS;
 use crate::shard::{ServerKey, Shard, StepState, TaskRef};
+use crate::step_advice::StepAdvice;
 
 /// Servers that the first call for a step names; further calls name twice as many each.
 const FIRST_CALL_SERVERS: usize = 30;
@@ -43,144 +45,6 @@
 /// Steps that are examined for one call; examining one compares it with all servers.
 const EXAMINED_MAX: usize = 32;
 
-/// A server that the advisor allows.
-#[derive(Clone, Debug)]
-struct AllowedServer {
-    key: ServerKey,
-    ticket: SmolStr,
-    expires_ms: u64,
-}
-
-/// Room for tasks of a step in another shard, on servers that the advisor allows.
-#[derive(Clone, Debug)]
-struct OtherRoom {
-    failure_domain: SmolStr,
-    tasks: u32,
-    as_of_ms: u64,
-}
-
-/// What the advisor has answered for a step.
-#[derive(Clone, Debug, Default)]
-pub struct StepAdvice {
-    /// Servers that it was asked about, sorted.
-    asked: Vec<ServerKey>,
-    /// Those that it allows, sorted.
-    allowed: Vec<AllowedServer>,
-    /// Number of calls that it has answered.
-    answers: u32,
-    /// When it was last asked; 0 for never.
-    asked_ms: u64,
-    /// Until when there is nothing to ask.
-    rests_until_ms: u64,
-    /// Whether it was asked about all servers that had room when the step was last examined.
-    is_exhausted: bool,
-    /// Sorted by failure domain.
-    other_room: Vec<OtherRoom>,
-    /// When other shards were last asked for room.
-    pub(crate) queried_ms: u64,
-}
-
-impl StepAdvice {
-    fn find_allowed(&self, key: ServerKey) -> Option<&AllowedServer> {
-        let found = self.allowed.binary_search_by_key(&key, |row| row.key);
-        Some(&self.allowed[found.ok()?])
-    }
-
-    pub(crate) fn has_asked(&self, key: ServerKey) -> bool {
-        self.asked.binary_search(&key).is_ok()
-    }
-
-    pub(crate) fn is_allowed(&self, key: ServerKey) -> bool {
-        self.find_allowed(key).is_some()
-    }
-
-    /// Whether the first call has found no server.
-    fn is_long(&self) -> bool {
-        self.answers > 0 && self.allowed.is_empty()
-    }
-
-    /// Whether nothing is known yet.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.asked.is_empty()
-    }
-
-    /// Whether the search here has begun without placing the step, so that other shards should look too.
-    pub(crate) fn needs_others(&self) -> bool {
-        self.answers > 0 || self.is_exhausted
-    }
-
-    fn ticket(&self, key: ServerKey, now_ms: u64) -> Option<&SmolStr> {
-        let row = self.find_allowed(key)?;
-        (now_ms < row.expires_ms).then_some(&row.ticket)
-    }
-
-    fn has_valid_ticket(&self, now_ms: u64) -> bool {
-        self.allowed.iter().any(|row| now_ms < row.expires_ms)
-    }
-
-    /// Adds the answer about some servers.
-    fn add(&mut self, servers: &[ServerKey], tickets: &[(ServerKey, SmolStr)], expires_ms: u64) {
-        self.answers += 1;
-        self.asked.extend(servers);
-        self.asked.sort_unstable();
-        self.asked.dedup();
-        for (key, ticket) in tickets {
-            let row = AllowedServer {
-                key: *key,
-                ticket: ticket.clone(),
-                expires_ms,
-            };
-            match self.allowed.binary_search_by_key(key, |known| known.key) {
-                Ok(index) => self.allowed[index] = row,
-                Err(index) => self.allowed.insert(index, row),
-            }
-        }
-    }
-
-    pub(crate) fn set_other_room(&mut self, failure_domain: &SmolStr, tasks: u32, now_ms: u64) {
-        let row = OtherRoom {
-            failure_domain: failure_domain.clone(),
-            tasks,
-            as_of_ms: now_ms,
-        };
-        let found = self
-            .other_room
-            .binary_search_by(|known| known.failure_domain.cmp(failure_domain));
-        match found {
-            Ok(index) => self.other_room[index] = row,
-            Err(index) => self.other_room.insert(index, row),
-        }
-    }
-
-    /// Room in another shard that is known for at most `age_max_ms`.
-    pub(crate) fn other_room(&self, failure_domain: &str, age_max_ms: u64, now_ms: u64) -> u32 {
-        let found = self
-            .other_room
-            .binary_search_by(|known| known.failure_domain.as_str().cmp(failure_domain));
-        let Ok(index) = found else { return 0 };
-        let known = &self.other_room[index];
-        if now_ms > known.as_of_ms + age_max_ms {
-            return 0;
-        }
-        known.tasks
-    }
-
-    /// Subtracts tasks that were sent to another shard.
-    pub(crate) fn take_other_room(&mut self, failure_domain: &str, tasks: u32) {
-        for known in &mut self.other_room {
-            if known.failure_domain == failure_domain {
-                known.tasks = known.tasks.saturating_sub(tasks);
-            }
-        }
-    }
-
-    pub(crate) fn expire_ticket(&mut self, key: ServerKey) {
-        if let Ok(index) = self.allowed.binary_search_by_key(&key, |row| row.key) {
-            self.allowed[index].expires_ms = 0;
-        }
-    }
-}
-
 /// Servers that the next call for a step names.
 fn call_size(queue: &Queue, answers: u32) -> usize {
     let grown = FIRST_CALL_SERVERS << answers.min(2);
@@ -193,6 +57,7 @@
 #[derive(Clone, Debug)]
 struct Call {
     task: TaskId,
+    queue: SmolStr,
     servers: Vec<ServerKey>,
     /// When the answer no longer counts.
     ends_ms: u64,
@@ -206,6 +71,7 @@
     failures: u32,
     /// Until when no other call is sent.
     retry_ms: u64,
+    shares: Shares,
     /// Calls since the last one for a long search.
     short_calls: u32,
     /// Searches on behalf of other shards, sorted by step.
@@ -260,8 +126,7 @@
         let advice = &self.step_state(task_ref).advice;
         let mut servers = self.servers.keys();
         self.has_advisor(task_ref)
-            && advice.is_exhausted
-            && advice.allowed.is_empty()
+            && advice.denies_all()
             && servers.all(|key| !self.could_serve(task_ref, key, now_ms) || advice.has_asked(key))
     }
 
@@ -288,20 +153,18 @@
         let is_turn_of_long = self.advisor.short_calls >= SHORT_CALLS_IN_TURN;
         let mut askers = self.waiting_askers(now_ms);
         askers.sort_by_key(|&(is_long, since_ms, _)| (is_long != is_turn_of_long, since_ms));
-        let is_shared = askers.iter().any(|&(is_long, _, _)| !is_long);
+        let is_shared = askers.len() > 1 && askers.iter().any(|&(is_long, _, _)| !is_long);
         for (is_long, _, asker) in askers.into_iter().take(EXAMINED_MAX) {
             let mut servers = self.servers_to_ask(asker, now_ms);
             if is_shared {
-                servers.truncate(FIRST_CALL_SERVERS);
+                servers.truncate(self.shared_call_size(asker));
             }
             let advice = self.advice_of_mut(asker);
             if servers.is_empty() {
-                advice.is_exhausted = true;
-                advice.rests_until_ms = now_ms + REST_MS;
+                advice.rest(now_ms + REST_MS);
                 continue;
             }
-            advice.is_exhausted = false;
-            advice.asked_ms = now_ms;
+            advice.begin_call(now_ms);
             self.advisor.short_calls = if is_long {
                 0
             } else {
@@ -334,13 +197,14 @@
             }
             self.adopt_search(task_ref);
             let advice = &self.step_state(task_ref).advice;
-            if now_ms >= advice.rests_until_ms {
+            if !advice.is_resting(now_ms) {
                 let since_ms = advice.asked_ms.max(self.task(task_ref).queued_ms);
                 askers.push((advice.is_long(), since_ms, Asker::Step(task_ref)));
             }
         }
         for (index, search) in self.advisor.searches.iter().enumerate() {
-            if now_ms >= search.advice.rests_until_ms && !self.has_found_enough(search, now_ms) {
+            let is_due = !search.advice.is_resting(now_ms) && search.is_active(now_ms);
+            if is_due && !self.has_found_enough(search, now_ms) {
                 let since_ms = search.advice.asked_ms.max(search.since_ms);
                 askers.push((search.advice.is_long(), since_ms, Asker::Search(index)));
             }
@@ -355,7 +219,7 @@
         }
     }
 
-    /// Servers with room whose tickets have expired, else servers about which the advisor was not asked and that have room, or
+    /// Servers with room whose tickets have expired, which the shard that searches for another does not need; else servers about which the advisor was not asked and that have room, or
     /// may get it for an overdue task; those that suit the step best first.
     fn servers_to_ask(&self, asker: Asker, now_ms: u64) -> Vec<ServerKey> {
         let (advice, queue, id) = match asker {
@@ -373,11 +237,9 @@
             Asker::Search(index) => self.room_on(&self.advisor.searches[index], key, now_ms) > 0,
         };
         let size = call_size(queue, advice.answers);
-        let expired = advice.allowed.iter().filter(|row| now_ms >= row.expires_ms);
-        let expired = expired.map(|row| row.key);
         let known = |key: &ServerKey| self.servers.contains_key(*key) && has_room(*key);
-        let refreshed: Vec<ServerKey> = expired.filter(known).take(size).collect();
-        if !refreshed.is_empty() {
+        let refreshed: Vec<ServerKey> = advice.expired(now_ms).filter(known).take(size).collect();
+        if matches!(asker, Asker::Step(_)) && !refreshed.is_empty() {
             return refreshed;
         }
         let may_get_room = |key: ServerKey| match asker {
@@ -410,6 +272,26 @@
         unasked
     }
 
+    /// Servers that a call names while other steps wait.
+    fn shared_call_size(&self, asker: Asker) -> usize {
+        let (advice, queue, tasks) = match asker {
+            Asker::Step(task_ref) => {
+                let queue = &self.jobs[task_ref.job].queue;
+                let advice = &self.step_state(task_ref).advice;
+                (advice, queue, self.step_spec(task_ref).tasks)
+            }
+            Asker::Search(index) => {
+                let search = &self.advisor.searches[index];
+                (&search.advice, &search.queue, search.wanted)
+            }
+        };
+        let share = self.advisor.shares.of_queue(&queue.name);
+        match share.filter(|_| !advice.is_long()) {
+            Some(share) => share.servers_for(tasks).min(FIRST_CALL_SERVERS),
+            None => FIRST_CALL_SERVERS,
+        }
+    }
+
     fn call_advisor(&mut self, asker: Asker, servers: Vec<ServerKey>, now_ms: u64) {
         let (task, queue) = match asker {
             Asker::Step(task_ref) => (self.task_id(task_ref), &self.jobs[task_ref.job].queue),
@@ -429,8 +311,10 @@
             servers: names.collect(),
             timeout_ms,
         });
+        let queue = SmolStr::new(&queue.name);
         self.advisor.under_way = Some(Call {
             task,
+            queue,
             servers,
             ends_ms: now_ms + timeout_ms + CALL_GRACE_MS,
         });
@@ -464,6 +348,8 @@
         }
         let expires_ms = now_ms + valid_ms - TICKET_TRANSIT_MS.min(valid_ms / 4);
         let task_ref = self.find_task(task);
+        let share = self.advisor.shares.of_queue_mut(&call.queue);
+        share.add(call.servers.len(), allowed.len());
         let advice = if let Some(task_ref) = task_ref {
             self.advice_mut(task_ref)
         } else if let Ok(index) = self.find_search(task) {
--- a/crates/fleet/src/advice_queries.rs
+++ b/crates/fleet/src/advice_queries.rs
@@ -8,10 +8,10 @@
 use smol_str::SmolStr;
 
 use crate::action::{Action, Decision};
-use crate::advice::StepAdvice;
 use crate::job::{JobId, Queue, StepSpec, TaskId};
 use crate::need::Need;
 use crate::shard::{ServerKey, Shard, TaskRef, to_u32};
+use crate::step_advice::StepAdvice;
 
 /// Steps for which one request asks; the next one asks for others.
 const QUERIES_MAX: usize = 8;
@@ -22,6 +22,9 @@
 /// Searches on behalf of other shards at a time.
 const SEARCHES_MAX: usize = 64;
 
+/// Time after the last request from which a search stands still. Owners ask several times in it, unless many steps wait.
+const ACTIVE_MS: u64 = 1_000;
+
 /// Time after the last request from which a search is forgotten. With many waiting steps, each is asked for only now and then.
 const SEARCH_KEPT_MS: u64 = 10_000;
 
@@ -65,12 +68,19 @@
     need: Need,
     /// Tasks for which room is looked for: all of a gang and of a long-running step, of which each task is delegated; one of
     /// others, whose job moves and goes on with the search.
-    wanted: u32,
+    pub wanted: u32,
     pub advice: StepAdvice,
     pub since_ms: u64,
     queried_ms: u64,
 }
 
+impl Search {
+    /// Whether the other shard has asked lately, so that the step still waits there.
+    pub(crate) fn is_active(&self, now_ms: u64) -> bool {
+        now_ms < self.queried_ms + ACTIVE_MS
+    }
+}
+
 impl AdviceQuery {
     fn task(&self) -> TaskId {
         TaskId {
@@ -115,7 +125,8 @@
                 continue;
             }
             let advice = &self.step_state(task_ref).advice;
-            if advice.needs_others() || self.is_evacuated() {
+            let waited_ms = now_ms.saturating_sub(self.task(task_ref).queued_ms);
+            if advice.needs_others(waited_ms) || self.is_evacuated() {
                 waiting.push((advice.queried_ms, task_ref));
             }
         }
--- a/crates/fleet/src/rehome.rs
+++ b/crates/fleet/src/rehome.rs
@@ -365,7 +365,7 @@
         let job = &self.jobs[task_ref.job];
         let step = &job.occurrences[task_ref.occurrence as usize].steps[task_ref.step as usize];
         let queued_ms = step.tasks[task_ref.index as usize].queued_ms;
-        (!self.has_advisor(task_ref) || step.advice.needs_others())
+        (!self.has_advisor(task_ref) || step.advice.has_begun())
             && !self.registrations_outdated
             && !self.evacuation.is_outdated
             && !self.step_spec(task_ref).can_be_delegated()
--- a/crates/fleet/src/shard.rs
+++ b/crates/fleet/src/shard.rs
@@ -7,7 +7,7 @@
 
 use crate::abandoned_starts::AbandonedStart;
 use crate::action::{Action, Decision};
-use crate::advice::{AdvisorCalls, StepAdvice};
+use crate::advice::AdvisorCalls;
 use crate::bounds::Bounds;
 use crate::crash_rate::UnexplainedLosses;
 use crate::crashes::LapsedServer;
@@ -21,6 +21,7 @@
 use crate::record::{Phase, ServerSet, Transfer};
 use crate::rehome::MovedJob;
 use crate::server::Server;
+use crate::step_advice::StepAdvice;
 use crate::task::Task;
 use crate::vacate::EvacuationState;
 
--- a/crates/fleet/tests/advice/main.rs
+++ b/crates/fleet/tests/advice/main.rs
@@ -141,6 +141,42 @@
     );
 }
 
+/// Guards against calls that name many servers although most are allowed, while other steps wait for theirs.
+#[test]
+fn many_steps_at_once_get_their_tickets_in_time() {
+    let mut fleet = Fleet::open(&[48, 48, 48], |_, name| name.as_bytes()[6] % 2 == 0);
+    for id in 0..25 {
+        fleet.submit(0, 7 + id, vec![step(1)]);
+    }
+    let waited_ms = fleet.run_until_started(25, FINISH_MS);
+    println!("waited_ms={waited_ms:?} calls={}", fleet.calls_answered);
+    assert!(
+        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
+        "{waited_ms:?}"
+    );
+}
+
+/// Guards against searches in other failure domains for a step whose own has servers for it that are merely busy, and that go on
+/// after the step has started.
+#[test]
+fn others_search_only_for_steps_that_need_them() {
+    let mut fleet = Fleet::open(&[16, 367, 367], |_, name| name == "s0-0003");
+    fleet.submit(0, 7, vec![step(17)]);
+    assert!(fleet.run_until_started(16, FINISH_MS).is_some());
+    let named = fleet.servers_named;
+    assert_eq!(fleet.run_until_started(17, 500), None);
+    assert_eq!(fleet.servers_named, named);
+    fleet.end_started();
+    assert!(fleet.run_until_started(17, FINISH_MS).is_some());
+    let named = fleet.servers_named;
+    assert_eq!(fleet.run_until_started(18, 5_000), None);
+    assert!(
+        fleet.servers_named <= named + 2 * 367,
+        "{}",
+        fleet.servers_named
+    );
+}
+
 /// Guards against calls that pile up at an advisor that refuses them, and against a search that ends with it.
 #[test]
 fn a_search_goes_on_when_the_advisor_answers_again() {
--- a/tests/peer_requests.rs
+++ b/tests/peer_requests.rs
@@ -1,5 +1,7 @@
 //! Frames between entry hosts: malformed ones, and requests that this host must not act on.
 
+mod daemon_fake;
+
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +13,8 @@
 use primrosestack::daemon::settings::DaemonSettings;
 use primrosestack::logs;
 use primrosestack::metrics::Metrics;
+use primrosestack_fleet::advice_queries::AdviceQuery;
+use primrosestack_fleet::job::{Queue, StepSpec};
 use primrosestack_platform::http::HttpClient;
 use prost::Message;
 use serde_json::json;
@@ -201,3 +205,38 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Guards against an owner that does not look for the servers that an advisor allows on behalf of another.
+#[tokio::test]
+async fn an_owner_answers_queries_about_steps_with_an_advisor() {
+    let run = async {
+        let (node, owned) = daemon_fake::owned_shard().await;
+        let queue = Queue {
+            name: "advised".into(),
+            advisor_decision_ms: 40,
+            ..Queue::default()
+        };
+        owned.shard.borrow_mut().set_queues([queue]);
+        let address = serve(&node).await;
+        let query = |job: u64, queue: &str| AdviceQuery {
+            job,
+            queue: queue.into(),
+            spec: Some(StepSpec {
+                tasks: 1,
+                ..StepSpec::default()
+            }),
+            ..AdviceQuery::default()
+        };
+        let request = PeerRequest {
+            failure_domain: "poa".into(),
+            advice_queries: vec![query(7, "advised"), query(8, "unknown")],
+            ..PeerRequest::default()
+        };
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(&frame(&request)).await.unwrap();
+        let reply = read_reply(&mut stream).await;
+        let answered: Vec<u64> = reply.advice_answers.iter().map(|row| row.job).collect();
+        assert_eq!(answered, [7], "{reply:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
