Keep ended jobs for as long as an acceptance may come late

What callers would see: with a retention_s of some seconds, a job whose first acceptance got no answer could be accepted again by that write after its end was purged, and run twice.

Cause: the home of an ended job, which makes late acceptances fail, was removed after retention_s whatever its value. Change: the least is 54 s, as for tombstones: 30 s of attempts, 12 s for a late write and 12 s for a late repeat. Why it works: no acceptance can come after that.

Measured: ended_jobs_outlast_late_acceptances failed before (5 s), passes now.

--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -7,7 +7,7 @@
     pub lease_max_ms: u64,
     /// Time within which a server stops a task.
     pub stop_ms: u64,
-    /// Time for which the status of an ended job can be queried.
+    /// Time for which the status of an ended job can be queried, and a tombstone is kept; see [`Bounds::retention_with`].
     pub retention_ms: u64,
     /// Interval at which servers renew their registrations.
     pub heartbeat_ms: u64,
@@ -47,12 +47,11 @@
 const LATE_REPEAT_MAX_MS: u64 = 12_000;
 
 impl Bounds {
-    /// Time for which a tombstone is kept: no acceptance of its job can come later. It is not shorter than the status of an ended
-    /// job can be queried.
+    /// Time for which the record of a job that has ended, or was cancelled before it was accepted, is kept if the settings ask for
+    /// `retention_ms`: no acceptance of the job can come later.
     #[must_use]
-    pub fn tombstone_ms(&self) -> u64 {
-        let late_ms = ACCEPTANCE_MAX_MS + LATE_WRITE_MAX_MS + LATE_REPEAT_MAX_MS;
-        self.retention_ms.max(late_ms)
+    pub fn retention_with(retention_ms: u64) -> u64 {
+        retention_ms.max(ACCEPTANCE_MAX_MS + LATE_WRITE_MAX_MS + LATE_REPEAT_MAX_MS)
     }
 
     /// Lease that a poll grants, on the server's clock.
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -114,7 +114,7 @@
         let bounds = Bounds {
             lease_max_ms: settings.lease_max_ms,
             stop_ms: settings.task_stop_ms,
-            retention_ms: settings.retention_s * 1_000,
+            retention_ms: Bounds::retention_with(settings.retention_s * 1_000),
             heartbeat_ms: settings.heartbeat_ms,
             drain_ms: settings.drain_ms,
             evacuation_ms: (settings.evacuation_ms > 0).then_some(settings.evacuation_ms),
--- a/src/daemon/tombstones.rs
+++ b/src/daemon/tombstones.rs
@@ -83,7 +83,7 @@
     let reason = "it was cancelled before it was accepted";
     node.failure_lines.write(|| line.with_reason(reason));
     // The owner needs some seconds more to remove the tombstone.
-    let retry_after_s = node.bounds.tombstone_ms().div_ceil(1_000) + 10;
+    let retry_after_s = node.bounds.retention_ms.div_ceil(1_000) + 10;
     refuse(StatusCode::SERVICE_UNAVAILABLE, retry_after_s)
 }
 
@@ -101,7 +101,7 @@
 pub async fn run(owned: Rc<OwnedShard>) {
     while !owned.closed.get() {
         tokio::time::sleep(Duration::from_millis(REMOVE_INTERVAL_MS)).await;
-        let age_ms = owned.node.bounds.tombstone_ms();
+        let age_ms = owned.node.bounds.retention_ms;
         let due = owned
             .tombstones
             .borrow()
--- a/tests/daemon_fake/mod.rs
+++ b/tests/daemon_fake/mod.rs
@@ -51,6 +51,10 @@
 }
 
 pub fn node(store_address: &str) -> Rc<Node> {
+    node_with_retention(store_address, 60)
+}
+
+pub fn node_with_retention(store_address: &str, retention_s: u64) -> Rc<Node> {
     let settings: DaemonSettings = serde_json::from_value(json!({
         "name": "entry-1",
         "failure_domain": "poa",
@@ -63,7 +67,7 @@
         "control_mode": "invocation",
         "lease_max_ms": 30_000,
         "task_stop_ms": 1_000,
-        "retention_s": 60,
+        "retention_s": retention_s,
         "heartbeat_ms": 500,
         "stop_s": 10,
     }))
--- a/tests/late_acceptances.rs
+++ b/tests/late_acceptances.rs
@@ -94,7 +94,7 @@
 async fn a_cancelled_job_is_not_accepted_later(deadline_ms: u64, cancelled_after: Duration) {
     let run = async {
         let setup = setup().await;
-        setup.contents.borrow_mut().delays_acceptances = true;
+        setup.contents.borrow_mut().delayed_key = Some("/job/");
         let address = setup.address.clone();
         let submission = tokio::task::spawn_local(async move {
             call(&address, "POST", JOB, deadline_ms, BODY).await
@@ -106,7 +106,7 @@
         tokio::time::sleep(cancelled_after).await;
         let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
         assert_eq!(status(&answer), 410, "{answer}");
-        setup.contents.borrow_mut().delays_acceptances = false;
+        setup.contents.borrow_mut().delayed_key = None;
         let statuses = setup.contents.borrow_mut().carry_out_delayed();
         assert!(statuses.iter().all(|&status| status == 412), "{statuses:?}");
         let submitted = submission.await.expect("an answer");
@@ -179,3 +179,12 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Guards against an ended job that is forgotten before the store can have carried out each attempt to accept it.
+#[tokio::test]
+async fn ended_jobs_outlast_late_acceptances() {
+    let node = daemon_fake::node_with_retention("127.0.0.1:1", 5);
+    assert!(node.bounds.retention_ms >= 30_000 + 12_000);
+    let node = daemon_fake::node_with_retention("127.0.0.1:1", 120);
+    assert_eq!(node.bounds.retention_ms, 120_000);
+}
--- a/tests/store_fake/mod.rs
+++ b/tests/store_fake/mod.rs
@@ -21,8 +21,8 @@
     pub items: BTreeMap<String, (Vec<u8>, u64)>,
     /// Number of transactions that are carried out without an answer.
     pub answers_lost: u32,
-    /// Whether transactions that accept jobs are neither answered nor carried out before [`Contents::carry_out_delayed`].
-    pub delays_acceptances: bool,
+    /// Part of a key: transactions with it are neither answered nor carried out before [`Contents::carry_out_delayed`].
+    pub delayed_key: Option<&'static str>,
     /// Such transactions.
     pub delayed: Vec<Value>,
     /// Number of transactions that were carried out.
@@ -119,7 +119,8 @@
     fn answer(&mut self, head: &str, body: &[u8]) -> Option<(u16, Value)> {
         if head.starts_with("POST") {
             let body: Value = serde_json::from_slice(body).expect("a transaction");
-            if self.delays_acceptances && body.to_string().contains("/job/") {
+            let is_delayed = |part| body.to_string().contains(part);
+            if self.delayed_key.is_some_and(is_delayed) {
                 self.delayed.push(body);
                 return None;
             }
