Answer 504 to a cancellation that may still take effect

What callers saw: a DELETE whose write to the store got no answer was answered 503 with Retry-After at its deadline, which says that it had no effect. The store may carry the write out seconds later, and the job is cancelled then.

Cause: the reply did not tell a refused write from one without an answer. Change: 504 if one of the attempts got no answer, as for submissions. A late cancellation does no harm: it is conditional on the home of the job, or on there being none.

Measured: a_cancellation_in_doubt_is_not_refused got 503 before, 504 now.

--- a/src/daemon/cancellation.rs
+++ b/src/daemon/cancellation.rs
@@ -28,6 +28,7 @@
 
 /// Cancels a job in its home shard and in those that run delegated tasks of it, or keeps it from being accepted.
 pub async fn cancel(node: &Rc<Node>, id: JobId, queue: &Queue, deadline: Instant) -> Reply {
+    let mut may_be_written = false;
     loop {
         let attempt = try_cancel(node, id, &queue.name);
         let result = tokio::time::timeout_at(deadline, attempt).await;
@@ -54,9 +55,17 @@
                 return empty_reply(StatusCode::OK);
             }
             Err(failure) => {
+                may_be_written |= matches!(
+                    failure,
+                    StoreFailure::NoAnswer | StoreFailure::Malformed { .. }
+                );
                 if Instant::now() + Duration::from_millis(RETRY_DELAY_MS) >= deadline {
                     let line = Line::info("job_not_cancelled").with("job", id);
+                    let line = line.with("doubtful", may_be_written);
                     node.failure_lines.write(|| line.with_reason(failure));
+                    if may_be_written {
+                        return empty_reply(StatusCode::GATEWAY_TIMEOUT);
+                    }
                     return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
                 }
             }
--- a/tests/late_acceptances.rs
+++ b/tests/late_acceptances.rs
@@ -180,6 +180,18 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against a cancellation that is said to have had no effect, and is carried out later.
+#[tokio::test]
+async fn a_cancellation_in_doubt_is_not_refused() {
+    let run = async {
+        let setup = setup().await;
+        setup.contents.borrow_mut().delayed_key = Some("/tombstone/");
+        let answer = call(&setup.address, "DELETE", JOB, 400, "").await;
+        assert_eq!(status(&answer), 504, "{answer}");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against an ended job that is forgotten before the store can have carried out each attempt to accept it.
 #[tokio::test]
 async fn ended_jobs_outlast_late_acceptances() {
