Move the stand-in of the advisor to crates/standin

Cause: the tests of the search had a stand-in of an outside service of their own, and some set-up twice. A plan without steps of queues with an advisor does not look for any to ask about.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -82,6 +82,7 @@
         let mut unplaced = Vec::with_capacity(ready.len());
         let mut blocked_steps: BTreeSet<(JobKey, u32, u32)> = BTreeSet::new();
         let mut own_limits_tried = 0;
+        let mut is_any_advised = !self.advisor.searches.is_empty();
         for task_ref in ready {
             let step_key = (task_ref.job, task_ref.occurrence, task_ref.step);
             if !self.is_startable(task_ref) {
@@ -89,6 +90,7 @@
             }
             let is_held = self.jobs[task_ref.job].stands_still(now_ms)
                 || self.is_start_postponed(task_ref, now_ms);
+            is_any_advised |= self.has_advisor(task_ref);
             if blocked_steps.contains(&step_key) || is_held {
                 unplaced.push(task_ref);
                 continue;
@@ -123,7 +125,9 @@
         self.release_reservations(reservations);
         unplaced.retain(|&task_ref| self.is_startable(task_ref));
         self.ready.extend(unplaced);
-        self.ask_advisor(now_ms);
+        if is_any_advised {
+            self.ask_advisor(now_ms);
+        }
     }
 
     fn is_startable(&self, task_ref: TaskRef) -> bool {
--- a/crates/fleet/tests/advice/fleet.rs
+++ b/crates/fleet/tests/advice/fleet.rs
@@ -3,8 +3,8 @@
 use primrosestack_fleet::action::StartReply;
 use primrosestack_fleet::job::{JobId, JobSpec, Queue, StepSpec, TaskId};
 use primrosestack_fleet::record::StoredJob;
-use primrosestack_fleet::rehome::JobMove;
 use primrosestack_fleet::report::{EndKind, ServerEntry};
+use primrosestack_standin::advisor::Advisor;
 use smol_str::SmolStr;
 
 use crate::common::moves::arrival;
@@ -16,12 +16,15 @@
 const MOVES_INTERVAL_MS: u64 = 250;
 const POLL_INTERVAL_MS: u64 = 1_000;
 
+/// Time within which a waiting job has to run while most of the capacity is free, by the users' rules.
+pub const IDLE_MAX_MS: u64 = 3_000;
+
 /// Time of the advisor for a call, and for each server that it names.
-pub const DECISION_MS: u32 = 40;
-pub const PERIOD_MS: u32 = 5;
+const DECISION_MS: u32 = 40;
+const PERIOD_MS: u32 = 5;
 const VALID_MS: u64 = 3_000;
 
-pub fn advised_queue() -> Queue {
+fn advised_queue() -> Queue {
     Queue {
         advisor_decision_ms: DECISION_MS,
         advisor_period_ms: PERIOD_MS,
@@ -29,36 +32,12 @@
     }
 }
 
-/// Whether a server may run a step, named by its first task.
-type Policy = dyn Fn(TaskId, &str) -> bool;
-
-/// What the advisor does with calls that arrive from a time on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Advisor {
-    Answers,
-    Refuses,
-}
-
-/// A call at the advisor.
-struct Call {
-    shard: usize,
-    task: TaskId,
-    servers: Vec<SmolStr>,
-    done_ms: u64,
-    advisor: Advisor,
-}
-
 /// Some shards, numbered as their failure domains.
 pub struct Fleet {
     pub shards: Vec<Harness>,
     pub advisor: Advisor,
     /// Number of starts that are refused for their tickets.
     pub refused_tickets: u32,
-    policy: Box<Policy>,
-    calls: Vec<Call>,
-    /// Number of calls that were answered, and of servers that they named.
-    pub calls_answered: usize,
-    pub servers_named: usize,
     /// Moves of jobs: the shards that they left and came to.
     pub moves: Vec<(usize, usize)>,
     /// Starts: the shard, the server and the task.
@@ -72,7 +51,11 @@
 }
 
 fn domain(shard: usize) -> SmolStr {
-    SmolStr::new(format!("d{shard}"))
+    SmolStr::new(shard.to_string())
+}
+
+fn index_of(failure_domain: &str) -> usize {
+    failure_domain.parse().expect("a number of a shard")
 }
 
 /// Opens a shard with some servers, in racks of eight.
@@ -90,16 +73,13 @@
 impl Fleet {
     /// Opens shards with some servers each.
     pub fn open(servers: &[usize], policy: impl Fn(TaskId, &str) -> bool + 'static) -> Self {
-        let counts = servers.iter().enumerate();
-        let shards = counts.map(|(shard, &count)| open_shard(shard, count));
+        let shards = 0..servers.len();
         Self {
-            shards: shards.collect(),
+            shards: shards
+                .map(|shard| open_shard(shard, servers[shard]))
+                .collect(),
             refused_tickets: 0,
-            advisor: Advisor::Answers,
-            policy: Box::new(policy),
-            calls: Vec::new(),
-            calls_answered: 0,
-            servers_named: 0,
+            advisor: Advisor::open(DECISION_MS.into(), PERIOD_MS.into(), policy),
             moves: Vec::new(),
             starts: Vec::new(),
             revision: 200,
@@ -113,23 +93,17 @@
 
     /// Replaces a shard by one of a new owner, which has read some jobs of it and none of what the advisor has answered.
     pub fn replace_owner(&mut self, shard: usize, servers: usize, jobs: &[JobId]) {
-        let now_ms = self.now_ms();
         let mut harness = open_shard(shard, servers);
-        harness.now_ms = now_ms;
+        harness.now_ms = self.now_ms();
         std::mem::swap(&mut self.shards[shard], &mut harness);
         self.poll_servers();
-        self.calls.retain(|call| call.shard != shard);
+        self.advisor.forget_host(shard);
         for &job in jobs {
             if harness.shard.find_job(job).is_none() {
                 continue;
             }
             let spec = self.specs.iter().find(|spec| spec.id == job.0).cloned();
-            let stored = StoredJob {
-                spec,
-                created_revision: self.revision,
-                ..StoredJob::default()
-            };
-            self.shards[shard].shard.add_job(job, stored, now_ms);
+            self.add_job(shard, job, spec);
         }
     }
 
@@ -141,14 +115,18 @@
             ..JobSpec::default()
         };
         self.specs.push(spec.clone());
+        self.add_job(shard, JobId(id), Some(spec));
+        JobId(id)
+    }
+
+    fn add_job(&mut self, shard: usize, id: JobId, spec: Option<JobSpec>) {
         let stored = StoredJob {
-            spec: Some(spec),
+            spec,
             created_revision: self.revision,
             ..StoredJob::default()
         };
         let now_ms = self.now_ms();
-        self.shards[shard].shard.add_job(JobId(id), stored, now_ms);
-        JobId(id)
+        self.shards[shard].shard.add_job(id, stored, now_ms);
     }
 
     /// Runs until some tasks have started, for at most `for_ms`. Returns how long that took.
@@ -163,13 +141,21 @@
         None
     }
 
+    /// Runs until some tasks have started, and asserts that no job has waited for too long. Returns how long that took.
+    pub fn assert_started_in_time(&mut self, tasks: usize) -> u64 {
+        let waited_ms = self.run_until_started(tasks, 5 * IDLE_MAX_MS);
+        let is_in_time = waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS);
+        assert!(is_in_time, "{waited_ms:?}");
+        waited_ms.unwrap_or_default()
+    }
+
     fn step(&mut self) {
         for harness in &mut self.shards {
             harness.now_ms += STEP_MS;
         }
         let now_ms = self.now_ms();
         let is_due = |interval_ms: u64| now_ms.is_multiple_of(interval_ms);
-        self.answer_calls();
+        self.apply_advice();
         if is_due(POLL_INTERVAL_MS) {
             self.poll_servers();
         }
@@ -185,7 +171,9 @@
                 self.move_jobs(shard);
             }
             self.shards[shard].plan();
-            self.send_calls(shard);
+            for (task, servers) in std::mem::take(&mut self.shards[shard].advice_calls) {
+                self.advisor.ask(shard, task, servers, now_ms);
+            }
             self.refuse_tickets(shard);
             let started = self.shards[shard].confirm_starts();
             for (key, request) in started {
@@ -209,47 +197,14 @@
         }
     }
 
-    /// The advisor handles the calls of a shard's host in turn.
-    fn send_calls(&mut self, shard: usize) {
-        let now_ms = self.now_ms();
-        for (task, servers) in std::mem::take(&mut self.shards[shard].advice_calls) {
-            let own = self.calls.iter().filter(|call| call.shard == shard);
-            let free_ms = own.map(|call| call.done_ms).max().unwrap_or(0);
-            let work_ms = u64::from(DECISION_MS) + u64::from(PERIOD_MS) * servers.len() as u64;
-            self.calls.push(Call {
-                shard,
-                task,
-                done_ms: free_ms.max(now_ms) + work_ms,
-                servers,
-                advisor: self.advisor,
-            });
-        }
-    }
-
-    fn answer_calls(&mut self) {
+    fn apply_advice(&mut self) {
         let now_ms = self.now_ms();
-        let done: Vec<Call> = self
-            .calls
-            .extract_if(.., |call| call.done_ms <= now_ms)
-            .collect();
-        for call in done {
-            let shard = &mut self.shards[call.shard].shard;
-            if call.advisor == Advisor::Refuses {
-                shard.advice_failed(call.task, now_ms);
-                continue;
+        for answer in self.advisor.answers(now_ms) {
+            let shard = &mut self.shards[answer.host].shard;
+            match answer.tickets {
+                Some(tickets) => shard.set_tickets(answer.task, &tickets, VALID_MS, now_ms),
+                None => shard.advice_failed(answer.task, now_ms),
             }
-            self.calls_answered += 1;
-            self.servers_named += call.servers.len();
-            let step = TaskId {
-                index: 0,
-                ..call.task
-            };
-            let allowed = call
-                .servers
-                .into_iter()
-                .filter(|name| (self.policy)(step, name));
-            let tickets: Vec<_> = allowed.map(|name| (name, SmolStr::new("ticket"))).collect();
-            shard.set_tickets(call.task, &tickets, VALID_MS, now_ms);
         }
     }
 
@@ -269,8 +224,7 @@
     pub fn end_started(&mut self) {
         let (shard, name, task) = self.starts[0].clone();
         let harness = &mut self.shards[shard];
-        let key = harness.key(&name);
-        let runs = harness.shard.runs_on(key);
+        let runs = harness.shard.runs_on(harness.key(&name));
         let run = runs.into_iter().find(|(known, _)| *known == task);
         let (_, run) = run.expect("the run");
         harness.report_end(&name, &run_end(1, task, run, EndKind::Done));
@@ -300,33 +254,23 @@
             .collect()
     }
 
-    fn index_of(&self, failure_domain: &str) -> usize {
-        let mut indexes = 0..self.shards.len();
-        let found = indexes.find(|&index| domain(index) == failure_domain);
-        found.expect("a failure domain of the fleet")
-    }
-
     fn move_jobs(&mut self, from: usize) {
         let now_ms = self.now_ms();
         loop {
             let mut others = self.loads_for(from);
-            let taken = self.shards[from].shard.take_job_move(&mut others, now_ms);
-            let Some(job_move) = taken else { return };
-            self.apply_move(from, &job_move);
+            let source = &mut self.shards[from].shard;
+            let Some(job_move) = source.take_job_move(&mut others, now_ms) else {
+                return;
+            };
+            self.revision += 1;
+            source.job_moved(job_move.key, self.revision, now_ms);
+            let to = index_of(&job_move.failure_domain);
+            let stored = arrival(&job_move, self.revision);
+            self.shards[to].shard.add_job(job_move.id, stored, now_ms);
+            self.moves.push((from, to));
         }
     }
 
-    fn apply_move(&mut self, from: usize, job_move: &JobMove) {
-        let now_ms = self.now_ms();
-        self.revision += 1;
-        let source = &mut self.shards[from].shard;
-        source.job_moved(job_move.key, self.revision, now_ms);
-        let to = self.index_of(&job_move.failure_domain);
-        let stored = arrival(job_move, self.revision);
-        self.shards[to].shard.add_job(job_move.id, stored, now_ms);
-        self.moves.push((from, to));
-    }
-
     /// Delegates tasks, and has the delegates read what the home writes.
     fn delegate(&mut self, from: usize) {
         let now_ms = self.now_ms();
@@ -345,7 +289,7 @@
                     created_revision: self.revision,
                     ..StoredJob::default()
                 };
-                let to = self.index_of(failure_domain);
+                let to = index_of(failure_domain);
                 self.moves.push((from, to));
                 self.shards[to].shard.add_job(record.id, stored, now_ms);
             }
--- a/crates/fleet/tests/advice/main.rs
+++ b/crates/fleet/tests/advice/main.rs
@@ -6,13 +6,10 @@
 
 use common::moves::{evacuate, take_back};
 use common::{service_step, step};
-use fleet::{Advisor, Fleet};
+use fleet::{Fleet, IDLE_MAX_MS};
 use primrosestack_fleet::job::{StepSpec, TaskId};
 use test_case::test_case;
 
-/// Time within which a waiting job has to run while most of the capacity is free, by the users' rules.
-const IDLE_MAX_MS: u64 = 3_000;
-
 /// Time after the traffic by which jobs have to be done, by the users' rules.
 const FINISH_MS: u64 = 14_000;
 
@@ -27,11 +24,7 @@
     for id in 0..4 {
         fleet.submit(0, 7 + id, vec![step(2)]);
     }
-    let waited_ms = fleet.run_until_started(8, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(8);
     assert!(fleet.starts.iter().all(|(shard, _, _)| *shard == 1));
     assert_eq!(fleet.moves, [(0, 1); 4]);
 }
@@ -43,13 +36,12 @@
     for id in 0..4 {
         fleet.submit(0, 7 + id, vec![step(2)]);
     }
-    let waited_ms = fleet.run_until_started(8, FINISH_MS);
+    fleet.assert_started_in_time(8);
+    assert!(fleet.starts.iter().all(|(_, name, _)| name == "s0-0037"));
     assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
+        fleet.advisor.servers_named <= 160,
+        "each server once for each step"
     );
-    assert!(fleet.starts.iter().all(|(_, name, _)| name == "s0-0037"));
-    assert!(fleet.servers_named <= 160, "each server once for each step");
 }
 
 /// Guards against a step that waits in the home of the one before it, which its advisor allows to run there.
@@ -70,11 +62,7 @@
     fleet.submit(0, 7, vec![step(1), second]);
     assert!(fleet.run_until_started(1, FINISH_MS).is_some());
     fleet.end_started();
-    let waited_ms = fleet.run_until_started(2, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(2);
     assert_eq!(fleet.starts[1].1, "s2-0011");
 }
 
@@ -87,11 +75,7 @@
 fn others_go_where_their_advisor_allows_them(waiting: StepSpec) {
     let mut fleet = Fleet::open(&[16, 16, 16], is_in_rack_of_domain_1);
     fleet.submit(0, 7, vec![waiting]);
-    let waited_ms = fleet.run_until_started(6, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(6);
     assert!(fleet.starts.iter().all(|(shard, _, _)| *shard == 1));
     assert!(
         fleet.moves.iter().all(|&(_, to)| to == 1),
@@ -111,16 +95,12 @@
         let mut fleet = Fleet::open(&servers, move |_, name| name == last);
         // The search begins after the last server with this identifier.
         fleet.submit(0, 0, vec![waiting.clone()]);
-        let waited_ms = fleet.run_until_started(1, FINISH_MS);
-        let calls = fleet.calls_answered;
+        let waited_ms = fleet.assert_started_in_time(1);
+        let calls = fleet.advisor.calls_answered;
         println!(
-            "servers={servers:?} long_running={} waited_ms={waited_ms:?} calls={calls}",
+            "servers={servers:?} long_running={} waited_ms={waited_ms} calls={calls}",
             waiting.long_running
         );
-        assert!(
-            waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-            "{waited_ms:?}"
-        );
     }
 }
 
@@ -134,11 +114,7 @@
     }
     assert_eq!(fleet.run_until_started(1, 2_500), None);
     fleet.submit(0, 100, vec![step(1)]);
-    let waited_ms = fleet.run_until_started(1, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(1);
 }
 
 /// Guards against calls that name many servers although most are allowed, while other steps wait for theirs.
@@ -148,11 +124,10 @@
     for id in 0..25 {
         fleet.submit(0, 7 + id, vec![step(1)]);
     }
-    let waited_ms = fleet.run_until_started(25, FINISH_MS);
-    println!("waited_ms={waited_ms:?} calls={}", fleet.calls_answered);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
+    let waited_ms = fleet.assert_started_in_time(25);
+    println!(
+        "waited_ms={waited_ms} calls={}",
+        fleet.advisor.calls_answered
     );
 }
 
@@ -163,17 +138,17 @@
     let mut fleet = Fleet::open(&[16, 367, 367], |_, name| name == "s0-0003");
     fleet.submit(0, 7, vec![step(17)]);
     assert!(fleet.run_until_started(16, FINISH_MS).is_some());
-    let named = fleet.servers_named;
+    let named = fleet.advisor.servers_named;
     assert_eq!(fleet.run_until_started(17, 500), None);
-    assert_eq!(fleet.servers_named, named);
+    assert_eq!(fleet.advisor.servers_named, named);
     fleet.end_started();
     assert!(fleet.run_until_started(17, FINISH_MS).is_some());
-    let named = fleet.servers_named;
+    let named = fleet.advisor.servers_named;
     assert_eq!(fleet.run_until_started(18, 5_000), None);
     assert!(
-        fleet.servers_named <= named + 2 * 367,
+        fleet.advisor.servers_named <= named + 2 * 367,
         "{}",
-        fleet.servers_named
+        fleet.advisor.servers_named
     );
 }
 
@@ -181,10 +156,10 @@
 #[test]
 fn a_search_goes_on_when_the_advisor_answers_again() {
     let mut fleet = Fleet::open(&[16, 16, 16], is_in_rack_of_domain_1);
-    fleet.advisor = Advisor::Refuses;
+    fleet.advisor.is_refusing = true;
     fleet.submit(0, 7, vec![step(2)]);
     assert_eq!(fleet.run_until_started(1, 10_000), None);
-    fleet.advisor = Advisor::Answers;
+    fleet.advisor.is_refusing = false;
     let waited_ms = fleet.run_until_started(2, FINISH_MS);
     assert!(
         waited_ms.is_some_and(|waited_ms| waited_ms <= 2 * IDLE_MAX_MS),
@@ -199,7 +174,7 @@
     fleet.submit(0, 7, vec![step(2)]);
     assert_eq!(fleet.run_until_started(1, 30_000), None);
     assert_eq!(fleet.moves, []);
-    assert_eq!(fleet.servers_named, 48);
+    assert_eq!(fleet.advisor.servers_named, 48);
 }
 
 /// Guards against a search that its owner's successor does not begin anew, in the home or in the failure domain that is allowed.
@@ -210,11 +185,7 @@
     let job = fleet.submit(0, 7, vec![step(2)]);
     assert_eq!(fleet.run_until_started(1, 400), None);
     fleet.replace_owner(shard, 40, &[job]);
-    let waited_ms = fleet.run_until_started(2, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(2);
     assert_eq!(fleet.moves, [(0, 1)]);
 }
 
@@ -227,11 +198,7 @@
     assert_eq!(fleet.run_until_started(1, 10_000), None);
     assert_eq!(fleet.moves, []);
     take_back(&mut fleet.shards[1]);
-    let waited_ms = fleet.run_until_started(2, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(2);
 }
 
 /// Guards against a job that its evacuated home sends from one failure domain to the next, none of which may run it.
@@ -240,11 +207,7 @@
     let mut fleet = Fleet::open(&[16, 16, 16], is_in_rack_of_domain_1);
     evacuate(&mut fleet.shards[0]);
     fleet.submit(0, 7, vec![step(2)]);
-    let waited_ms = fleet.run_until_started(2, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
+    fleet.assert_started_in_time(2);
     assert!(fleet.moves.len() <= 2, "{:?}", fleet.moves);
 }
 
@@ -254,12 +217,8 @@
     let mut fleet = Fleet::open(&[1, 0, 0], |_, _| true);
     fleet.refused_tickets = 1;
     fleet.submit(0, 7, vec![step(1)]);
-    let waited_ms = fleet.run_until_started(1, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
-    assert_eq!(fleet.calls_answered, 2);
+    fleet.assert_started_in_time(1);
+    assert_eq!(fleet.advisor.calls_answered, 2);
 }
 
 /// Guards against a search that begins anew for the next tasks of a step, once its tickets have expired.
@@ -273,12 +232,8 @@
         None,
         "the server is full"
     );
-    let named = fleet.servers_named;
+    let named = fleet.advisor.servers_named;
     fleet.end_started();
-    let waited_ms = fleet.run_until_started(17, FINISH_MS);
-    assert!(
-        waited_ms.is_some_and(|waited_ms| waited_ms <= IDLE_MAX_MS),
-        "{waited_ms:?}"
-    );
-    assert_eq!(fleet.servers_named, named + 1);
+    fleet.assert_started_in_time(17);
+    assert_eq!(fleet.advisor.servers_named, named + 1);
 }
--- a/tests/late_acceptances.rs
+++ b/tests/late_acceptances.rs
@@ -16,7 +16,6 @@
 use primrosestack::daemon::{keys, tombstones};
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::Term;
-use primrosestack_fleet::tombstones::{Tombstone, Tombstones};
 use primrosestack_platform::catalog::decode_configuration;
 use prost::Message;
 use store_fake::{Contents, serve_store};
@@ -40,6 +39,15 @@
     address: String,
 }
 
+impl Setup {
+    /// Sends a request for the job, asserts the status of the answer, and returns it.
+    async fn expect(&self, method: &str, body: &str, deadline_ms: u64, expected: u16) -> String {
+        let answer = call(&self.address, method, JOB, deadline_ms, body).await;
+        assert_eq!(status(&answer), expected, "{method}: {answer}");
+        answer
+    }
+}
+
 async fn setup() -> Setup {
     let store = TcpListener::bind(LOOPBACK).await.expect("a port");
     let store_address = store.local_addr().expect("an address").to_string();
@@ -48,18 +56,16 @@
         number: LEADERSHIP.term,
         ..Term::default()
     };
+    let term = term.encode_to_vec();
     contents.borrow_mut().revision = LEADERSHIP.start_revision - 1;
-    contents
-        .borrow_mut()
-        .put(&keys::term("poa"), term.encode_to_vec());
+    contents.borrow_mut().put(&keys::term("poa"), term);
     tokio::task::spawn_local(serve_store(store, Rc::clone(&contents)));
     let (node, owned) = owned_shard_at(&store_address).await;
     let configuration = decode_configuration(CONFIGURATION).expect("a configuration");
     *node.configuration.borrow_mut() = Some(Rc::new(configuration));
     let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
-    let host = HostSize::from_settings(0, 0);
-    let limits = Limits::for_callers(&CallerLimits::default(), host);
+    let limits = Limits::for_callers(&CallerLimits::default(), HostSize::from_settings(0, 0));
     tokio::task::spawn_local(entry::serve(Rc::clone(&node), listener, limits));
     Setup {
         contents,
@@ -104,8 +110,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         tokio::time::sleep(cancelled_after).await;
-        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
-        assert_eq!(status(&answer), 410, "{answer}");
+        setup.expect("DELETE", "", 3_000, 410).await;
         setup.contents.borrow_mut().delayed_key = None;
         let statuses = setup.contents.borrow_mut().carry_out_delayed();
         assert!(statuses.iter().all(|&status| status == 412), "{statuses:?}");
@@ -115,12 +120,9 @@
         let is_stored = |contents: &Contents| contents.items.contains_key(job_key.as_str());
         assert!(!is_stored(&setup.contents.borrow()));
 
-        let answer = call(&setup.address, "GET", JOB, 3_000, "").await;
-        assert_eq!(status(&answer), 410, "{answer}");
-        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
-        assert_eq!(status(&answer), 410, "{answer}");
-        let repeated = call(&setup.address, "POST", JOB, 3_000, BODY).await;
-        assert_eq!(status(&repeated), 503, "{repeated}");
+        setup.expect("GET", "", 3_000, 410).await;
+        setup.expect("DELETE", "", 3_000, 410).await;
+        let repeated = setup.expect("POST", BODY, 3_000, 503).await;
         assert!(repeated.contains("retry-after: "), "{repeated}");
         assert!(!is_stored(&setup.contents.borrow()));
         assert!(setup.owned.shard.borrow().find_job(JOB).is_none());
@@ -129,31 +131,19 @@
     LocalSet::new().run_until(run).await;
 }
 
-/// What the owner knows of the tombstones of its shard, after it has read its inbox.
-async fn due_tombstones(setup: &Setup) -> Vec<Tombstone> {
-    let mut tombstones = Tombstones::default();
-    let items = setup.node.store.list("primrose/inbox/poa/tombstone/").await;
-    for item in items.expect("a list").rows {
-        tombstones.add(JOB, item.revision, "r1", 0);
-    }
-    *setup.owned.tombstones.borrow_mut() = tombstones.clone();
-    tombstones.due(10, 0, 0)
-}
-
-/// Guards against tombstones that stay in the store for ever, and against a removal that is tried again and takes the home of a
+/// Guards against tombstones that stay in the store for ever, an owner that does not know those of its predecessor, and a removal that is tried again and takes the home of a
 /// job which was accepted in between.
 #[tokio::test]
 async fn a_tombstone_is_removed_but_not_the_home_of_a_later_job() {
     let run = async {
         let setup = setup().await;
-        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
-        assert_eq!(status(&answer), 410, "{answer}");
-        let due = due_tombstones(&setup).await;
-        assert_eq!(due.len(), 1);
+        setup.expect("DELETE", "", 3_000, 410).await;
+        let successor = daemon_fake::open_shard(&setup.node).await;
+        let due = successor.tombstones.borrow().due(10, 0, now_ms());
+        assert_eq!(due.len(), 1, "read at the begin of a term");
         let removed = tombstones::remove(&setup.owned, &due).await;
         assert_eq!(removed, Ok(()));
-        let answer = call(&setup.address, "POST", JOB, 3_000, BODY).await;
-        assert_eq!(status(&answer), 200, "{answer}");
+        setup.expect("POST", BODY, 3_000, 200).await;
         let removed = tombstones::remove(&setup.owned, &due).await;
         assert_eq!(removed, Ok(()));
         let contents = setup.contents.borrow();
@@ -165,29 +155,13 @@
     LocalSet::new().run_until(run).await;
 }
 
-/// Guards against an owner that does not know the tombstones which were written before its term.
-#[tokio::test]
-async fn an_owner_finds_the_tombstones_of_its_predecessor() {
-    let run = async {
-        let setup = setup().await;
-        let answer = call(&setup.address, "DELETE", JOB, 3_000, "").await;
-        assert_eq!(status(&answer), 410, "{answer}");
-        let successor = daemon_fake::open_shard(&setup.node).await;
-        let tombstones = successor.tombstones.borrow();
-        let due = tombstones.due(10, 0, now_ms());
-        assert_eq!(due.iter().map(|row| row.id).collect::<Vec<_>>(), [JOB]);
-    };
-    LocalSet::new().run_until(run).await;
-}
-
 /// Guards against a cancellation that is said to have had no effect, and is carried out later.
 #[tokio::test]
 async fn a_cancellation_in_doubt_is_not_refused() {
     let run = async {
         let setup = setup().await;
         setup.contents.borrow_mut().delayed_key = Some("/tombstone/");
-        let answer = call(&setup.address, "DELETE", JOB, 400, "").await;
-        assert_eq!(status(&answer), 504, "{answer}");
+        setup.expect("DELETE", "", 400, 504).await;
     };
     LocalSet::new().run_until(run).await;
 }
--- a/tests/peer_requests.rs
+++ b/tests/peer_requests.rs
@@ -221,10 +221,7 @@
         let query = |job: u64, queue: &str| AdviceQuery {
             job,
             queue: queue.into(),
-            spec: Some(StepSpec {
-                tasks: 1,
-                ..StepSpec::default()
-            }),
+            spec: Some(StepSpec::default()),
             ..AdviceQuery::default()
         };
         let request = PeerRequest {
