Answer 503 to a cancellation for which no write was sent

What callers saw: since, a DELETE during an outage of the store got a 504 without Retry-After, also if the host had only tried to read the job's home. Cause: any call without an answer counted as a doubtful write. Change: only a write that was sent and got no answer does, also if the deadline ends the wait for it.

--- a/src/daemon/cancellation.rs
+++ b/src/daemon/cancellation.rs
@@ -1,5 +1,6 @@
 //! Cancellation of jobs on behalf of callers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,9 +29,9 @@
 
 /// Cancels a job in its home shard and in those that run delegated tasks of it, or keeps it from being accepted.
 pub async fn cancel(node: &Rc<Node>, id: JobId, queue: &Queue, deadline: Instant) -> Reply {
-    let mut may_be_written = false;
+    let doubt = Doubt::default();
     loop {
-        let attempt = try_cancel(node, id, &queue.name);
+        let attempt = try_cancel(node, id, &queue.name, &doubt);
         let result = tokio::time::timeout_at(deadline, attempt).await;
         let result = result.unwrap_or(Err(StoreFailure::NoAnswer));
         match result {
@@ -55,15 +56,11 @@
                 return empty_reply(StatusCode::OK);
             }
             Err(failure) => {
-                may_be_written |= matches!(
-                    failure,
-                    StoreFailure::NoAnswer | StoreFailure::Malformed { .. }
-                );
                 if Instant::now() + Duration::from_millis(RETRY_DELAY_MS) >= deadline {
                     let line = Line::info("job_not_cancelled").with("job", id);
-                    let line = line.with("doubtful", may_be_written);
+                    let line = line.with("doubtful", doubt.0.get());
                     node.failure_lines.write(|| line.with_reason(failure));
-                    if may_be_written {
+                    if doubt.0.get() {
                         return empty_reply(StatusCode::GATEWAY_TIMEOUT);
                     }
                     return refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S);
@@ -74,15 +71,44 @@
     }
 }
 
-async fn try_cancel(node: &Node, id: JobId, queue: &str) -> Result<Outcome, StoreFailure> {
+/// Whether a write that got no answer may be carried out later.
+#[derive(Default)]
+pub(super) struct Doubt(Cell<bool>);
+
+impl Doubt {
+    pub(super) async fn commit(
+        &self,
+        node: &Node,
+        call: &'static str,
+        transaction: &Transaction,
+    ) -> Result<u64, StoreFailure> {
+        // The deadline may end the wait for the answer.
+        let was_in_doubt = self.0.replace(true);
+        let result = node.store.commit(transaction).await;
+        node.record_store_call(call, &result);
+        let is_unknown = matches!(
+            result,
+            Err(StoreFailure::NoAnswer | StoreFailure::Malformed { .. })
+        );
+        self.0.set(was_in_doubt || is_unknown);
+        result
+    }
+}
+
+async fn try_cancel(
+    node: &Node,
+    id: JobId,
+    queue: &str,
+    doubt: &Doubt,
+) -> Result<Outcome, StoreFailure> {
     match read_residence(node, id).await? {
         Residence::Home(home, home_revision) => {
-            let revision = write_cancellation(node, id, &home, home_revision).await?;
+            let revision = write_cancellation(node, id, &home, home_revision, doubt).await?;
             Ok(Outcome::Cancelled(home, revision))
         }
         Residence::Tombstone => Ok(Outcome::Absent),
         Residence::Absent => {
-            let is_written = tombstones::write(node, id, queue).await?;
+            let is_written = tombstones::write(node, id, queue, doubt).await?;
             Ok(if is_written {
                 Outcome::Absent
             } else {
@@ -100,6 +126,7 @@
     id: JobId,
     home: &SmolStr,
     home_revision: u64,
+    doubt: &Doubt,
 ) -> Result<u64, StoreFailure> {
     let mut transaction = Transaction::default()
         .expect_revision(keys::home(id), home_revision)
@@ -107,7 +134,5 @@
     for delegate in read_delegates(node, home, id).await? {
         transaction = transaction.put(keys::cancellation(&delegate, id), Vec::new());
     }
-    let result = node.store.commit(&transaction).await;
-    node.record_store_call("cancel_job", &result);
-    result
+    doubt.commit(node, "cancel_job", &transaction).await
 }
--- a/src/daemon/tombstones.rs
+++ b/src/daemon/tombstones.rs
@@ -15,6 +15,7 @@
 use primrosestack_platform::store::{Item, StoreFailure, Transaction};
 use prost::Message;
 
+use crate::daemon::cancellation::Doubt;
 use crate::daemon::clock::now_ms;
 use crate::daemon::entry::{Reply, refuse};
 use crate::daemon::keys::{self, InboxKey};
@@ -32,7 +33,12 @@
 
 /// Writes a tombstone for a job that has no home. Returns whether it is in the store; `false` if a limit keeps it from being
 /// written.
-pub(super) async fn write(node: &Node, id: JobId, queue: &str) -> Result<bool, StoreFailure> {
+pub(super) async fn write(
+    node: &Node,
+    id: JobId,
+    queue: &str,
+    doubt: &Doubt,
+) -> Result<bool, StoreFailure> {
     let Some(wait_ms) = reserve_write(node, queue) else {
         node.metrics.record_caller_limit("callers", LIMIT_NAME);
         let line = Line::info("job_not_cancelled").with("job", id);
@@ -51,9 +57,7 @@
         .expect_revision(keys::home(id), 0)
         .put(keys::home(id), tombstone.encode_to_vec())
         .put(keys::tombstone(failure_domain, id), queue.into());
-    let result = node.store.commit(&transaction).await;
-    node.record_store_call("write_tombstone", &result);
-    let revision = result?;
+    let revision = doubt.commit(node, "write_tombstone", &transaction).await?;
     Line::info("tombstone_written")
         .with("job", id)
         .with("shard", failure_domain)
--- a/tests/late_acceptances.rs
+++ b/tests/late_acceptances.rs
@@ -161,6 +161,9 @@
     let run = async {
         let setup = setup().await;
         setup.contents.borrow_mut().delayed_key = Some("/tombstone/");
+        setup.contents.borrow_mut().refusals = 20;
+        setup.expect("DELETE", "", 300, 503).await;
+        setup.contents.borrow_mut().refusals = 0;
         setup.expect("DELETE", "", 400, 504).await;
     };
     LocalSet::new().run_until(run).await;
