Apply answers of the advisor to the search that asked for them

What callers would see: of a long-running step whose first tasks were delegated to a failure domain, further ones wait for as long as it takes that domain to search again for itself. Found in the reading of the diff.

Cause: the answer to a search on behalf of another shard went to the tasks of the step that were already here, so that the search named the same servers again; and a shard took over what such a search had learned only for steps that it knew nothing of, and between two calls. Change: an answer goes to what asked for it, and a shard takes over what a search has learned beyond its own knowledge, at each plan.

Validities of tickets no longer overflow.

--- a/crates/fleet/src/advice.rs
+++ b/crates/fleet/src/advice.rs
@@ -57,6 +57,8 @@
 #[derive(Clone, Debug)]
 struct Call {
     task: TaskId,
+    /// Whether it is for a search on behalf of another shard; tasks of the step may be in this one too.
+    is_for_search: bool,
     queue: SmolStr,
     servers: Vec<ServerKey>,
     /// When the answer no longer counts.
@@ -176,11 +178,10 @@
     }
 
     /// Steps that may have something to ask, whether their search is long, and since when they wait for a call.
-    fn waiting_askers(&mut self, now_ms: u64) -> Vec<(bool, u64, Asker)> {
+    fn waiting_askers(&self, now_ms: u64) -> Vec<(bool, u64, Asker)> {
         let mut askers = Vec::new();
         let mut previous: Option<TaskRef> = None;
-        for index in 0..self.ready.len() {
-            let task_ref = self.ready[index];
+        for &task_ref in &self.ready {
             let is_same_step = previous.is_some_and(|previous| {
                 (previous.job, previous.occurrence, previous.step)
                     == (task_ref.job, task_ref.occurrence, task_ref.step)
@@ -195,7 +196,6 @@
             if is_held {
                 continue;
             }
-            self.adopt_search(task_ref);
             let advice = &self.step_state(task_ref).advice;
             if !advice.is_resting(now_ms) {
                 let since_ms = advice.asked_ms.max(self.task(task_ref).queued_ms);
@@ -219,8 +219,9 @@
         }
     }
 
-    /// Servers with room whose tickets have expired, which the shard that searches for another does not need; else servers about which the advisor was not asked and that have room, or
-    /// may get it for an overdue task; those that suit the step best first.
+    /// Servers that the next call names, those that suit the step best first: servers with room whose tickets have expired, or
+    /// else servers about which the advisor was not asked and that have room, or may get it for an overdue task. A search on behalf
+    /// of another shard needs no tickets.
     fn servers_to_ask(&self, asker: Asker, now_ms: u64) -> Vec<ServerKey> {
         let (advice, queue, id) = match asker {
             Asker::Step(task_ref) => {
@@ -314,6 +315,7 @@
         let queue = SmolStr::new(&queue.name);
         self.advisor.under_way = Some(Call {
             task,
+            is_for_search: matches!(asker, Asker::Search(_)),
             queue,
             servers,
             ends_ms: now_ms + timeout_ms + CALL_GRACE_MS,
@@ -346,14 +348,15 @@
                 allowed.push((self.server_index[index].1, ticket.clone()));
             }
         }
-        let expires_ms = now_ms + valid_ms - TICKET_TRANSIT_MS.min(valid_ms / 4);
-        let task_ref = self.find_task(task);
+        let valid_ms = valid_ms - TICKET_TRANSIT_MS.min(valid_ms / 4);
+        let expires_ms = now_ms.saturating_add(valid_ms);
         let share = self.advisor.shares.of_queue_mut(&call.queue);
         share.add(call.servers.len(), allowed.len());
-        let advice = if let Some(task_ref) = task_ref {
-            self.advice_mut(task_ref)
-        } else if let Ok(index) = self.find_search(task) {
+        let search = self.find_search(task).ok().filter(|_| call.is_for_search);
+        let advice = if let Some(index) = search {
             &mut self.advisor.searches[index].advice
+        } else if let Some(task_ref) = self.find_task(task) {
+            self.advice_mut(task_ref)
         } else {
             return;
         };
@@ -362,7 +365,7 @@
             ("named", call.servers.len() as u64),
             ("allowed", allowed.len() as u64),
             ("answers", u64::from(advice.answers)),
-            ("for_other_shard", u64::from(task_ref.is_none())),
+            ("for_other_shard", u64::from(call.is_for_search)),
         ];
         self.log_advice("advice_received", task, inputs);
     }
--- a/crates/fleet/src/advice_queries.rs
+++ b/crates/fleet/src/advice_queries.rs
@@ -202,6 +202,7 @@
             return None;
         }
         let is_whole = spec.gang || spec.long_running;
+        // Other tasks of the step may have been delegated to this shard.
         let advice = self
             .find_task(task)
             .map(|task_ref| self.step_state(task_ref).advice.clone());
@@ -240,12 +241,13 @@
         self.room_of(search, now_ms) >= search.wanted
     }
 
-    /// Uses what a search on behalf of another shard has learned, once the step has come here.
+    /// Uses what a search on behalf of another shard has learned, once the step, or further tasks of it, have come here.
     pub(crate) fn adopt_search(&mut self, task_ref: TaskRef) {
-        if self.advisor.searches.is_empty() || !self.step_state(task_ref).advice.is_empty() {
+        let Ok(index) = self.find_search(self.task_id(task_ref)) else {
             return;
-        }
-        if let Ok(index) = self.find_search(self.task_id(task_ref)) {
+        };
+        let known = self.step_state(task_ref).advice.answers;
+        if self.advisor.searches[index].advice.answers > known {
             let search = self.advisor.searches.remove(index);
             *self.advice_mut(task_ref) = search.advice;
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -90,7 +90,10 @@
             }
             let is_held = self.jobs[task_ref.job].stands_still(now_ms)
                 || self.is_start_postponed(task_ref, now_ms);
-            is_any_advised |= self.has_advisor(task_ref);
+            if self.has_advisor(task_ref) {
+                is_any_advised = true;
+                self.adopt_search(task_ref);
+            }
             if blocked_steps.contains(&step_key) || is_held {
                 unplaced.push(task_ref);
                 continue;
--- a/crates/fleet/src/step_advice.rs
+++ b/crates/fleet/src/step_advice.rs
@@ -93,11 +93,6 @@
         self.answers > 0 && self.allowed.is_empty()
     }
 
-    /// Whether nothing is known yet.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.asked.is_empty()
-    }
-
     /// Whether the search here has begun.
     pub(crate) fn has_begun(&self) -> bool {
         self.answers > 0 || self.is_exhausted
--- a/crates/fleet/tests/advice/main.rs
+++ b/crates/fleet/tests/advice/main.rs
@@ -152,6 +152,20 @@
     );
 }
 
+/// Guards against a search on behalf of another shard whose answers go to the tasks of the step that are here already.
+#[test]
+fn further_tasks_of_a_delegated_step_are_searched_for() {
+    let policy = |_: TaskId, name: &str| ["s1-0010", "s1-0006"].contains(&name);
+    let mut fleet = Fleet::open(&[16, 320, 16], policy);
+    fleet.submit(0, 7, vec![service_step(20, "web")]);
+    fleet.assert_started_in_time(20);
+    assert!(
+        fleet.advisor.servers_named <= 600,
+        "{}",
+        fleet.advisor.servers_named
+    );
+}
+
 /// Guards against calls that pile up at an advisor that refuses them, and against a search that ends with it.
 #[test]
 fn a_search_goes_on_when_the_advisor_answers_again() {
