--- a/tests/late_acceptances.rs
+++ b/tests/late_acceptances.rs
@@ -16,6 +16,7 @@
 use primrosestack::daemon::{keys, tombstones};
 use primrosestack_fleet::prelude::*;
 use primrosestack_fleet::record::Term;
+use primrosestack_platform::callers::DEADLINE_HEADER;
 use primrosestack_platform::catalog::decode_configuration;
 use prost::Message;
 use store_fake::{Contents, serve_store};
@@ -80,7 +81,7 @@
     let mut stream = TcpStream::connect(address).await.expect("connects");
     let length = body.len();
     let request = format!(
-        "{method} /a/{job} HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-primrosestack-deadline-ms: {deadline_ms}\r\ncontent-length: {length}\r\n\r\n{body}"
+        "{method} /a/{job} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{DEADLINE_HEADER}: {deadline_ms}\r\ncontent-length: {length}\r\n\r\n{body}"
     );
     stream.write_all(request.as_bytes()).await.expect("sent");
     let mut answer = String::new();
@@ -131,8 +132,8 @@
     LocalSet::new().run_until(run).await;
 }
 
-/// Guards against tombstones that stay in the store for ever, an owner that does not know those of its predecessor, and a removal that is tried again and takes the home of a
-/// job which was accepted in between.
+/// Guards against tombstones that stay in the store for ever, an owner that does not know those of its predecessor, and a
+/// repeated removal that takes the home of a job which was accepted in between.
 #[tokio::test]
 async fn a_tombstone_is_removed_but_not_the_home_of_a_later_job() {
     let run = async {
@@ -140,7 +141,7 @@
         setup.expect("DELETE", "", 3_000, 410).await;
         let successor = daemon_fake::open_shard(&setup.node).await;
         let due = successor.tombstones.borrow().due(10, 0, now_ms());
-        assert_eq!(due.len(), 1, "read at the begin of a term");
+        assert_eq!(due.len(), 1, "read at the beginning of a term");
         let removed = tombstones::remove(&setup.owned, &due).await;
         assert_eq!(removed, Ok(()));
         setup.expect("POST", BODY, 3_000, 200).await;
