Take the ports of the tests of callers together

Its settings name that port twice, for callers_address and ready_address.

Cause: free_address bound a port, gave it back and bound the next, so that the kernel could hand the same port out again. Change: all addresses of a site are bound before any is given back. No check or bound differs. In the tests of the advisor, some assertions take fewer lines and ask the same.

Measured: the settings file and the log of the failed run show the port; the two cases of slow_bodies and the 23 of the advisor pass.

--- a/crates/fleet/tests/advice/main.rs
+++ b/crates/fleet/tests/advice/main.rs
@@ -38,10 +38,8 @@
     }
     fleet.assert_started_in_time(8);
     assert!(fleet.starts.iter().all(|(_, name, _)| name == "s0-0037"));
-    assert!(
-        fleet.advisor.servers_named <= 160,
-        "each server once for each step"
-    );
+    let named = fleet.advisor.servers_named;
+    assert!(named <= 160, "each server once for each step");
 }
 
 /// Guards against a step that waits in the home of the one before it, which its advisor allows to run there.
@@ -77,11 +75,8 @@
     fleet.submit(0, 7, vec![waiting]);
     fleet.assert_started_in_time(6);
     assert!(fleet.starts.iter().all(|(shard, _, _)| *shard == 1));
-    assert!(
-        fleet.moves.iter().all(|&(_, to)| to == 1),
-        "{:?}",
-        fleet.moves
-    );
+    let moves = fleet.moves;
+    assert!(moves.iter().all(|&(_, to)| to == 1), "{moves:?}");
 }
 
 /// Guards against a search that takes longer than a job may stand still although the advisor is fast enough. The only server is the
@@ -143,13 +138,10 @@
     assert_eq!(fleet.advisor.servers_named, named);
     fleet.end_started();
     assert!(fleet.run_until_started(17, FINISH_MS).is_some());
-    let named = fleet.advisor.servers_named;
+    let named_before = fleet.advisor.servers_named;
     assert_eq!(fleet.run_until_started(18, 5_000), None);
-    assert!(
-        fleet.advisor.servers_named <= named + 2 * 367,
-        "{}",
-        fleet.advisor.servers_named
-    );
+    let named = fleet.advisor.servers_named;
+    assert!(named <= named_before + 2 * 367, "{named}");
 }
 
 /// Guards against a search on behalf of another shard whose answers go to the tasks of the step that are here already.
@@ -159,11 +151,8 @@
     let mut fleet = Fleet::open(&[16, 320, 16], policy);
     fleet.submit(0, 7, vec![service_step(20, "web")]);
     fleet.assert_started_in_time(20);
-    assert!(
-        fleet.advisor.servers_named <= 600,
-        "{}",
-        fleet.advisor.servers_named
-    );
+    let named = fleet.advisor.servers_named;
+    assert!(named <= 600, "{named}");
 }
 
 /// Guards against calls that pile up at an advisor that refuses them, and against a search that ends with it.
@@ -241,11 +230,8 @@
     let mut fleet = Fleet::open(&[40, 0, 0], |_, name| name == "s0-0037");
     fleet.submit(0, 7, vec![step(17)]);
     assert!(fleet.run_until_started(16, FINISH_MS).is_some());
-    assert_eq!(
-        fleet.run_until_started(17, 6_000),
-        None,
-        "the server is full"
-    );
+    let started_ms = fleet.run_until_started(17, 6_000);
+    assert_eq!(started_ms, None, "the server is full");
     let named = fleet.advisor.servers_named;
     fleet.end_started();
     fleet.assert_started_in_time(17);
--- a/tests/callers_site/mod.rs
+++ b/tests/callers_site/mod.rs
@@ -45,9 +45,11 @@
     _lock: File,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("the address")
+/// Addresses with different free ports.
+fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listeners: [TcpListener; COUNT] = std::array::from_fn(bind);
+    listeners.map(|listener| listener.local_addr().expect("the address"))
 }
 
 fn configuration() -> Value {
@@ -86,8 +88,7 @@
         let lock = File::create(folder.join("callers.lock")).expect("a lock file");
         let lock = tokio::task::spawn_blocking(move || lock.lock().map(|()| lock));
         let lock = lock.await.expect("not cancelled").expect("the lock");
-        let store = free_address();
-        let view = free_address();
+        let [store, view, server, callers, ready, peer, metrics] = free_addresses();
         let views = vec![ViewSettings {
             address: view,
             relays: Vec::new(),
@@ -107,7 +108,7 @@
             service: "fichas".into(),
             failure_domain: "poa".into(),
             rack: "r-poa".into(),
-            address: free_address(),
+            address: server,
             relays: Vec::new(),
             store,
             cpu_millis: 8_000,
@@ -119,7 +120,6 @@
             drain_ms: 3_000,
             heartbeat_ms: 1_000,
         }));
-        let [callers, ready, peer, metrics] = std::array::from_fn(|_| free_address());
         let settings = json!({
             "name": "h0", "failure_domain": "poa", "failure_domains": ["poa"],
             "callers_address": callers, "ready_address": ready,
