Log by which configuration a request gets a 404, and how old it is

route_unknown names the version and the time since it was last known to be the newest; configuration_in_force and configuration_not_read have that age as well. Two gauges give the version and the time of the last confirmation. No decision is changed.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -27,7 +27,7 @@
 use crate::daemon::keys;
 use crate::daemon::lookup::{count_queued_jobs, find_status};
 use crate::daemon::node::Node;
-use crate::daemon::{cancellation, refusal, tombstones};
+use crate::daemon::{cancellation, operator, refusal, tombstones};
 use crate::logs::Line;
 
 /// Applies to requests without a deadline header.
@@ -183,7 +183,7 @@
         .unwrap_or_default();
     let path = request.uri().path().to_owned();
     let Some((queue, rest)) = find_route(&configuration, host, &path) else {
-        return empty_reply(StatusCode::NOT_FOUND);
+        return unknown_route(node, configuration.version, host, &path);
     };
     let method = request.method().clone();
     if rest.is_empty() {
@@ -242,6 +242,22 @@
     reply
 }
 
+/// Characters of a caller's host and path that are logged.
+const LOGGED_ROUTE_CHARS: usize = 64;
+
+fn unknown_route(node: &Node, version: u64, host: &str, path: &str) -> Reply {
+    let logged = |text: &str| -> String { text.chars().take(LOGGED_ROUTE_CHARS).collect() };
+    node.rejection_lines.write(|| {
+        let line = Line::info("route_unknown")
+            .with("status", StatusCode::NOT_FOUND.as_u16())
+            .with("host", logged(host))
+            .with("path", logged(path))
+            .with("configuration", version);
+        operator::with_age(line, node)
+    });
+    empty_reply(StatusCode::NOT_FOUND)
+}
+
 fn find_route<'a>(
     configuration: &'a Configuration,
     host: &str,
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -21,7 +21,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Mutex;
 
-use crate::daemon::clock::now_ms;
+use crate::daemon::clock::{now_ms, unix_ms};
 use crate::daemon::ingress::limits::HostSize;
 use crate::daemon::line_limit::LineLimit;
 use crate::daemon::odd_entries::OddEntries;
@@ -65,6 +65,8 @@
     pub metrics: Metrics,
     /// `None` until the configuration has been read.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Time as of which the configuration is known to be the newest; `None` until it has been read.
+    pub configuration_as_of_ms: Cell<Option<u64>>,
     /// Failure domains that the operator has asked to evacuate.
     pub evacuations: RefCell<Evacuations>,
     pub owned_shards: RefCell<Vec<Rc<OwnedShard>>>,
@@ -87,6 +89,8 @@
     pub rejection_lines: LineLimit,
     /// Limits the lines about callers' requests that could not be served.
     pub failure_lines: LineLimit,
+    /// Limits the lines about reads of the configuration that failed.
+    pub configuration_lines: LineLimit,
     /// When the last attempt to count queued jobs from the store failed, and why. Held by the only attempt at a time:
     /// it reads all records of a shard.
     pub count_attempt: Mutex<Option<(u64, StoreFailure)>>,
@@ -144,6 +148,7 @@
             servers: ServerClient::open(http),
             peers: Peers::default(),
             configuration: RefCell::new(None),
+            configuration_as_of_ms: Cell::new(None),
             evacuations: RefCell::default(),
             owned_shards: RefCell::new(Vec::new()),
             owner_views: RefCell::new(views.collect()),
@@ -158,6 +163,7 @@
             peer_lines: LineLimit::default(),
             rejection_lines: LineLimit::default(),
             failure_lines: LineLimit::default(),
+            configuration_lines: LineLimit::default(),
             count_attempt: Mutex::default(),
             odd_entries: OddEntries::default(),
             tombstone_pace: Cell::default(),
@@ -174,6 +180,20 @@
             && !self.is_store_unavailable()
     }
 
+    /// Records that the configuration was the newest at `as_of_ms`, when the call that confirmed it was sent.
+    pub fn confirm_configuration(&self, as_of_ms: u64) {
+        let as_of_ms = self.configuration_as_of_ms.get().max(Some(as_of_ms));
+        self.configuration_as_of_ms.set(as_of_ms);
+        self.metrics.set_configuration_confirmed(unix_ms() / 1_000);
+    }
+
+    /// Time since the configuration was last known to be the newest, in milliseconds; `None` until it has been read.
+    #[must_use]
+    pub fn configuration_age_ms(&self) -> Option<u64> {
+        let as_of_ms = self.configuration_as_of_ms.get()?;
+        Some(now_ms().saturating_sub(as_of_ms))
+    }
+
     /// The shard of a failure domain, if this host owns it.
     #[must_use]
     pub fn owned_shard(&self, failure_domain: &str) -> Option<Rc<OwnedShard>> {
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -36,9 +36,10 @@
             Ok(next) => revision = Some(next),
             Err(StoreFailure::Compacted) => revision = None,
             Err(failure) => {
-                Line::debug("configuration_not_read")
-                    .with_reason(&failure)
-                    .write();
+                node.configuration_lines.write(|| {
+                    let line = Line::info("configuration_not_read").with_reason(&failure);
+                    with_age(line.with("listed", revision.is_none()), &node)
+                });
                 revision = None;
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             }
@@ -62,7 +63,8 @@
     });
     let configuration = page.rows.iter().find(|item| item.key == CONFIGURATION_KEY);
     if let Some(item) = configuration {
-        apply(node, item);
+        apply(node, item, sent_ms);
+        node.confirm_configuration(sent_ms);
     }
     Ok(page.revision)
 }
@@ -77,7 +79,7 @@
     let page = result?;
     for change in &page.rows {
         match change {
-            Change::Written(item) if item.key == CONFIGURATION_KEY => apply(node, item),
+            Change::Written(item) if item.key == CONFIGURATION_KEY => apply(node, item, sent_ms),
             Change::Written(item) => {
                 if let Some(domain) = find_domain(node, &item.key) {
                     update(node, item.revision, sent_ms, |evacuations| {
@@ -98,6 +100,9 @@
     update(node, page.revision, sent_ms, |evacuations| {
         evacuations.confirm(sent_ms);
     });
+    if node.configuration.borrow().is_some() {
+        node.confirm_configuration(sent_ms);
+    }
     Ok(page.revision.max(after))
 }
 
@@ -160,7 +165,15 @@
     }
 }
 
-fn apply(node: &Node, item: &Item) {
+/// Adds how long ago the configuration was last known to be the newest.
+pub(super) fn with_age(line: Line, node: &Node) -> Line {
+    match node.configuration_age_ms() {
+        Some(age_ms) => line.with("age_ms", age_ms),
+        None => line.with("age_ms", "unknown"),
+    }
+}
+
+fn apply(node: &Node, item: &Item, sent_ms: u64) {
     let Some(configuration) = catalog::decode_configuration(&item.value) else {
         Line::error("configuration_unreadable")
             .with("revision", item.revision)
@@ -175,12 +188,15 @@
     if configuration.version <= current {
         return;
     }
-    Line::info("configuration_in_force")
+    let line = Line::info("configuration_in_force")
         .with("version", configuration.version)
         .with("before", current)
         .with("revision", item.revision)
         .with("routes", configuration.routes.len())
-        .write();
+        .with("call_age_ms", now_ms().saturating_sub(sent_ms));
+    with_age(line, node).write();
+    node.metrics
+        .set_configuration_version(configuration.version);
     let configuration = Rc::new(configuration);
     *node.configuration.borrow_mut() = Some(Rc::clone(&configuration));
     for owned in node.owned_shards.borrow().iter() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,6 +104,8 @@
     peer_bytes: Counter<u64>,
     documents: Gauge<u64>,
     shards: Gauge<u64>,
+    configuration_version: Gauge<u64>,
+    configuration_confirmed: Gauge<u64>,
     evacuated_domains: Gauge<u64>,
     evacuated_work: Counter<u64>,
     events: Counter<u64>,
@@ -187,6 +189,16 @@
                 "primrose_shards_owned",
                 "Shards that this host owns",
             ),
+            configuration_version: gauge(
+                &meter,
+                "primrose_configuration_version",
+                "Version of the operator's configuration by which this host answers",
+            ),
+            configuration_confirmed: gauge(
+                &meter,
+                "primrose_configuration_confirmed_timestamp_seconds",
+                "Time at which this host last read or confirmed the configuration, in Unix seconds",
+            ),
             evacuated_domains: gauge(
                 &meter,
                 "primrose_evacuated_failure_domains",
@@ -385,6 +397,15 @@
         self.instruments.shards.record(count, &[]);
     }
 
+    pub fn set_configuration_version(&self, version: u64) {
+        self.instruments.configuration_version.record(version, &[]);
+    }
+
+    /// Sets when the configuration was last read or confirmed.
+    pub fn set_configuration_confirmed(&self, unix_s: u64) {
+        self.instruments.configuration_confirmed.record(unix_s, &[]);
+    }
+
     /// Sets the number of evacuated failure domains that this host knows of.
     pub fn set_evacuated_domains(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
