--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,8 +104,7 @@
     peer_bytes: Counter<u64>,
     documents: Gauge<u64>,
     shards: Gauge<u64>,
-    configuration_version: Gauge<u64>,
-    configuration_confirmed: Gauge<u64>,
+    configuration: ConfigurationGauges,
     evacuated_domains: Gauge<u64>,
     evacuated_work: Counter<u64>,
     events: Counter<u64>,
@@ -118,6 +117,28 @@
     caller_body_bytes: Gauge<u64>,
 }
 
+struct ConfigurationGauges {
+    version: Gauge<u64>,
+    confirmed: Gauge<u64>,
+}
+
+impl ConfigurationGauges {
+    fn open(meter: &Meter) -> Self {
+        Self {
+            version: gauge(
+                meter,
+                "primrose_configuration_version",
+                "Version of the operator's configuration by which this host answers",
+            ),
+            confirmed: gauge(
+                meter,
+                "primrose_configuration_confirmed_timestamp_seconds",
+                "Time at which this host last read or confirmed the configuration, in Unix seconds",
+            ),
+        }
+    }
+}
+
 /// Opens a registry and the provider that exports to it.
 fn open_provider() -> Result<(Registry, SdkMeterProvider), MetricsError> {
     let registry = Registry::new();
@@ -189,16 +210,7 @@
                 "primrose_shards_owned",
                 "Shards that this host owns",
             ),
-            configuration_version: gauge(
-                &meter,
-                "primrose_configuration_version",
-                "Version of the operator's configuration by which this host answers",
-            ),
-            configuration_confirmed: gauge(
-                &meter,
-                "primrose_configuration_confirmed_timestamp_seconds",
-                "Time at which this host last read or confirmed the configuration, in Unix seconds",
-            ),
+            configuration: ConfigurationGauges::open(&meter),
             evacuated_domains: gauge(
                 &meter,
                 "primrose_evacuated_failure_domains",
@@ -398,12 +410,12 @@
     }
 
     pub fn set_configuration_version(&self, version: u64) {
-        self.instruments.configuration_version.record(version, &[]);
+        self.instruments.configuration.version.record(version, &[]);
     }
 
     /// Sets when the configuration was last read or confirmed.
     pub fn set_configuration_confirmed(&self, unix_s: u64) {
-        self.instruments.configuration_confirmed.record(unix_s, &[]);
+        self.instruments.configuration.confirmed.record(unix_s, &[]);
     }
 
     /// Sets the number of evacuated failure domains that this host knows of.
