Answer 404 only by a configuration that cannot lack a route in force

What callers saw: "refused with 404 as an older version says". A host that the store turns away, or whose connections went silent, took a route as unknown by a copy of any age; callers do not repeat a request after a 404. Cause: the copy had no age. A 404 claims that no version in force has the route, which only a copy that was confirmed within the bound can tell. Change: the copy is as old as the call that confirmed it was sent. If it is older than the bound of the deployment (configuration_ms, 2 s by default), a request for a route that it does not have gets a 503 with Retry-After: 1. Why it works: a version that must be in force was acknowledged before the call that confirmed the copy was sent, so the copy has it. This holds however long time-outs add up to, and whatever keeps the store from the host. Not covered: a route that was dropped is served until the copy is renewed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod arrival;
 pub mod bounds;
 pub mod claim;
+pub mod copy_age;
 pub mod crash_handover;
 mod crash_rate;
 mod crashes;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -245,17 +245,24 @@
 /// Characters of a caller's host and path that are logged.
 const LOGGED_ROUTE_CHARS: usize = 64;
 
+/// Replies to a request for a route that the configuration does not have. Callers take a 404 as final, so an old copy does
+/// not give one.
 fn unknown_route(node: &Node, version: u64, host: &str, path: &str) -> Reply {
+    let reply = if node.is_configuration_current() {
+        empty_reply(StatusCode::NOT_FOUND)
+    } else {
+        refuse(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
+    };
     let logged = |text: &str| -> String { text.chars().take(LOGGED_ROUTE_CHARS).collect() };
     node.rejection_lines.write(|| {
         let line = Line::info("route_unknown")
-            .with("status", StatusCode::NOT_FOUND.as_u16())
+            .with("status", reply.status().as_u16())
             .with("host", logged(host))
             .with("path", logged(path))
             .with("configuration", version);
         operator::with_age(line, node)
     });
-    empty_reply(StatusCode::NOT_FOUND)
+    reply
 }
 
 fn find_route<'a>(
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use primrosestack_fleet::admission::{self, Refusal, ShardState};
+use primrosestack_fleet::copy_age::CopyAge;
 use primrosestack_fleet::evacuation::Evacuations;
 use primrosestack_fleet::handover::{Handover, PastTerms};
 use primrosestack_fleet::intake::Load;
@@ -65,8 +66,7 @@
     pub metrics: Metrics,
     /// `None` until the configuration has been read.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
-    /// Time as of which the configuration is known to be the newest; `None` until it has been read.
-    pub configuration_as_of_ms: Cell<Option<u64>>,
+    pub configuration_age: Cell<CopyAge>,
     /// Failure domains that the operator has asked to evacuate.
     pub evacuations: RefCell<Evacuations>,
     pub owned_shards: RefCell<Vec<Rc<OwnedShard>>>,
@@ -148,7 +148,7 @@
             servers: ServerClient::open(http),
             peers: Peers::default(),
             configuration: RefCell::new(None),
-            configuration_as_of_ms: Cell::new(None),
+            configuration_age: Cell::default(),
             evacuations: RefCell::default(),
             owned_shards: RefCell::new(Vec::new()),
             owner_views: RefCell::new(views.collect()),
@@ -182,16 +182,17 @@
 
     /// Records that the configuration was the newest at `as_of_ms`, when the call that confirmed it was sent.
     pub fn confirm_configuration(&self, as_of_ms: u64) {
-        let as_of_ms = self.configuration_as_of_ms.get().max(Some(as_of_ms));
-        self.configuration_as_of_ms.set(as_of_ms);
+        let mut age = self.configuration_age.get();
+        age.confirm(as_of_ms);
+        self.configuration_age.set(age);
         self.metrics.set_configuration_confirmed(unix_ms() / 1_000);
     }
 
-    /// Time since the configuration was last known to be the newest, in milliseconds; `None` until it has been read.
+    /// Whether the configuration has all versions that must be in force by now.
     #[must_use]
-    pub fn configuration_age_ms(&self) -> Option<u64> {
-        let as_of_ms = self.configuration_as_of_ms.get()?;
-        Some(now_ms().saturating_sub(as_of_ms))
+    pub fn is_configuration_current(&self) -> bool {
+        let bound_ms = self.settings.configuration_bound_ms();
+        self.configuration_age.get().is_current(now_ms(), bound_ms)
     }
 
     /// The shard of a failure domain, if this host owns it.
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use primrosestack_fleet::copy_age;
 use primrosestack_fleet::evacuation::Evacuations;
 use primrosestack_fleet::prelude::*;
 use primrosestack_platform::catalog::{
@@ -17,8 +18,7 @@
 use crate::daemon::owner::OwnedShard;
 use crate::logs::Line;
 
-/// Bounds the time until a dead connection is noticed, so that a missed configuration is still in force within the 2 s
-/// that deployments allow.
+/// Bounds the time until a dead connection is noticed.
 const WATCH_WAIT_MAX_MS: u64 = 1_000;
 
 /// Short compared with the 2 s within which a configuration must be in force.
@@ -106,12 +106,13 @@
     Ok(page.revision.max(after))
 }
 
-/// Wait of a watch. Several fit into the time for which an owner may use what it knows of the evacuations.
+/// Wait of a watch. It confirms the configuration in time, and several fit into the time for which an owner may use what it
+/// knows of the evacuations.
 fn watch_wait_ms(node: &Node) -> u64 {
+    let bound_ms = node.settings.configuration_bound_ms();
+    let wait_ms = WATCH_WAIT_MAX_MS.min(copy_age::watch_wait_ms(bound_ms));
     let bound_ms = node.bounds.evacuation_ms;
-    bound_ms.map_or(WATCH_WAIT_MAX_MS, |bound_ms| {
-        WATCH_WAIT_MAX_MS.min(bound_ms / 4)
-    })
+    bound_ms.map_or(wait_ms, |bound_ms| wait_ms.min(bound_ms / 4))
 }
 
 /// Failure domain that a key requests to evacuate; reports a request that has no effect.
@@ -167,7 +168,7 @@
 
 /// Adds how long ago the configuration was last known to be the newest.
 pub(super) fn with_age(line: Line, node: &Node) -> Line {
-    match node.configuration_age_ms() {
+    match node.configuration_age.get().age_ms(now_ms()) {
         Some(age_ms) => line.with("age_ms", age_ms),
         None => line.with("age_ms", "unknown"),
     }
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -17,7 +17,14 @@
 /// A start takes up to 0.5 s of this time, and the operator's requests have to be read several times in the rest.
 const EVACUATION_MIN_MS: u64 = 1_500;
 
+/// Bound on the time until a configuration is in force, if the deployment sets none.
+const DEFAULT_CONFIGURATION_MS: u64 = 2_000;
+
+/// The store has to be asked twice in this time, and one of the calls may meet a connection that is dead.
+const CONFIGURATION_MIN_MS: u64 = 1_000;
+
 /// Variables with values that the settings file leaves out, as the deployment sets them.
+const CONFIGURATION_VARIABLE: &str = "PRIMROSESTACK_CONFIGURATION_MS";
 const EVACUATION_VARIABLE: &str = "PRIMROSESTACK_EVACUATION_MS";
 const MEMORY_VARIABLE: &str = "PRIMROSESTACK_MEMORY_MB";
 const FDS_VARIABLE: &str = "PRIMROSESTACK_FDS_MAX";
@@ -100,6 +107,9 @@
     /// the deployment sets no such time.
     #[serde(default)]
     pub evacuation_ms: u64,
+    /// [`DaemonSettings::configuration_bound_ms`]; 0 if the deployment sets none.
+    #[serde(default)]
+    pub configuration_ms: u64,
     /// Share of each processor that the host may use.
     #[serde(default = "default_cpu")]
     pub cpu_share: f64,
@@ -167,6 +177,15 @@
 }
 
 impl DaemonSettings {
+    /// Time after the acknowledgement of a configuration from which requests must be handled by it.
+    #[must_use]
+    pub fn configuration_bound_ms(&self) -> u64 {
+        match self.configuration_ms {
+            0 => DEFAULT_CONFIGURATION_MS,
+            bound_ms => bound_ms,
+        }
+    }
+
     /// Reads the file at `path`, or else the file that the deployment names.
     ///
     /// # Errors
@@ -243,6 +262,15 @@
                 expected: "0, or 1500 or more"
             }
         );
+        ensure!(
+            settings.configuration_ms == 0 || settings.configuration_ms >= CONFIGURATION_MIN_MS,
+            RangeSnafu {
+                path,
+                field: "configuration_ms",
+                found: settings.configuration_ms.to_string(),
+                expected: "0, or 1000 or more"
+            }
+        );
         ensure!(
             settings
                 .failure_domains
@@ -265,6 +293,7 @@
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<(), DaemonSettingsError> {
         let values = [
+            (CONFIGURATION_VARIABLE, &mut self.configuration_ms),
             (EVACUATION_VARIABLE, &mut self.evacuation_ms),
             (MEMORY_VARIABLE, &mut self.memory_mb),
             (FDS_VARIABLE, &mut self.fds_max),
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -23,7 +23,7 @@
     let value = json!({"version": version, "routes": [route]}).to_string();
     let configuration = decode_configuration(value.as_bytes()).expect("a configuration");
     *node.configuration.borrow_mut() = Some(Rc::new(configuration));
-    node.configuration_as_of_ms.set(Some(as_of_ms));
+    node.confirm_configuration(as_of_ms);
 }
 
 /// Head of the reply to a GET request, in lower case.
