Let no confirmation pass over a configuration that cannot be read

Change: such a version supersedes the copy, which is not confirmed until a later one is applied; a request for an unknown route gets a 503 from the bound on.

--- a/crates/fleet/src/copy_age.rs
+++ b/crates/fleet/src/copy_age.rs
@@ -8,12 +8,26 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CopyAge {
     as_of_ms: Option<u64>,
+    /// Whether a later version exists that cannot be applied.
+    is_superseded: bool,
 }
 
 impl CopyAge {
-    /// Records that the copy was the newest version at `as_of_ms`.
+    /// Records that the copy was the newest version at `as_of_ms`, unless it is superseded.
     pub fn confirm(&mut self, as_of_ms: u64) {
-        self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
+        if !self.is_superseded {
+            self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
+        }
+    }
+
+    /// Records that the store has a version that cannot be applied.
+    pub fn supersede(&mut self) {
+        self.is_superseded = true;
+    }
+
+    /// Records that the newest version of the store was applied.
+    pub fn replace(&mut self) {
+        self.is_superseded = false;
     }
 
     /// Age in milliseconds; `None` before there is a copy.
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -182,10 +182,17 @@
 
     /// Records that the configuration was the newest at `as_of_ms`, when the call that confirmed it was sent.
     pub fn confirm_configuration(&self, as_of_ms: u64) {
+        let before = self.configuration_age.get();
+        self.update_configuration_age(|age| age.confirm(as_of_ms));
+        if self.configuration_age.get() != before {
+            self.metrics.set_configuration_confirmed(unix_ms() / 1_000);
+        }
+    }
+
+    pub fn update_configuration_age(&self, change: impl FnOnce(&mut CopyAge)) {
         let mut age = self.configuration_age.get();
-        age.confirm(as_of_ms);
+        change(&mut age);
         self.configuration_age.set(age);
-        self.metrics.set_configuration_confirmed(unix_ms() / 1_000);
     }
 
     /// Whether the configuration has all versions that must be in force by now.
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use primrosestack_fleet::copy_age;
+use primrosestack_fleet::copy_age::{self, CopyAge};
 use primrosestack_fleet::evacuation::Evacuations;
 use primrosestack_fleet::prelude::*;
 use primrosestack_platform::catalog::{
@@ -179,8 +179,10 @@
         Line::error("configuration_unreadable")
             .with("revision", item.revision)
             .write();
+        node.update_configuration_age(CopyAge::supersede);
         return;
     };
+    node.update_configuration_age(CopyAge::replace);
     let current = node
         .configuration
         .borrow()
