--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -66,6 +66,7 @@
     pub metrics: Metrics,
     /// `None` until the configuration has been read.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Age of `configuration`.
     pub configuration_age: Cell<CopyAge>,
     /// Failure domains that the operator has asked to evacuate.
     pub evacuations: RefCell<Evacuations>,
@@ -189,6 +190,7 @@
         }
     }
 
+    /// Changes what is known of the age of the configuration.
     pub fn update_configuration_age(&self, change: impl FnOnce(&mut CopyAge)) {
         let mut age = self.configuration_age.get();
         change(&mut age);
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -20,7 +20,7 @@
 /// Bound on the time until a configuration is in force, if the deployment sets none.
 const DEFAULT_CONFIGURATION_MS: u64 = 2_000;
 
-/// The store has to be asked twice in this time, and one of the calls may meet a connection that is dead.
+/// Two watches and their answers have to fit into this time.
 const CONFIGURATION_MIN_MS: u64 = 1_000;
 
 /// Variables with values that the settings file leaves out, as the deployment sets them.
